Hash a prompt's leading blocks

Cause: routing, the agent and the engine stand-in must agree on what an equal prefix is. Ruled out: a hash of the whole prompt, which knows no partial hit.

--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod util;
 
 pub mod chart;
+pub mod prefix;
 pub mod refusal;
 pub mod rpc;
 pub mod timer;
