--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod rpc;
 pub mod timer;
 pub mod types;
+pub mod wire;
