Add the engine stand-in's core in virtual time

The core is a plain state machine: steps whose length follows a cost model, chunks of prompts bounded by time and so shrinking with the context, admission by priority into bounded memory, a prefix cache in the spare memory, export and import, parts of groups, orders with fencing numbers, late cache events with gaps.

Memory is held for prompt and asked answer from admission on, so the core never preempts by itself: that decision is the agent's.

--- /dev/null
+++ b/emulator/src/engine/core/engine_core.rs
@@ -0,0 +1,259 @@
+//! The engine's state, and the requests that it takes at any time.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+
+use jujubewind::types::MonoTime;
+use jujubewind::wire::engine::CacheEvents;
+use jujubewind::wire::engine::CancelState;
+use jujubewind::wire::engine::EngineLoad;
+
+use super::EngineConfig;
+use super::EngineFaults;
+use super::Error;
+use super::PrefixCache;
+use super::Result;
+use super::SeqKey;
+use super::Submit;
+use super::cache_log::CacheLog;
+use super::load_log::LoadLog;
+use super::memory::Part;
+use super::sequence::Sequence;
+
+/// Ended sequences that a cancel still knows.
+const KEPT_ENDED: usize = 1_024;
+
+/// One engine in virtual time.
+///
+/// Call [`EngineCore::step`] at [`EngineCore::next_event`], or later: it makes up for the time
+/// that has passed, so outputs are the same however often it is called.
+#[derive(Clone, Debug)]
+pub struct EngineCore {
+    pub(crate) config: EngineConfig,
+    pub(crate) faults: EngineFaults,
+    pub(crate) incarnation: u64,
+    pub(crate) last_key: u64,
+    pub(crate) last_handle: u64,
+    /// In order of rank.
+    pub(crate) running: Vec<Sequence>,
+    pub(crate) waiting: BTreeMap<(i64, SeqKey), Sequence>,
+    /// By number of the handle.
+    pub(crate) exports: BTreeMap<u64, Sequence>,
+    pub(crate) parts: BTreeMap<String, Part>,
+    pub(crate) cache: PrefixCache,
+    pub(crate) cache_log: CacheLog,
+    pub(crate) load_log: LoadLog,
+    pub(crate) loaded: Vec<String>,
+    pub(crate) fence: u64,
+    /// When the step under way ends.
+    pub(crate) step_end: Option<MonoTime>,
+    /// The engine does nothing before.
+    pub(crate) busy_until: MonoTime,
+    /// The engine is gone until then.
+    pub(crate) down_until: MonoTime,
+    ended: VecDeque<String>,
+    ended_ids: HashSet<String>,
+}
+
+impl EngineCore {
+    /// Starts an engine with its start number.
+    #[must_use]
+    pub fn new(config: EngineConfig, incarnation: u64) -> Self {
+        Self {
+            loaded: config.models.clone(),
+            config,
+            faults: EngineFaults::default(),
+            incarnation,
+            last_key: 0,
+            last_handle: 0,
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+            exports: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            cache: PrefixCache::default(),
+            cache_log: CacheLog::default(),
+            load_log: LoadLog::default(),
+            fence: 0,
+            step_end: None,
+            busy_until: MonoTime::ZERO,
+            down_until: MonoTime::ZERO,
+            ended: VecDeque::new(),
+            ended_ids: HashSet::new(),
+        }
+    }
+
+    /// Takes a request for a sequence.
+    ///
+    /// # Errors
+    /// The model is unknown, the id is in use, or the memory can never suffice.
+    pub fn submit(&mut self, now: MonoTime, submit: Submit) -> Result<SeqKey> {
+        self.check_up(now)?;
+        if !self.is_loaded(&submit.model) {
+            return Err(Error::UnknownModel);
+        }
+        if self.is_known(&submit.id) {
+            return Err(Error::Duplicate);
+        }
+        let (held, engines) = self.place(now, &submit)?;
+        self.last_key += 1;
+        let key = SeqKey(self.last_key);
+        let sequence = Sequence::new(key, submit, held, engines);
+        self.waiting.insert(sequence.rank(), sequence);
+        self.wake(now);
+        Ok(key)
+    }
+
+    /// Ends a sequence wherever it is, and tells where that was.
+    pub fn cancel(&mut self, now: MonoTime, id: &str) -> (CancelState, Option<SeqKey>) {
+        if let Some(sequence) = self.take_waiting(id) {
+            let has_run = sequence.cached > 0 || sequence.context() > 0;
+            self.end(id);
+            let state = if has_run {
+                CancelState::Cancelled
+            } else {
+                CancelState::NotStarted
+            };
+            return (state, Some(sequence.key));
+        }
+        if let Some(sequence) = self.take_running(id).or_else(|| self.take_export(id)) {
+            self.end(id);
+            self.wake(now);
+            return (CancelState::Cancelled, Some(sequence.key));
+        }
+        let state = if self.ended_ids.contains(id) {
+            CancelState::Finished
+        } else {
+            CancelState::Unknown
+        };
+        (state, None)
+    }
+
+    /// When [`EngineCore::step`] has something to do; [`MonoTime::NEVER`] if nothing is there.
+    #[must_use]
+    pub fn next_event(&self) -> MonoTime {
+        if let Some(end) = self.step_end {
+            return end;
+        }
+        if self.waiting.is_empty() {
+            return MonoTime::NEVER;
+        }
+        let expiries = self.parts.values().map(|part| part.expires);
+        expiries.min().unwrap_or(MonoTime::NEVER)
+    }
+
+    /// The published load, as old as the faults say.
+    pub fn load(&mut self, now: MonoTime) -> EngineLoad {
+        self.sample_load(now);
+        let sample = self.load_log.read(now, self.faults.load_lag);
+        sample.unwrap_or_else(|| self.exact_load())
+    }
+
+    /// The published cache events after number `after`.
+    #[must_use]
+    pub fn cache_events(&self, now: MonoTime, after: u64) -> CacheEvents {
+        self.cache_log.read(now, self.faults.event_lag, after)
+    }
+
+    /// The load as it is.
+    #[must_use]
+    pub fn exact_load(&self) -> EngineLoad {
+        EngineLoad {
+            age_ms: 0,
+            running: self.running.len() as u64,
+            waiting: self.waiting.len() as u64,
+            free: self.free(),
+            capacity: self.config.capacity.get(),
+        }
+    }
+
+    /// The start number; a crash raises it.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// The settings.
+    #[must_use]
+    pub fn config(&self) -> &EngineConfig {
+        &self.config
+    }
+
+    /// The faults in force.
+    #[must_use]
+    pub fn faults(&self) -> &EngineFaults {
+        &self.faults
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&mut self, faults: EngineFaults) {
+        self.faults = faults;
+    }
+
+    /// Does nothing until `until`: the step under way ends then at the earliest.
+    pub fn freeze(&mut self, until: MonoTime) {
+        self.busy_until = self.busy_until.max(until);
+        self.step_end = self.step_end.map(|end| end.max(until));
+    }
+
+    /// Whether the engine has crashed and is not back yet.
+    ///
+    /// # Errors
+    /// It has and is not.
+    pub fn check_up(&self, now: MonoTime) -> Result<()> {
+        if now < self.down_until {
+            return Err(Error::Crashed);
+        }
+        Ok(())
+    }
+
+    pub(crate) fn sample_load(&mut self, now: MonoTime) {
+        if self.load_log.is_due(now) {
+            let load = self.exact_load();
+            self.load_log.record(now, load);
+        }
+    }
+
+    /// Notes that the sequence with this id has ended.
+    pub(crate) fn end(&mut self, id: &str) {
+        if self.ended.len() == KEPT_ENDED
+            && let Some(oldest) = self.ended.pop_front()
+        {
+            self.ended_ids.remove(&oldest);
+        }
+        if self.ended_ids.insert(id.to_owned()) {
+            self.ended.push_back(id.to_owned());
+        }
+    }
+
+    pub(crate) fn forget_ended(&mut self) {
+        self.ended.clear();
+        self.ended_ids.clear();
+    }
+
+    pub(crate) fn take_running(&mut self, id: &str) -> Option<Sequence> {
+        let place = self.running.iter().position(|seq| seq.submit.id == id)?;
+        Some(self.running.remove(place))
+    }
+
+    pub(crate) fn take_waiting(&mut self, id: &str) -> Option<Sequence> {
+        let mut waiting = self.waiting.iter();
+        let rank = *waiting.find(|(_, seq)| seq.submit.id == id)?.0;
+        self.waiting.remove(&rank)
+    }
+
+    fn take_export(&mut self, id: &str) -> Option<Sequence> {
+        let mut exports = self.exports.iter();
+        let handle = *exports.find(|(_, seq)| seq.submit.id == id)?.0;
+        self.exports.remove(&handle)
+    }
+
+    fn is_known(&self, id: &str) -> bool {
+        let mut known = self
+            .running
+            .iter()
+            .chain(self.waiting.values())
+            .chain(self.exports.values());
+        known.any(|seq| seq.submit.id == id)
+    }
+}
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the systems around jujubewind: engines, plain services and the platform.
+
+pub mod engine;
