Serve the engine and the plain service over HTTP

The daemons need back ends to speak to. Each stand-in is one task on compio and hyper that owns its state; the engine's core runs in real time times a factor. Each serves on a listener that is handed in, so that several can live on threads of one process, and as a command whose first line tells its address.

Faults are switched by POST /faults while they run: crash, freeze, slow steps, broken streams, ignored fencing numbers, late events with gaps and lagging load at the engine; delay, lost answers and failures at the service.

--- a/emulator/src/engine/core/engine_core.rs
+++ b/emulator/src/engine/core/engine_core.rs
@@ -145,14 +145,14 @@
     /// The published load, as old as the faults say.
     pub fn load(&mut self, now: MonoTime) -> EngineLoad {
         self.sample_load(now);
-        let sample = self.load_log.read(now, self.faults.load_lag);
+        let sample = self.load_log.read(now, self.faults.load_lag_ms);
         sample.unwrap_or_else(|| self.exact_load())
     }
 
     /// The published cache events after number `after`.
     #[must_use]
     pub fn cache_events(&self, now: MonoTime, after: u64) -> CacheEvents {
-        self.cache_log.read(now, self.faults.event_lag, after)
+        self.cache_log.read(now, self.faults.event_lag_ms, after)
     }
 
     /// The load as it is.
--- a/emulator/src/engine/core/faults.rs
+++ b/emulator/src/engine/core/faults.rs
@@ -13,11 +13,11 @@
     /// Orders with an old fencing number are carried out.
     pub ignore_fences: bool,
     /// Every event with a number that this divides is lost; zero loses none.
-    pub event_gap: u64,
+    pub gap_events: u64,
     /// The age at which cache events are published.
-    pub event_lag: Millis,
+    pub event_lag_ms: Millis,
     /// The age at which the load is published.
-    pub load_lag: Millis,
+    pub load_lag_ms: Millis,
 }
 
 impl Default for EngineFaults {
@@ -25,9 +25,9 @@
         Self {
             slow: 1.0,
             ignore_fences: false,
-            event_gap: 199,
-            event_lag: Millis(300),
-            load_lag: Millis(1_000),
+            gap_events: 199,
+            event_lag_ms: Millis(300),
+            load_lag_ms: Millis(1_000),
         }
     }
 }
--- a/emulator/src/engine/core/memory.rs
+++ b/emulator/src/engine/core/memory.rs
@@ -148,14 +148,14 @@
             let Some(block) = self.cache.evict() else {
                 return;
             };
-            let gap = self.faults.event_gap;
+            let gap = self.faults.gap_events;
             self.cache_log.record(now, CacheChange::Evicted, block, gap);
         }
     }
 
     /// Stores the blocks of a prompt that has been computed.
     pub(crate) fn store_blocks(&mut self, now: MonoTime, blocks: &[u64]) {
-        let gap = self.faults.event_gap;
+        let gap = self.faults.gap_events;
         // The first block goes in last, so that it is evicted last.
         for block in blocks.iter().rev() {
             if self.cache.store(*block) {
--- /dev/null
+++ b/emulator/src/http/mod.rs
@@ -0,0 +1,17 @@
+//! Serving HTTP on compio, as each stand-in does it.
+
+mod call;
+mod handler;
+mod reply;
+mod running;
+mod server;
+
+pub use call::Call;
+pub use handler::Handler;
+pub use handler::HangUp;
+pub use reply::Chunk;
+pub use reply::Reply;
+pub use reply::json;
+pub use reply::stream;
+pub use running::Running;
+pub use server::serve;
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -1,3 +1,6 @@
 //! Stand-ins for the systems around jujubewind: engines, plain services and the platform.
 
+pub mod cli;
 pub mod engine;
+pub mod http;
+pub mod service;
--- a/emulator/src/main.rs
+++ b/emulator/src/main.rs
@@ -1,3 +1,5 @@
 //! Runs stand-ins and experiments.
 
-fn main() {}
+fn main() -> anyhow::Result<()> {
+    jujube_emulator::cli::run(jujube_emulator::cli::command().run())
+}
--- /dev/null
+++ b/emulator/src/service/server.rs
@@ -0,0 +1,108 @@
+//! The service's routes.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use hyper::Method;
+use hyper::StatusCode;
+use jujubewind::wire::service::ServiceCounts;
+use jujubewind::wire::service::ServiceReply;
+use serde_json::json;
+
+use super::ServiceFaults;
+use super::faults::ServiceSwitch;
+use crate::http::Call;
+use crate::http::Handler;
+use crate::http::HangUp;
+use crate::http::Reply;
+use crate::http::json as reply;
+
+/// The header by which executions are counted.
+const KEY_HEADER: &str = "idempotency-key";
+
+#[derive(Debug, Default)]
+struct Server {
+    executions: RefCell<HashMap<String, u64>>,
+    faults: RefCell<ServiceFaults>,
+}
+
+/// Serves the service on `listener`; `POST /{method}`, `GET /counts`, `/faults`.
+///
+/// # Errors
+/// The listener cannot be used.
+pub async fn serve(listener: TcpListener, faults: ServiceFaults) -> io::Result<()> {
+    let server = Server {
+        faults: RefCell::new(faults),
+        ..Server::default()
+    };
+    crate::http::serve(listener, Rc::new(server)).await
+}
+
+impl Handler for Server {
+    async fn handle(self: Rc<Self>, call: Call) -> Result<Reply, HangUp> {
+        match (&call.method, call.path.as_str()) {
+            (&Method::GET, "/counts") => Ok(self.counts()),
+            (&Method::GET, "/faults") => Ok(reply(StatusCode::OK, &*self.faults.borrow())),
+            (&Method::POST, "/faults") => Ok(self.switch(&call)),
+            (&Method::POST, _) => self.execute(&call).await,
+            _ => Ok(refuse(StatusCode::NOT_FOUND, "no such route")),
+        }
+    }
+}
+
+impl Server {
+    fn counts(&self) -> Reply {
+        let executions = self.executions.borrow().clone();
+        reply(StatusCode::OK, &ServiceCounts { executions })
+    }
+
+    fn switch(&self, call: &Call) -> Reply {
+        match call.json::<ServiceSwitch>() {
+            Ok(switch) => {
+                switch.apply(&mut self.faults.borrow_mut());
+                reply(StatusCode::OK, &*self.faults.borrow())
+            }
+            Err(error) => refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+
+    async fn execute(self: Rc<Self>, call: &Call) -> Result<Reply, HangUp> {
+        if self.faults.borrow().fail {
+            return Ok(refuse(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "switched to fail",
+            ));
+        }
+        let key = call.header(KEY_HEADER).map(str::to_owned);
+        // A task of its own, so that a caller that goes away stops nothing.
+        let task = compio::runtime::spawn(self.clone().count(key.clone()));
+        let executions = task.await.map_err(|_| HangUp)?;
+        if self.faults.borrow().lose_answers {
+            return Err(HangUp);
+        }
+        let method = call.path.trim_start_matches('/').to_owned();
+        let body = ServiceReply {
+            key,
+            executions,
+            method,
+        };
+        Ok(reply(StatusCode::OK, &body))
+    }
+
+    /// Executes a call after the delay; calls without a key are counted together.
+    async fn count(self: Rc<Self>, key: Option<String>) -> u64 {
+        let delay = self.faults.borrow().delay_ms;
+        compio::time::sleep(delay.duration()).await;
+        let mut executions = self.executions.borrow_mut();
+        let count = executions.entry(key.unwrap_or_default()).or_default();
+        *count += 1;
+        *count
+    }
+}
+
+fn refuse(status: StatusCode, message: &str) -> Reply {
+    reply(status, &json!({ "error": message }))
+}
--- a/emulator/tests/engine_core.rs
+++ b/emulator/tests/engine_core.rs
@@ -370,8 +370,8 @@
 fn cache_events_come_late_and_with_gaps() {
     let mut engine = engine();
     engine.set_faults(EngineFaults {
-        event_gap: 3,
-        event_lag: Millis(1_000),
+        gap_events: 3,
+        event_lag_ms: Millis(1_000),
         ..EngineFaults::default()
     });
     engine
