Add the platform stand-in, and tests of every stand-in's faults

The configuration's store and the list of VMs are the only things that the daemons share, so their outages, lost answers and lags must be at hand.

--- a/emulator/src/cli/options.rs
+++ b/emulator/src/cli/options.rs
@@ -1,6 +1,7 @@
 //! The options of each command.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use bpaf::Bpaf;
 use jujubewind::types::Millis;
@@ -13,6 +14,9 @@
     /// Serve a model engine.
     #[bpaf(command)]
     Engine(#[bpaf(external(engine_command))] EngineCommand),
+    /// Serve the platform: key-value service and list of VMs.
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform_command))] PlatformCommand),
     /// Serve a plain service.
     #[bpaf(command)]
     Service(#[bpaf(external(service_command))] ServiceCommand),
@@ -53,3 +57,23 @@
     #[bpaf(argument("MILLIS"), fallback(Millis(0)), display_fallback)]
     pub delay: Millis,
 }
+
+/// The options of the platform.
+#[derive(Clone, Debug, Bpaf)]
+pub struct PlatformCommand {
+    /// Where to listen; port 0 takes a free one
+    #[bpaf(argument("ADDR"))]
+    pub listen: SocketAddr,
+    /// Writes a second that are taken
+    #[bpaf(argument("COUNT"), fallback(500), display_fallback)]
+    pub writes: u64,
+    /// Reads a second that are taken, each waiting watch included
+    #[bpaf(argument("COUNT"), fallback(2_000), display_fallback)]
+    pub reads: u64,
+    /// A file with the list of VMs, as JSON
+    #[bpaf(argument("FILE"))]
+    pub vms: Option<PathBuf>,
+    /// How far the list of VMs lags behind
+    #[bpaf(argument("MILLIS"), fallback(Millis(2_000)), display_fallback)]
+    pub vm_lag: Millis,
+}
--- a/emulator/src/cli/run.rs
+++ b/emulator/src/cli/run.rs
@@ -4,15 +4,21 @@
 use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::path::Path;
 use std::time::SystemTime;
 
 use anyhow::Context;
 use compio::runtime::Runtime;
+use jujubewind::wire::platform::Vm;
+use jujubewind::wire::platform::VmList;
 
 use super::Command;
 use super::options::EngineCommand;
+use super::options::PlatformCommand;
 use crate::engine::EngineOptions;
 use crate::engine::core::EngineConfig;
+use crate::platform::PlatformFaults;
+use crate::platform::PlatformOptions;
 use crate::service::ServiceFaults;
 
 /// Carries out `command`; a stand-in serves until the process is ended.
@@ -27,6 +33,12 @@
                 crate::engine::serve(listener, options)
             })
         }
+        Command::Platform(command) => {
+            let options = platform_options(&command)?;
+            serve(command.listen, |listener| {
+                crate::platform::serve(listener, options)
+            })
+        }
         Command::Service(command) => {
             let faults = ServiceFaults {
                 delay_ms: command.delay,
@@ -66,6 +78,26 @@
     }
 }
 
+fn platform_options(command: &PlatformCommand) -> anyhow::Result<PlatformOptions> {
+    let vms = command.vms.as_deref().map(read_vms).transpose()?;
+    Ok(PlatformOptions {
+        writes: command.writes,
+        reads: command.reads,
+        vms: vms.unwrap_or_default(),
+        faults: PlatformFaults {
+            vm_lag_ms: command.vm_lag,
+            ..PlatformFaults::default()
+        },
+    })
+}
+
+fn read_vms(path: &Path) -> anyhow::Result<Vec<Vm>> {
+    let text = std::fs::read(path).with_context(|| format!("cannot read {}", path.display()))?;
+    let list: VmList = serde_json::from_slice(&text)
+        .with_context(|| format!("{} is no list of VMs", path.display()))?;
+    Ok(list.vms)
+}
+
 /// A number that rises from start to start: the machine keeps nothing else.
 fn start_number() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod cli;
 pub mod engine;
 pub mod http;
+pub mod platform;
 pub mod service;
--- /dev/null
+++ b/emulator/tests/common/mod.rs
@@ -0,0 +1,94 @@
+//! Servers on free ports, and a client that blocks.
+
+#![allow(dead_code)]
+
+use std::net::TcpListener;
+
+use compio::runtime::Runtime;
+use hyper::StatusCode;
+use jujube_emulator::engine::EngineOptions;
+use jujube_emulator::engine::core::EngineConfig;
+use jujube_emulator::http::Running;
+use jujube_emulator::platform::PlatformOptions;
+use jujube_emulator::service::ServiceFaults;
+use jujubewind::types::Millis;
+use serde_json::Value;
+
+/// A listener on a free port.
+pub fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port is free")
+}
+
+/// An engine that runs twenty times faster than real time.
+pub fn engine() -> Running {
+    let options = EngineOptions {
+        config: EngineConfig {
+            models: vec!["m".to_owned()],
+            restart: Millis(100),
+            ..EngineConfig::default()
+        },
+        speed: 20.0,
+        ..EngineOptions::default()
+    };
+    Running::start(listener(), |listener| {
+        jujube_emulator::engine::serve(listener, options)
+    })
+    .expect("the engine starts")
+}
+
+/// A plain service without faults.
+pub fn service() -> Running {
+    Running::start(listener(), |listener| {
+        jujube_emulator::service::serve(listener, ServiceFaults::default())
+    })
+    .expect("the service starts")
+}
+
+/// A platform.
+pub fn platform(options: PlatformOptions) -> Running {
+    Running::start(listener(), |listener| {
+        jujube_emulator::platform::serve(listener, options)
+    })
+    .expect("the platform starts")
+}
+
+/// Runs `work` on a runtime of its own.
+pub fn block_on<T>(work: impl Future<Output = T>) -> T {
+    Runtime::new().expect("the runtime starts").block_on(work)
+}
+
+/// Posts JSON; `None` if the connection was closed without an answer.
+pub async fn post(server: &Running, path: &str, body: &Value) -> Option<(StatusCode, String)> {
+    post_with(server, path, body, &[]).await
+}
+
+/// Posts JSON with headers.
+pub async fn post_with(
+    server: &Running,
+    path: &str,
+    body: &Value,
+    headers: &[(&str, &str)],
+) -> Option<(StatusCode, String)> {
+    let client = cyper::Client::new().expect("a client");
+    let mut request = client.post(server.url() + path).expect("a URL");
+    for (name, value) in headers {
+        request = request.header(*name, *value).expect("a header");
+    }
+    let response = request.json(body).expect("JSON").send().await.ok()?;
+    let status = response.status();
+    Some((status, response.text().await.ok()?))
+}
+
+/// Gets JSON.
+pub async fn get(server: &Running, path: &str) -> Value {
+    let client = cyper::Client::new().expect("a client");
+    let request = client.get(server.url() + path).expect("a URL");
+    let response = request.send().await.expect("an answer");
+    response.json().await.expect("JSON")
+}
+
+/// Posts JSON and reads the answer as JSON.
+pub async fn post_json(server: &Running, path: &str, body: &Value) -> Value {
+    let (_, text) = post(server, path, body).await.expect("an answer");
+    serde_json::from_str(&text).expect("JSON")
+}
--- /dev/null
+++ b/emulator/tests/engine_server.rs
@@ -0,0 +1,198 @@
+//! The engine over HTTP, and its faults.
+
+mod common;
+
+use common::block_on;
+use common::engine;
+use common::get;
+use common::post;
+use common::post_json;
+use futures::StreamExt;
+use futures::future::join;
+use hyper::StatusCode;
+use jujube_emulator::engine::core::POISON;
+use jujube_emulator::engine::core::answer;
+use jujube_emulator::http::Running;
+use jujubewind::wire::engine::GenerateEvent;
+use serde_json::Value;
+use serde_json::json;
+
+fn request(id: &str, prompt: &str, max_tokens: u64, offset: u64) -> Value {
+    json!({
+        "model": "m", "prompt": prompt, "max_tokens": max_tokens,
+        "priority": 0, "request_id": id, "offset": offset,
+    })
+}
+
+fn text_of(stream: &str) -> String {
+    let lines = stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let events = lines.filter_map(|line| serde_json::from_str::<GenerateEvent>(line).ok());
+    events.map(|event| event.text).collect()
+}
+
+/// Opens a stream and waits for its first event; what follows can then be read.
+async fn open(
+    server: &Running,
+    body: &Value,
+) -> impl futures::Stream<Item = cyper::Result<compio::bytes::Bytes>> + use<> {
+    let client = cyper::Client::new().expect("a client");
+    let url = server.url() + "/v1/completions";
+    let request = client.post(url).expect("a URL").json(body).expect("JSON");
+    let mut stream = request.send().await.expect("an answer").bytes_stream();
+    stream.next().await.expect("an event").expect("no error");
+    stream
+}
+
+async fn slow_down(server: &Running, factor: f64) {
+    let answer = post(server, "/faults", &json!({ "slow": factor })).await;
+    assert!(answer.is_some_and(|(status, _)| status == StatusCode::OK));
+}
+
+#[test]
+fn an_answer_is_streamed_whole_and_resumes_at_an_offset() {
+    let server = engine();
+
+    let (whole, rest) = block_on(async {
+        let whole = post(&server, "/v1/completions", &request("a", "hello", 30, 0)).await;
+        let rest = post(&server, "/v1/completions", &request("b", "hello", 30, 12)).await;
+        (whole.expect("an answer").1, rest.expect("an answer").1)
+    });
+
+    let expected = answer::expected("hello", 30);
+    assert_eq!(text_of(&whole), expected);
+    assert_eq!(text_of(&rest), expected[12 * answer::TOKEN_BYTES..]);
+    assert!(whole.ends_with("data: [DONE]\n\n"));
+}
+
+#[test]
+fn refusals_carry_their_code() {
+    let server = engine();
+    let mut unknown = request("a", "hello", 3, 0);
+    unknown["model"] = json!("x");
+
+    let (unknown, long, broken) = block_on(async {
+        let unknown = post(&server, "/v1/completions", &unknown).await;
+        let long = post(&server, "/v1/completions", &request("b", "hi", 500_000, 0)).await;
+        let broken = post(&server, "/v1/completions", &json!({ "model": 3 })).await;
+        (
+            unknown.expect("an answer"),
+            long.expect("an answer"),
+            broken.expect("an answer"),
+        )
+    });
+
+    assert!(unknown.0 == StatusCode::NOT_FOUND && unknown.1.contains("unknown_model"));
+    assert!(long.0 == StatusCode::PAYLOAD_TOO_LARGE && long.1.contains("too_long"));
+    assert!(broken.0 == StatusCode::BAD_REQUEST && broken.1.contains("bad_request"));
+}
+
+#[test]
+fn an_exported_sequence_goes_on_in_its_stream() {
+    let server = engine();
+
+    let (free, text) = block_on(async {
+        slow_down(&server, 50.0).await;
+        let body = request("a", "hello", 60, 0);
+        let run = post(&server, "/v1/completions", &body);
+        let pause = async {
+            let mut handle = Value::Null;
+            while handle.is_null() {
+                let body = json!({ "request_id": "a" });
+                handle = post_json(&server, "/v1/kv/export", &body).await["handle"].clone();
+            }
+            let list = get(&server, "/v1/sequences").await;
+            slow_down(&server, 1.0).await;
+            post_json(&server, "/v1/kv/import", &json!({ "handle": handle })).await;
+            list["free"].clone()
+        };
+        let (run, free) = join(run, pause).await;
+        (free, text_of(&run.expect("an answer").1))
+    });
+
+    assert_eq!(free, 400_000);
+    assert_eq!(text, answer::expected("hello", 60));
+}
+
+#[test]
+fn a_crash_breaks_streams_and_forgets_everything() {
+    let server = engine();
+
+    let (piece, list) = block_on(async {
+        let mut stream = open(&server, &request("a", "hello", 60, 0)).await;
+        post(&server, "/faults", &json!({ "crash": "restart" }))
+            .await
+            .expect("an answer");
+        let mut piece = stream.next().await;
+        while let Some(Ok(_)) = piece {
+            piece = stream.next().await;
+        }
+        let mut list = get(&server, "/v1/sequences").await;
+        while list.get("error").is_some() {
+            list = get(&server, "/v1/sequences").await;
+        }
+        (piece, list)
+    });
+
+    assert!(matches!(piece, Some(Err(_))));
+    assert_eq!(list["incarnation"], 2);
+    assert_eq!(list["sequences"], json!([]));
+}
+
+#[test]
+fn a_poisonous_prompt_breaks_its_stream() {
+    let server = engine();
+
+    let answer = block_on(post(
+        &server,
+        "/v1/completions",
+        &request("a", POISON, 9, 0),
+    ));
+
+    assert_eq!(answer, None);
+}
+
+#[test]
+fn dropped_streams_leave_their_sequences_running() {
+    let server = engine();
+
+    let (broken, state) = block_on(async {
+        let mut stream = open(&server, &request("a", "hello", 1_000, 0)).await;
+        post(
+            &server,
+            "/faults",
+            &json!({ "slow": 1_000.0, "drop_streams": true }),
+        )
+        .await;
+        let mut piece = stream.next().await;
+        while let Some(Ok(_)) = piece {
+            piece = stream.next().await;
+        }
+        let list = get(&server, "/v1/sequences").await;
+        (piece, list["sequences"][0]["state"].clone())
+    });
+
+    assert!(matches!(broken, Some(Err(_))));
+    assert_eq!(state, "running");
+}
+
+#[test]
+fn a_reader_that_goes_away_ends_its_sequence() {
+    let server = engine();
+
+    block_on(async {
+        let stream = open(&server, &request("a", "hello", 1_000, 0)).await;
+        drop(stream);
+        while get(&server, "/v1/sequences").await["sequences"] != json!([]) {}
+    });
+}
+
+#[test]
+fn unknown_faults_are_refused() {
+    let server = engine();
+
+    let (status, _) = block_on(post(&server, "/faults", &json!({ "melt": true }))).expect("one");
+
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+}
--- /dev/null
+++ b/emulator/tests/service_server.rs
@@ -0,0 +1,53 @@
+//! The plain service over HTTP, and its faults.
+
+mod common;
+
+use common::block_on;
+use common::get;
+use common::post;
+use common::post_with;
+use common::service;
+use hyper::StatusCode;
+use serde_json::json;
+
+const KEY: [(&str, &str); 1] = [("idempotency-key", "k1")];
+
+#[test]
+fn each_execution_is_counted_by_key() {
+    let server = service();
+
+    let (answer, counts) = block_on(async {
+        post_with(&server, "/transfer", &json!({}), &KEY).await;
+        let answer = post_with(&server, "/transfer", &json!({}), &KEY).await;
+        (answer.expect("an answer").1, get(&server, "/counts").await)
+    });
+
+    assert_eq!(answer, r#"{"executions":2,"key":"k1","method":"transfer"}"#);
+    assert_eq!(counts, json!({ "executions": { "k1": 2 } }));
+}
+
+#[test]
+fn a_lost_answer_was_executed_and_a_failure_was_not() {
+    let server = service();
+
+    let (lost, failed, counts) = block_on(async {
+        post(&server, "/faults", &json!({ "lose_answers": true })).await;
+        let lost = post_with(&server, "/transfer", &json!({}), &KEY).await;
+        post(
+            &server,
+            "/faults",
+            &json!({ "lose_answers": false, "fail": true }),
+        )
+        .await;
+        let failed = post_with(&server, "/transfer", &json!({}), &KEY).await;
+        (
+            lost,
+            failed.expect("an answer"),
+            get(&server, "/counts").await,
+        )
+    });
+
+    assert_eq!(lost, None);
+    assert_eq!(failed.0, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(counts["executions"]["k1"], 1);
+}
