--- /dev/null
+++ b/jujubewind/src/agent/daemon.rs
@@ -0,0 +1,317 @@
+//! The agent's task: it owns the state, and everything else tells it what happens.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use compio::net::TcpListener;
+use flume::Receiver;
+use flume::Sender;
+
+use super::Command;
+use super::Core;
+use super::admin::Admin;
+use super::engine_client::EngineClient;
+use super::message::Message;
+use super::server::Server;
+use super::service_client::ServiceClient;
+use crate::daemon;
+use crate::http;
+use crate::metrics::AgentMetrics;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::rpc;
+use crate::rpc::Agent;
+use crate::rpc::message::AgentStatus;
+use crate::rpc::message::Call;
+use crate::rpc::message::CallReply;
+use crate::rpc::message::Chunk;
+use crate::rpc::message::Pull;
+use crate::rpc::message::PullReply;
+use crate::rpc::message::StartReply;
+use crate::settings::AgentSettings;
+use crate::settings::Backend;
+use crate::timer::Clock;
+use crate::timer::TimerService;
+use crate::types::AttemptId;
+use crate::types::Incarnation;
+use crate::types::Millis;
+use crate::types::MonoTime;
+
+/// How often attempts are looked over.
+const TICK: Millis = Millis(50);
+/// How often the engine is asked what it runs.
+const LIST_EVERY: Millis = Millis(500);
+
+/// What the last replies are given to leave the process.
+const FLUSH: Millis = Millis(300);
+
+/// An entry that waits for tokens.
+struct Waiter {
+    pull: Pull,
+    reply: Sender<PullReply>,
+    until: MonoTime,
+}
+
+/// The backend server's client.
+enum Client {
+    Engine(EngineClient),
+    Service(ServiceClient),
+}
+
+/// The state of the agent's task.
+struct Daemon {
+    settings: AgentSettings,
+    incarnation: Incarnation,
+    clock: Clock,
+    core: Core,
+    client: Client,
+    waiters: HashMap<AttemptId, Waiter>,
+    messages: Sender<Message>,
+    listed: MonoTime,
+    metrics: AgentMetrics,
+    stop_at: Option<MonoTime>,
+}
+
+/// Serves until the process is stopped.
+///
+/// # Errors
+/// An address cannot be bound, or the HTTP client cannot be set up.
+pub async fn run(settings: AgentSettings) -> anyhow::Result<()> {
+    let (tx, rx) = flume::unbounded();
+    let listener = TcpListener::bind(settings.listen).await?;
+    let node = settings.node.clone();
+    crate::event!(
+        info,
+        "listening",
+        node = node,
+        addr = listener.local_addr()?
+    );
+    compio::runtime::spawn(rpc::serve(listener, Server::new(tx.clone()).serve())).detach();
+    let admin = TcpListener::bind(settings.admin).await?;
+    compio::runtime::spawn(http::serve(admin, Rc::new(Admin::new(tx.clone())))).detach();
+    compio::runtime::spawn(forward_stop(tx.clone())).detach();
+    let timer = TimerService::new(Clock::start());
+    compio::runtime::spawn(forward_ticks(timer.subscribe(TICK), tx.clone())).detach();
+    let mut daemon = Daemon::new(settings, timer.clock(), tx)?;
+    while let Ok(message) = rx.recv_async().await {
+        daemon.handle(message);
+        if daemon.drained() {
+            break;
+        }
+    }
+    timer.sleep(FLUSH).await;
+    Ok(())
+}
+
+async fn forward_stop(messages: Sender<Message>) {
+    while daemon::stop_signal().await.is_ok() {
+        if messages.send_async(Message::Leave).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn forward_ticks(ticks: Receiver<MonoTime>, messages: Sender<Message>) {
+    while ticks.recv_async().await.is_ok() {
+        if messages.send_async(Message::Tick).await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Daemon {
+    fn new(
+        settings: AgentSettings,
+        clock: Clock,
+        messages: Sender<Message>,
+    ) -> anyhow::Result<Self> {
+        let incarnation = daemon::incarnation();
+        let client = match settings.backend {
+            Backend::Engine { addr, .. } => {
+                Client::Engine(EngineClient::new(addr, messages.clone())?)
+            }
+            Backend::Service { addr } => Client::Service(ServiceClient::new(addr)?),
+        };
+        Ok(Self {
+            core: Core::new(settings.clone(), incarnation)?,
+            settings,
+            incarnation,
+            clock,
+            client,
+            waiters: HashMap::new(),
+            messages,
+            listed: MonoTime::ZERO,
+            metrics: AgentMetrics::default(),
+            stop_at: None,
+        })
+    }
+
+    fn handle(&mut self, message: Message) {
+        let now = self.clock.now();
+        match message {
+            Message::Quote(ask, reply) => {
+                let _ = reply.send(self.core.quote(&ask));
+            }
+            Message::Start(start, reply) => {
+                let (answer, commands) = self.core.start(now, *start);
+                if let StartReply::Refused(refusal) = &answer {
+                    self.metrics.refused(refusal.reason);
+                }
+                let _ = reply.send(answer);
+                self.execute(now, commands);
+            }
+            Message::Pull(pull, reply) => self.pull(now, pull, reply),
+            Message::Cancel(ask, reply) => {
+                let uptime = now.since(MonoTime::ZERO);
+                let (answer, commands) = self.core.cancel(now, uptime, &ask);
+                let _ = reply.send(answer);
+                self.execute(now, commands);
+            }
+            Message::Call(call, reply) => self.call(call, reply),
+            Message::CallEnded(attempt) => self.core.end_call(now, attempt),
+            Message::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+            Message::Engine(attempt, event) => {
+                let commands = self.core.engine(now, attempt, event);
+                self.execute(now, commands);
+            }
+            Message::Listed(ids) => {
+                let commands = self.core.reconcile(&ids);
+                self.metrics.strays(commands.len());
+                self.execute(now, commands);
+            }
+            Message::Tick => self.tick(now),
+            Message::Leave => self.leave(now),
+            Message::Metrics(reply) => {
+                let text = self.metrics.encode(self.core.open(), self.core.reserved());
+                let _ = reply.send(text);
+            }
+        }
+    }
+
+    /// Refuses new work; a second request to stop changes nothing.
+    fn leave(&mut self, now: MonoTime) {
+        if self.stop_at.is_none() {
+            crate::event!(
+                info,
+                "leaving",
+                node = self.settings.node,
+                open = self.core.open()
+            );
+            self.core.leave();
+            self.stop_at = Some(now.after(self.settings.drain));
+        }
+    }
+
+    /// Whether a stop was asked for and nothing is left to wait for.
+    fn drained(&self) -> bool {
+        let Some(stop_at) = self.stop_at else {
+            return false;
+        };
+        let quiet = self.core.open() == 0 && self.waiters.is_empty() && !self.core.unread();
+        quiet || self.clock.now() >= stop_at
+    }
+
+    fn pull(&mut self, now: MonoTime, pull: Pull, reply: Sender<PullReply>) {
+        if let Some(answer) = self.core.pull(now, &pull) {
+            let _ = reply.send(answer);
+            return;
+        }
+        let until = now.after(pull.wait);
+        let waiter = Waiter { pull, reply, until };
+        self.waiters.insert(waiter.pull.envelope.attempt, waiter);
+    }
+
+    fn call(&mut self, call: Call, reply: Sender<CallReply>) {
+        let Client::Service(client) = &self.client else {
+            let refusal = Refusal {
+                reason: Reason::UnknownModel,
+                retry: Millis::ZERO,
+            };
+            let _ = reply.send(CallReply::Refused(refusal));
+            return;
+        };
+        if let Some(refusal) = self.core.begin_call(&call) {
+            self.metrics.refused(refusal.reason);
+            let _ = reply.send(CallReply::Refused(refusal));
+            return;
+        }
+        let client = client.clone();
+        let messages = self.messages.clone();
+        let work = async move {
+            let answer = client.call(&call).await;
+            let _ = reply.send(answer);
+            let ended = Message::CallEnded(call.envelope.attempt);
+            let _ = messages.send_async(ended).await;
+        };
+        compio::runtime::spawn(work).detach();
+    }
+
+    fn tick(&mut self, now: MonoTime) {
+        let commands = self.core.tick(now);
+        self.execute(now, commands);
+        self.answer_late_waiters(now);
+        if now >= self.listed.after(LIST_EVERY) {
+            self.listed = now;
+            if let Client::Engine(client) = &self.client {
+                compio::runtime::spawn(client.clone().list()).detach();
+            }
+        }
+    }
+
+    fn answer_late_waiters(&mut self, now: MonoTime) {
+        let late: Vec<AttemptId> = self
+            .waiters
+            .iter()
+            .filter(|(_, waiter)| now >= waiter.until)
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        for attempt in late {
+            if let Some(waiter) = self.waiters.remove(&attempt) {
+                let empty = Chunk {
+                    attempt,
+                    offset: waiter.pull.offset,
+                    tokens: Vec::new(),
+                    end: None,
+                };
+                let _ = waiter.reply.send(PullReply::Chunk(empty));
+            }
+        }
+    }
+
+    fn execute(&mut self, now: MonoTime, commands: Vec<Command>) {
+        for command in commands {
+            match command {
+                Command::Submit(start) => {
+                    if let Client::Engine(client) = &self.client {
+                        compio::runtime::spawn(client.clone().generate(*start)).detach();
+                    }
+                }
+                Command::Stop(attempt) => {
+                    if let Client::Engine(client) = &self.client {
+                        compio::runtime::spawn(client.clone().cancel(attempt)).detach();
+                    }
+                }
+                Command::Wake(attempt) => {
+                    if let Some(waiter) = self.waiters.remove(&attempt) {
+                        self.pull(now, waiter.pull, waiter.reply);
+                    }
+                }
+            }
+        }
+    }
+
+    fn status(&self) -> AgentStatus {
+        AgentStatus {
+            node: self.settings.node.clone(),
+            incarnation: self.incarnation,
+            domain: self.settings.domain.clone(),
+            models: self.settings.models.clone(),
+            leaving: self.core.leaving(),
+            attempts: self.core.open() as u64,
+            reserved: self.core.reserved(),
+            capacity: self.settings.memory,
+        }
+    }
+}
--- /dev/null
+++ b/jujubewind/src/agent/event.rs
@@ -0,0 +1,28 @@
+//! What the engine tells its agent about an attempt.
+
+use crate::rpc::message::Finish;
+use crate::types::Tokens;
+
+/// News of one attempt from the engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EngineEvent {
+    /// One token of the answer.
+    Token {
+        /// Its place in the answer.
+        offset: Tokens,
+        /// Its text.
+        text: String,
+    },
+    /// The answer is whole.
+    End {
+        /// Why it ended.
+        finish: Finish,
+        /// How many tokens it has, those before the attempt's offset included.
+        count: Tokens,
+    },
+    /// The engine broke off.
+    Failed {
+        /// Whether its process is gone, rather than refusing.
+        died: bool,
+    },
+}
--- /dev/null
+++ b/jujubewind/src/agent/message.rs
@@ -0,0 +1,46 @@
+//! What the agent's task is told.
+
+use flume::Sender;
+
+use super::EngineEvent;
+use crate::rpc::message::AgentStatus;
+use crate::rpc::message::Call;
+use crate::rpc::message::CallReply;
+use crate::rpc::message::Cancel;
+use crate::rpc::message::CancelReply;
+use crate::rpc::message::Pull;
+use crate::rpc::message::PullReply;
+use crate::rpc::message::Quote;
+use crate::rpc::message::QuoteReply;
+use crate::rpc::message::Start;
+use crate::rpc::message::StartReply;
+use crate::types::AttemptId;
+
+/// A message to the task that owns the agent's state; the sender in it takes the answer.
+#[derive(Debug)]
+pub enum Message {
+    /// An entry asks for an estimate.
+    Quote(Quote, Sender<QuoteReply>),
+    /// An entry hands over a request.
+    Start(Box<Start>, Sender<StartReply>),
+    /// An entry asks for tokens.
+    Pull(Pull, Sender<PullReply>),
+    /// An entry gives an attempt up.
+    Cancel(Cancel, Sender<CancelReply>),
+    /// An entry calls the plain service.
+    Call(Call, Sender<CallReply>),
+    /// The call to the plain service ended.
+    CallEnded(AttemptId),
+    /// An operator asks how it stands.
+    Status(Sender<AgentStatus>),
+    /// The metrics are wanted as text.
+    Metrics(Sender<String>),
+    /// The engine has news of an attempt.
+    Engine(AttemptId, EngineEvent),
+    /// What the engine lists as its sequences.
+    Listed(Vec<AttemptId>),
+    /// Time has passed.
+    Tick,
+    /// The process was asked to stop.
+    Leave,
+}
--- /dev/null
+++ b/jujubewind/src/agent/mod.rs
@@ -0,0 +1,19 @@
+//! The agent: the one process that speaks to the backend server beside it.
+
+mod admin;
+mod attempt;
+mod core;
+mod daemon;
+mod engine_client;
+mod event;
+mod message;
+mod server;
+mod service_client;
+
+pub use core::Command;
+pub use core::Core;
+
+pub use attempt::Attempt;
+pub use attempt::Phase;
+pub use daemon::run;
+pub use event::EngineEvent;
--- /dev/null
+++ b/jujubewind/src/agent/server.rs
@@ -0,0 +1,78 @@
+//! The agent's calls, each handed on to the task that owns the state.
+
+use flume::Sender;
+use tarpc::context::Context;
+
+use super::message::Message;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::rpc::Agent;
+use crate::rpc::message::AgentStatus;
+use crate::rpc::message::Call;
+use crate::rpc::message::CallReply;
+use crate::rpc::message::Cancel;
+use crate::rpc::message::CancelReply;
+use crate::rpc::message::Pull;
+use crate::rpc::message::PullReply;
+use crate::rpc::message::Quote;
+use crate::rpc::message::QuoteReply;
+use crate::rpc::message::Start;
+use crate::rpc::message::StartReply;
+use crate::types::Millis;
+
+/// Answers calls by asking the agent's task.
+#[derive(Clone, Debug)]
+pub struct Server {
+    messages: Sender<Message>,
+}
+
+impl Server {
+    /// Makes a server that hands calls to `messages`.
+    pub fn new(messages: Sender<Message>) -> Self {
+        Self { messages }
+    }
+
+    async fn ask<T>(&self, message: impl FnOnce(Sender<T>) -> Message) -> Option<T> {
+        let (tx, rx) = flume::bounded(1);
+        self.messages.send_async(message(tx)).await.ok()?;
+        rx.recv_async().await.ok()
+    }
+}
+
+impl Agent for Server {
+    async fn quote(self, _: Context, ask: Quote) -> QuoteReply {
+        let reply = self.ask(|tx| Message::Quote(ask, tx)).await;
+        reply.unwrap_or_else(|| QuoteReply::Refused(stopping()))
+    }
+
+    async fn start(self, _: Context, order: Start) -> StartReply {
+        let reply = self.ask(|tx| Message::Start(Box::new(order), tx)).await;
+        reply.unwrap_or_else(|| StartReply::Refused(stopping()))
+    }
+
+    async fn pull(self, _: Context, ask: Pull) -> PullReply {
+        let reply = self.ask(|tx| Message::Pull(ask, tx)).await;
+        reply.unwrap_or(PullReply::Unknown)
+    }
+
+    async fn cancel(self, _: Context, ask: Cancel) -> CancelReply {
+        let reply = self.ask(|tx| Message::Cancel(ask, tx)).await;
+        reply.unwrap_or(CancelReply::Unknown)
+    }
+
+    async fn call(self, _: Context, order: Call) -> CallReply {
+        let reply = self.ask(|tx| Message::Call(order, tx)).await;
+        reply.unwrap_or(CallReply::Unknown)
+    }
+
+    async fn status(self, _: Context) -> Option<AgentStatus> {
+        self.ask(Message::Status).await
+    }
+}
+
+fn stopping() -> Refusal {
+    Refusal {
+        reason: Reason::Stopping,
+        retry: Millis(100),
+    }
+}
--- a/jujubewind/src/bin/jujube_agent.rs
+++ b/jujubewind/src/bin/jujube_agent.rs
@@ -1,3 +1,11 @@
 //! The agent daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+use jujubewind::agent;
+use jujubewind::daemon::launch;
+use jujubewind::settings::AgentSettings;
+
+fn main() -> ExitCode {
+    launch(|settings: &AgentSettings| settings.log, agent::run)
+}
--- a/jujubewind/src/bin/jujube_entry.rs
+++ b/jujubewind/src/bin/jujube_entry.rs
@@ -1,3 +1,11 @@
 //! The entry daemon.
 
-fn main() {}
+use std::process::ExitCode;
+
+use jujubewind::daemon::launch;
+use jujubewind::entry;
+use jujubewind::settings::EntrySettings;
+
+fn main() -> ExitCode {
+    launch(|settings: &EntrySettings| settings.log, entry::run)
+}
--- /dev/null
+++ b/jujubewind/src/daemon/launch.rs
@@ -0,0 +1,54 @@
+//! From the command line to the running daemon.
+
+use std::process::ExitCode;
+
+use log::LevelFilter;
+
+use super::Options;
+use super::options::options;
+use crate::logging;
+use crate::rpc::TimeDriver;
+use crate::settings;
+use crate::settings::Checked;
+
+/// The exit code of a faulty settings file.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Reads options and settings, then runs `daemon` to its end; prints one error at the most.
+pub fn launch<S: Checked>(
+    level: impl FnOnce(&S) -> LevelFilter,
+    daemon: impl AsyncFnOnce(S) -> anyhow::Result<()>,
+) -> ExitCode {
+    let options: Options = options().run();
+    let settings: S = match settings::read(&options.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if options.check {
+        return ExitCode::SUCCESS;
+    }
+    match start(&settings, level).and_then(|driver| serve(&driver, settings, daemon)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start<S>(settings: &S, level: impl FnOnce(&S) -> LevelFilter) -> anyhow::Result<TimeDriver> {
+    logging::start(level(settings))?;
+    Ok(TimeDriver::start()?)
+}
+
+fn serve<S>(
+    driver: &TimeDriver,
+    settings: S,
+    daemon: impl AsyncFnOnce(S) -> anyhow::Result<()>,
+) -> anyhow::Result<()> {
+    let _timers = driver.enter();
+    compio::runtime::Runtime::new()?.block_on(daemon(settings))
+}
--- /dev/null
+++ b/jujubewind/src/daemon/mod.rs
@@ -0,0 +1,21 @@
+//! What every daemon does around its own work: options, settings, logs, runtime.
+
+mod launch;
+mod options;
+mod stop_signal;
+
+use std::time::SystemTime;
+
+pub use launch::launch;
+pub use options::Options;
+pub use stop_signal::stop_signal;
+
+use crate::types::Incarnation;
+
+/// The start number of this process: wall-clock milliseconds, so a restart has a higher one.
+#[must_use]
+pub fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    Incarnation(u64::try_from(millis).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/jujubewind/src/entry/api/generation.rs
@@ -0,0 +1,110 @@
+//! From a caller's wish to a request on its way.
+
+use hyper::HeaderMap;
+
+use super::answer;
+use super::dialect::Dialect;
+use super::dialect::Header;
+use super::dialect::Wish;
+use super::handler::Api;
+use super::headers;
+use crate::catalogue::Limits;
+use crate::entry::Failure;
+use crate::entry::Job;
+use crate::entry::control::Admission;
+use crate::entry::control::Permit;
+use crate::entry::driver::Driver;
+use crate::http::Reply;
+use crate::prefix;
+use crate::refusal::Reason;
+use crate::types::Millis;
+use crate::types::RequestId;
+use crate::types::Tokens;
+
+/// The longest answer of a request that names none.
+const DEFAULT_OUTPUT: Tokens = Tokens(256);
+/// Pieces of an answer that may wait for a slow caller.
+const BUFFERED_EVENTS: usize = 4;
+
+impl Api {
+    /// Serves a request for a model's answer.
+    pub(super) async fn generate(
+        &self,
+        request: RequestId,
+        dialect: Dialect,
+        headers: &HeaderMap,
+        body: &[u8],
+    ) -> Result<Reply, Failure> {
+        let bad = Failure::not_run(Reason::BadRequest, Millis::ZERO);
+        let wish = dialect.parse(body).ok_or(bad.clone())?;
+        let timeout = headers::timeout(headers).map_err(|()| bad)?;
+        let prompt = prefix::count_tokens(&wish.text);
+        let permit = self.control.admit(Admission {
+            key: headers::bearer(headers),
+            name: wish.model.clone(),
+            prompt,
+            output: wish.output,
+        });
+        let permit = permit.await?;
+        let time = time(timeout, &permit.entry.limits);
+        let stream = wish.stream;
+        let job = job(request, permit, wish, prompt);
+        let header = Header {
+            request,
+            model: job.model.clone(),
+            prompt,
+        };
+        let events = self.launch(job, time);
+        if stream {
+            Ok(answer::streamed(dialect, header, events).await)
+        } else {
+            Ok(answer::whole(dialect, &header, events).await)
+        }
+    }
+
+    /// Starts the request's own task; it ends early when the receiver is dropped.
+    fn launch(&self, job: Job, time: Millis) -> flume::Receiver<crate::entry::caller::Event> {
+        let (tx, rx) = flume::bounded(BUFFERED_EVENTS);
+        let org = job.org.clone();
+        let control = self.control.clone();
+        let admitted = self.clock.now();
+        let driver = Driver {
+            job,
+            deadline: admitted.after(time),
+            admitted,
+            clock: self.clock,
+            link: self.link.clone(),
+            control: control.clone(),
+            caller: tx,
+        };
+        let work = async move {
+            driver.run().await;
+            control.release(org);
+        };
+        compio::runtime::spawn(work).detach();
+        rx
+    }
+}
+
+/// The request's time: what the caller names, within what the catalogue allows.
+pub(super) fn time(named: Option<Millis>, limits: &Limits) -> Millis {
+    named
+        .unwrap_or(limits.default_timeout)
+        .min(limits.longest_timeout)
+}
+
+fn job(request: RequestId, permit: Permit, wish: Wish, prompt: Tokens) -> Job {
+    let longest = permit.entry.limits.longest_output;
+    let blocks = prefix::block_hashes(&wish.text);
+    Job {
+        request,
+        org: permit.org,
+        entry: permit.entry.id,
+        model: wish.model,
+        class: permit.entry.class,
+        prompt,
+        output: wish.output.unwrap_or(DEFAULT_OUTPUT).min(longest),
+        text: wish.text,
+        blocks,
+    }
+}
--- /dev/null
+++ b/jujubewind/src/entry/api/handler.rs
@@ -0,0 +1,124 @@
+//! Answers each HTTP request of a caller.
+
+use std::rc::Rc;
+
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+
+use super::error_reply::error_reply;
+use super::headers;
+use super::route::Route;
+use crate::entry::Failure;
+use crate::entry::control::Control;
+use crate::entry::link::Link;
+use crate::http;
+use crate::http::Error;
+use crate::http::Handler;
+use crate::http::Reply;
+use crate::http::json;
+use crate::http::plain;
+use crate::refusal::Reason;
+use crate::settings::EntrySettings;
+use crate::timer::Clock;
+use crate::types::Millis;
+use crate::types::RequestId;
+use crate::wire::openai::Model;
+use crate::wire::openai::ModelList;
+
+/// The header that names the request in replies and logs.
+const REQUEST_ID: &str = "x-request-id";
+
+/// The callers' interface of one entry.
+pub struct Api {
+    pub(super) settings: EntrySettings,
+    pub(super) clock: Clock,
+    pub(super) link: Link,
+    pub(super) control: Control,
+}
+
+impl Handler for Api {
+    async fn handle(self: Rc<Self>, request: Request<Incoming>) -> Reply {
+        let id = RequestId::random(&mut rand::rng());
+        let mut reply = match self.answer(id, request).await {
+            Ok(reply) => reply,
+            Err(failure) => {
+                self.control.refused(failure.reason);
+                error_reply(id, &failure)
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+            reply.headers_mut().insert(REQUEST_ID, value);
+        }
+        reply
+    }
+}
+
+impl Api {
+    /// Makes the interface over the entry's parts.
+    pub fn new(settings: EntrySettings, clock: Clock, link: Link, control: Control) -> Self {
+        Self {
+            settings,
+            clock,
+            link,
+            control,
+        }
+    }
+
+    async fn answer(&self, id: RequestId, request: Request<Incoming>) -> Result<Reply, Failure> {
+        let route = Route::parse(request.method(), request.uri().path())
+            .ok_or(Failure::not_run(Reason::UnknownRoute, Millis::ZERO))?;
+        let (parts, body) = request.into_parts();
+        match route {
+            Route::Live => Ok(plain(StatusCode::OK, "live\n")),
+            Route::Ready => Ok(self.ready().await),
+            Route::Metrics => Ok(plain(StatusCode::OK, self.control.metrics().await)),
+            Route::Models => self.models(&parts.headers).await,
+            Route::Generate(dialect) => {
+                let body = self.body(body).await?;
+                self.generate(id, dialect, &parts.headers, &body).await
+            }
+            Route::Service { name, method } => {
+                let body = self.body(body).await?;
+                self.service(name, method, &parts.headers, body).await
+            }
+        }
+    }
+
+    async fn body(&self, body: Incoming) -> Result<Vec<u8>, Failure> {
+        let outcome = http::read_body(body, self.settings.body, self.settings.arrival).await;
+        outcome.map_err(|error| {
+            let reason = match error {
+                Error::TooLarge(_) => Reason::BodyTooLarge,
+                Error::TooSlow(_) => Reason::BodyTooSlow,
+                Error::BrokenOff(_) => Reason::BadRequest,
+            };
+            Failure::not_run(reason, Millis::ZERO)
+        })
+    }
+
+    async fn ready(&self) -> Reply {
+        if self.control.ready().await {
+            plain(StatusCode::OK, "ready\n")
+        } else {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+        }
+    }
+
+    async fn models(&self, headers: &HeaderMap) -> Result<Reply, Failure> {
+        let names = self.control.names(headers::bearer(headers)).await?;
+        let data = names.iter().map(|name| Model {
+            id: name.to_string(),
+            object: "model".to_owned(),
+            created: 0,
+            owned_by: "jujubewind".to_owned(),
+        });
+        let list = ModelList {
+            object: "list".to_owned(),
+            data: data.collect(),
+        };
+        Ok(json(StatusCode::OK, &list))
+    }
+}
--- /dev/null
+++ b/jujubewind/src/entry/api/mod.rs
@@ -0,0 +1,12 @@
+//! The callers' HTTP interface.
+
+mod answer;
+mod dialect;
+mod error_reply;
+mod generation;
+mod handler;
+mod headers;
+mod route;
+mod service;
+
+pub use handler::Api;
--- /dev/null
+++ b/jujubewind/src/entry/control/handle.rs
@@ -0,0 +1,128 @@
+//! The way to ask the task that owns the entry's shared state.
+
+use flume::Sender;
+
+use super::Admission;
+use super::Permit;
+use super::message::Message;
+use crate::entry::Failure;
+use crate::entry::Job;
+use crate::entry::request::Target;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::rpc::message::QuoteReply;
+use crate::types::Millis;
+use crate::types::ModelId;
+use crate::types::NodeId;
+use crate::types::OrgId;
+
+/// When to come back to a process that is stopping.
+const RETRY_STOPPING: Millis = Millis(100);
+
+/// Asks the control task; a clone asks the same one.
+#[derive(Clone, Debug)]
+pub struct Control {
+    messages: Sender<Message>,
+}
+
+impl Control {
+    /// Makes a handle on the task that receives `messages`.
+    pub(super) fn new(messages: Sender<Message>) -> Self {
+        Self { messages }
+    }
+
+    /// Asks whether a request may be served.
+    pub async fn admit(&self, admission: Admission) -> Result<Permit, Failure> {
+        let reply = self.ask(|tx| Message::Admit(admission, tx)).await;
+        reply.unwrap_or_else(|| Err(stopping().into()))
+    }
+
+    /// Ends an admitted request.
+    pub fn release(&self, org: OrgId) {
+        self.tell(Message::Release(org));
+    }
+
+    /// Asks which agents should be asked for an estimate.
+    pub async fn candidates(
+        &self,
+        job: &Job,
+        excluded: Vec<NodeId>,
+    ) -> Result<Vec<Target>, Refusal> {
+        let job = Box::new(job.clone());
+        let reply = self.ask(|tx| Message::Candidates(job, excluded, tx)).await;
+        reply.unwrap_or_else(|| Err(stopping()))
+    }
+
+    /// Asks which estimate is best.
+    pub async fn pick(&self, quotes: Vec<(Target, QuoteReply)>) -> Result<Target, Refusal> {
+        let reply = self.ask(|tx| Message::Pick(quotes, tx)).await;
+        reply.unwrap_or_else(|| Err(stopping()))
+    }
+
+    /// Asks the retry budget.
+    pub async fn retry(&self) -> Result<(), Refusal> {
+        let reply = self.ask(Message::Retry).await;
+        reply.unwrap_or_else(|| Err(stopping()))
+    }
+
+    /// Asks which agents stand beside a plain service.
+    pub async fn services(&self, name: ModelId) -> Vec<Target> {
+        let reply = self.ask(|tx| Message::Services(name, tx)).await;
+        reply.unwrap_or_default()
+    }
+
+    /// Asks which names a caller may use.
+    pub async fn names(&self, key: Option<String>) -> Result<Vec<ModelId>, Failure> {
+        let reply = self.ask(|tx| Message::Names(key, tx)).await;
+        reply.unwrap_or_else(|| Err(stopping().into()))
+    }
+
+    /// Notes how a request failed.
+    pub fn failed(&self, job: &Job, failure: &Failure) {
+        crate::event!(
+            info,
+            "request_failed",
+            request = job.request,
+            reason = failure.reason,
+            ran = failure.ran,
+        );
+        self.refused(failure.reason);
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: Reason) {
+        self.tell(Message::Failed(reason));
+    }
+
+    /// Counts a frame of another attempt.
+    pub fn dropped(&self) {
+        self.tell(Message::Dropped);
+    }
+
+    /// Asks whether the entry is ready for callers.
+    pub async fn ready(&self) -> bool {
+        self.ask(Message::Ready).await.unwrap_or(false)
+    }
+
+    /// Asks for the metrics as text.
+    pub async fn metrics(&self) -> String {
+        self.ask(Message::Metrics).await.unwrap_or_default()
+    }
+
+    fn tell(&self, message: Message) {
+        let _ = self.messages.send(message);
+    }
+
+    async fn ask<T>(&self, message: impl FnOnce(Sender<T>) -> Message) -> Option<T> {
+        let (tx, rx) = flume::bounded(1);
+        self.messages.send(message(tx)).ok()?;
+        rx.recv_async().await.ok()
+    }
+}
+
+fn stopping() -> Refusal {
+    Refusal {
+        reason: Reason::Stopping,
+        retry: RETRY_STOPPING,
+    }
+}
--- /dev/null
+++ b/jujubewind/src/entry/driver.rs
@@ -0,0 +1,173 @@
+//! Carries out what a request's machine decides.
+
+use std::collections::VecDeque;
+
+use flume::Sender;
+
+use super::Job;
+use super::caller::Event;
+use super::control::Control;
+use super::link::Link;
+use super::request::Input;
+use super::request::Machine;
+use super::request::Output;
+use super::request::Target;
+use crate::refusal::Refusal;
+use crate::rpc::Error;
+use crate::rpc::message::CancelReply;
+use crate::timer::Clock;
+use crate::types::AttemptId;
+use crate::types::Millis;
+use crate::types::MonoTime;
+use crate::types::NodeId;
+use crate::types::Tokens;
+
+/// How long an attempt stays fenced at an agent when its request's time is already over.
+const FENCE_TIME: Millis = Millis(10_000);
+
+/// One request on its way.
+pub struct Driver {
+    /// The request.
+    pub job: Job,
+    /// When its time is over.
+    pub deadline: MonoTime,
+    /// When it was admitted.
+    pub admitted: MonoTime,
+    /// The clock of the deadline.
+    pub clock: Clock,
+    /// The calls to agents.
+    pub link: Link,
+    /// The task that owns the entry's shared state.
+    pub control: Control,
+    /// Where the answer goes.
+    pub caller: Sender<Event>,
+}
+
+impl Driver {
+    /// Serves the request to its final answer.
+    pub async fn run(self) {
+        let (mut machine, first) = match Machine::new() {
+            Ok(made) => made,
+            Err(error) => {
+                crate::event!(error, "chart_faulty", error = error);
+                return;
+            }
+        };
+        let mut rng = rand::rng();
+        let mut outputs = VecDeque::from([first]);
+        while let Some(output) = outputs.pop_front() {
+            if let Some(input) = self.perform(output).await {
+                outputs.extend(machine.step(input, &mut rng));
+            }
+        }
+    }
+
+    /// Carries out one output and returns what came of it.
+    async fn perform(&self, output: Output) -> Option<Input> {
+        if self.caller.is_disconnected() {
+            return match output {
+                Output::Cancel { target, attempt } => self.cancel(target, attempt),
+                Output::Fail(failure) => {
+                    self.control.failed(&self.job, &failure);
+                    None
+                }
+                _ => Some(Input::Abandoned),
+            };
+        }
+        match output {
+            Output::Place { excluded } => Some(self.in_time(self.place(excluded)).await),
+            Output::Start {
+                target,
+                attempt,
+                offset,
+            } => Some(self.in_time(self.start(target, attempt, offset)).await),
+            Output::Pull {
+                target,
+                attempt,
+                offset,
+            } => Some(self.in_time(self.pull(target, attempt, offset)).await),
+            Output::AskRetry => Some(Input::Retry(self.control.retry().await)),
+            Output::Cancel { target, attempt } => self.cancel(target, attempt),
+            Output::Dropped => {
+                self.control.dropped();
+                None
+            }
+            Output::Emit(tokens) => self.emit(Event::Tokens(tokens)).await,
+            Output::Finish(finish, count) => self.emit(Event::End(finish, count)).await,
+            Output::Fail(failure) => {
+                self.control.failed(&self.job, &failure);
+                self.emit(Event::Failed(failure)).await
+            }
+        }
+    }
+
+    async fn in_time(&self, work: impl Future<Output = Input>) -> Input {
+        let remaining = self.remaining();
+        if remaining == Millis::ZERO {
+            return Input::Expired;
+        }
+        let outcome = compio::time::timeout(remaining.duration(), work).await;
+        outcome.unwrap_or(Input::Expired)
+    }
+
+    async fn place(&self, excluded: Vec<NodeId>) -> Input {
+        Input::Placed(self.choose(excluded).await)
+    }
+
+    async fn choose(&self, excluded: Vec<NodeId>) -> Result<Target, Refusal> {
+        let targets = self.control.candidates(&self.job, excluded).await?;
+        let quotes = self.link.quotes(&self.job, targets, self.remaining()).await;
+        self.control.pick(quotes).await
+    }
+
+    async fn start(&self, target: Target, attempt: AttemptId, offset: Tokens) -> Input {
+        let remaining = self.remaining();
+        match self
+            .link
+            .start(&self.job, &target, attempt, offset, remaining)
+            .await
+        {
+            Ok(reply) => Input::Started(Some(reply)),
+            Err(Error::Connect(..)) => Input::Unsent,
+            Err(Error::NoAnswer(..)) => Input::Started(None),
+        }
+    }
+
+    async fn pull(&self, target: Target, attempt: AttemptId, offset: Tokens) -> Input {
+        Input::Pulled(
+            self.link
+                .pull(&target, attempt, offset, self.remaining())
+                .await,
+        )
+    }
+
+    /// Sends a fence without waiting for its answer.
+    fn cancel(&self, target: Target, attempt: AttemptId) -> Option<Input> {
+        let link = self.link.clone();
+        let remaining = self.remaining().max(FENCE_TIME);
+        // The attempt is not older than its request.
+        let age = self.clock.now().since(self.admitted);
+        let fence = async move {
+            let reply = link.cancel(&target, attempt, age, remaining).await;
+            if reply == CancelReply::Unknown {
+                crate::event!(
+                    info,
+                    "fence_unanswered",
+                    node = target.node,
+                    attempt = attempt
+                );
+            }
+        };
+        compio::runtime::spawn(fence).detach();
+        None
+    }
+
+    async fn emit(&self, event: Event) -> Option<Input> {
+        let sent = self.caller.send_async(event).await;
+        sent.is_err().then_some(Input::Abandoned)
+    }
+
+    fn remaining(&self) -> Millis {
+        self.deadline.since(self.clock.now())
+    }
+}
--- /dev/null
+++ b/jujubewind/src/entry/failure.rs
@@ -0,0 +1,112 @@
+//! The final answer of a request that was not served.
+
+use hyper::StatusCode;
+
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::types::Millis;
+
+crate::label! {
+    /// Whether a request reached a backend server.
+    pub enum Ran {
+        /// It did not, and never will.
+        NotRun = "not_run",
+        /// It did, at least in part.
+        Ran = "ran",
+        /// Nobody can tell.
+        Unknown = "unknown",
+    }
+}
+
+crate::data! {
+    /// Why a request failed, whether it ran, and when to come back.
+    pub struct Failure {
+        /// Why.
+        pub reason: Reason,
+        /// Whether it ran.
+        pub ran: Ran,
+        /// When trying again makes sense.
+        pub retry: Millis,
+    }
+}
+
+impl Failure {
+    /// A failure of a request that never reached a backend server.
+    #[must_use]
+    pub const fn not_run(reason: Reason, retry: Millis) -> Self {
+        Self {
+            reason,
+            ran: Ran::NotRun,
+            retry,
+        }
+    }
+
+    /// The HTTP status that tells callers of this failure.
+    #[must_use]
+    pub const fn status(&self) -> StatusCode {
+        match self.reason {
+            Reason::BodyTooLarge | Reason::PromptTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::BadRequest | Reason::KeyRequired => StatusCode::BAD_REQUEST,
+            Reason::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
+            Reason::Unauthorized => StatusCode::UNAUTHORIZED,
+            Reason::UnknownModel | Reason::UnknownRoute => StatusCode::NOT_FOUND,
+            Reason::KeyMismatch | Reason::Convicted => StatusCode::UNPROCESSABLE_ENTITY,
+            Reason::KeyBusy | Reason::StaleFence | Reason::Cancelled => StatusCode::CONFLICT,
+            Reason::RequestRate
+            | Reason::TokenRate
+            | Reason::Concurrency
+            | Reason::NoCredit
+            | Reason::QueueFull
+            | Reason::RetryBudget
+            | Reason::NoMemory
+            | Reason::NoTime => StatusCode::TOO_MANY_REQUESTS,
+            Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            Reason::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Reason::Leaving
+            | Reason::NoBackend
+            | Reason::BackendDown
+            | Reason::StoreDown
+            | Reason::Stopping
+            | Reason::NoCatalogue => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// What the caller can do about it.
+    #[must_use]
+    pub const fn remedy(&self) -> &'static str {
+        match self.reason {
+            Reason::BodyTooLarge => "send a shorter body",
+            Reason::BodyTooSlow => "send the body faster",
+            Reason::BadRequest => "send the JSON that the route expects",
+            Reason::Unauthorized => "send `Authorization: Bearer KEY` with a valid key",
+            Reason::UnknownModel => "use a model or service that your catalogue entry names",
+            Reason::UnknownRoute => "use a route that the documentation names",
+            Reason::PromptTooLong => "shorten the prompt or the answer",
+            Reason::NoTime | Reason::DeadlinePassed => "allow more time or come back later",
+            Reason::KeyRequired => "send an Idempotency-Key header",
+            Reason::KeyMismatch => "use a new Idempotency-Key for another body",
+            Reason::KeyBusy => "wait for the call under way, then ask again with the same key",
+            Reason::OutcomeUnknown => "find out at the service before sending it under a new key",
+            Reason::Convicted => "change the request: it crashed backend servers",
+            Reason::Cancelled | Reason::StaleFence => "send the request again",
+            Reason::RequestRate | Reason::TokenRate | Reason::Concurrency | Reason::NoCredit => {
+                "come back after the time given, or ask the owner for a higher limit"
+            }
+            Reason::QueueFull
+            | Reason::NoMemory
+            | Reason::RetryBudget
+            | Reason::Leaving
+            | Reason::NoBackend
+            | Reason::BackendDown
+            | Reason::StoreDown
+            | Reason::Stopping
+            | Reason::NoCatalogue => "come back after the time given",
+        }
+    }
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        Self::not_run(refusal.reason, refusal.retry)
+    }
+}
--- /dev/null
+++ b/jujubewind/src/entry/job.rs
@@ -0,0 +1,49 @@
+//! One request as the entry serves it.
+
+use crate::rpc::message::Envelope;
+use crate::rpc::message::Quote;
+use crate::types::Class;
+use crate::types::EntryId;
+use crate::types::ModelId;
+use crate::types::OrgId;
+use crate::types::RequestId;
+use crate::types::Tokens;
+
+/// A request whose caller is known and whose limits allow it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// The request.
+    pub request: RequestId,
+    /// The organisation that pays.
+    pub org: OrgId,
+    /// The catalogue entry that allows it.
+    pub entry: EntryId,
+    /// The model asked for.
+    pub model: ModelId,
+    /// The class of work.
+    pub class: Class,
+    /// The prompt's text.
+    pub text: String,
+    /// The prompt's length.
+    pub prompt: Tokens,
+    /// The longest answer.
+    pub output: Tokens,
+    /// Hashes of the prompt's leading blocks.
+    pub blocks: Vec<u64>,
+}
+
+impl Job {
+    /// The shape of the request for an agent; an answer resumed at `offset` needs less.
+    #[must_use]
+    pub fn quote(&self, envelope: Envelope) -> Quote {
+        Quote {
+            envelope,
+            model: self.model.clone(),
+            org: self.org.clone(),
+            class: self.class,
+            prompt: self.prompt,
+            output: self.output,
+            blocks: self.blocks.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/jujubewind/src/entry/mod.rs
@@ -0,0 +1,16 @@
+//! The entry: it owns a caller's request from arrival to the final answer.
+
+mod api;
+mod caller;
+mod control;
+mod daemon;
+mod driver;
+mod failure;
+mod job;
+mod link;
+pub mod request;
+
+pub use daemon::run;
+pub use failure::Failure;
+pub use failure::Ran;
+pub use job::Job;
--- /dev/null
+++ b/jujubewind/src/http/body.rs
@@ -0,0 +1,39 @@
+//! Reading a request's body within bounds of size and time.
+
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Incoming;
+
+use super::Error;
+use super::Result;
+use crate::types::Bytes;
+use crate::types::Millis;
+
+/// Reads a whole body of at most `limit` within `wait`.
+///
+/// # Errors
+/// The body is too long, too slow, or breaks off.
+pub async fn read_body(body: Incoming, limit: Bytes, wait: Millis) -> Result<Vec<u8>> {
+    if body.size_hint().lower() > limit.get() {
+        return Err(Error::TooLarge(limit));
+    }
+    match compio::time::timeout(wait.duration(), collect(body, limit)).await {
+        Ok(outcome) => outcome,
+        Err(_) => Err(Error::TooSlow(wait)),
+    }
+}
+
+async fn collect(mut body: Incoming, limit: Bytes) -> Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(Error::BrokenOff)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if (bytes.len() + data.len()) as u64 > limit.get() {
+            return Err(Error::TooLarge(limit));
+        }
+        bytes.extend_from_slice(data);
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/jujubewind/src/http/events.rs
@@ -0,0 +1,23 @@
+//! Reading a stream of server-sent events.
+
+/// Collects bytes and yields the `data` of each whole event.
+#[derive(Debug, Default)]
+pub struct EventParser {
+    buffer: Vec<u8>,
+}
+
+impl EventParser {
+    /// Takes the next bytes of the stream and returns the events that are now whole.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<String> {
+        self.buffer.extend_from_slice(bytes);
+        let mut events = Vec::new();
+        while let Some(end) = self.buffer.iter().position(|b| *b == b'\n') {
+            let line: Vec<u8> = self.buffer.drain(..=end).collect();
+            let line = String::from_utf8_lossy(&line);
+            if let Some(data) = line.strip_prefix("data:") {
+                events.push(data.trim().to_owned());
+            }
+        }
+        events
+    }
+}
--- /dev/null
+++ b/jujubewind/src/http/mod.rs
@@ -0,0 +1,18 @@
+//! HTTP serving on compio: connections, bodies with limits, and event streams.
+
+mod body;
+mod error;
+mod events;
+mod response;
+mod server;
+
+pub use body::read_body;
+pub use error::Error;
+pub use error::Result;
+pub use events::EventParser;
+pub use response::Reply;
+pub use response::event_stream;
+pub use response::json;
+pub use response::plain;
+pub use server::Handler;
+pub use server::serve;
--- /dev/null
+++ b/jujubewind/src/http/response.rs
@@ -0,0 +1,55 @@
+//! Responses: whole ones and streams of server-sent events.
+
+use std::convert::Infallible;
+
+use flume::Receiver;
+use futures::StreamExt;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::body::Frame;
+use hyper::header::CACHE_CONTROL;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use serde::Serialize;
+
+/// A response of ours: its body is whole or a stream.
+pub type Reply = Response<UnsyncBoxBody<Bytes, Infallible>>;
+
+/// A whole response with a body of JSON.
+pub fn json(status: StatusCode, body: &impl Serialize) -> Reply {
+    let text = serde_json::to_vec(body).unwrap_or_default();
+    whole(status, "application/json", text)
+}
+
+/// A whole response with a body of plain text.
+#[must_use]
+pub fn plain(status: StatusCode, body: impl Into<Vec<u8>>) -> Reply {
+    whole(status, "text/plain; charset=utf-8", body.into())
+}
+
+/// A stream of server-sent events, each the `data` that the receiver yields.
+#[must_use]
+pub fn event_stream(events: Receiver<String>) -> Reply {
+    let frames = events
+        .into_stream()
+        .map(|data| Ok(Frame::data(Bytes::from(format!("data: {data}\n\n")))));
+    let mut reply = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+    let headers = reply.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    reply
+}
+
+fn whole(status: StatusCode, kind: &'static str, body: Vec<u8>) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from(body)).boxed_unsync());
+    *reply.status_mut() = status;
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    reply
+}
--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -6,10 +6,18 @@
 #[macro_use]
 pub mod util;
 
+pub mod agent;
+pub mod catalogue;
 pub mod chart;
+pub mod daemon;
+pub mod entry;
+pub mod http;
+pub mod logging;
+pub mod metrics;
 pub mod prefix;
 pub mod refusal;
 pub mod rpc;
+pub mod settings;
 pub mod timer;
 pub mod types;
 pub mod wire;
--- /dev/null
+++ b/jujubewind/src/logging/mod.rs
@@ -0,0 +1,50 @@
+//! Structured logs: one line of key=value pairs for each event.
+
+mod error;
+mod value;
+
+pub use error::Error;
+pub use error::Result;
+pub use value::Value;
+
+use log::LevelFilter;
+use log4rs::append::console::ConsoleAppender;
+use log4rs::append::console::Target;
+use log4rs::config::Appender;
+use log4rs::config::Config;
+use log4rs::config::Root;
+use log4rs::encode::pattern::PatternEncoder;
+
+/// The form of a line: time, level, then the event's own pairs.
+const PATTERN: &str = "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} {m}{n}";
+
+/// Sends log lines of `level` and above to standard error.
+///
+/// # Errors
+/// A logger is already installed in this process.
+pub fn start(level: LevelFilter) -> Result<()> {
+    let appender = ConsoleAppender::builder()
+        .target(Target::Stderr)
+        .encoder(Box::new(PatternEncoder::new(PATTERN)))
+        .build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("stderr", Box::new(appender)))
+        .build(Root::builder().appender("stderr").build(level))?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
+
+/// Logs one event as a line of key=value pairs.
+///
+/// ```
+/// jujubewind::event!(info, "request_ended", request = 7, tokens = 12);
+/// ```
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        ::log::$level!(
+            concat!("event=", $name, $(" ", stringify!($key), "={}",)*)
+            $(, $crate::logging::Value(&$value))*
+        )
+    };
+}
--- /dev/null
+++ b/jujubewind/src/metrics/agent_metrics.rs
@@ -0,0 +1,72 @@
+//! The metrics of an agent.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+use super::reason_counter::ReasonCounter;
+use crate::refusal::Reason;
+use crate::types::Tokens;
+
+/// Counters and gauges of an agent.
+#[derive(Debug)]
+pub struct AgentMetrics {
+    registry: Registry,
+    refusals: ReasonCounter,
+    strays: Counter,
+    open: Gauge,
+    reserved: Gauge,
+}
+
+impl Default for AgentMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("jujube_agent");
+        let refusals = ReasonCounter::default();
+        let strays = Counter::default();
+        let open = Gauge::default();
+        let reserved = Gauge::default();
+        registry.register("refusals", "Attempts refused, by reason", refusals.family());
+        registry.register(
+            "strays",
+            "Sequences stopped that nobody owns",
+            strays.clone(),
+        );
+        registry.register("open", "Attempts and calls that are not over", open.clone());
+        registry.register(
+            "reserved_tokens",
+            "Engine memory reserved",
+            reserved.clone(),
+        );
+        Self {
+            registry,
+            refusals,
+            strays,
+            open,
+            reserved,
+        }
+    }
+}
+
+impl AgentMetrics {
+    /// Counts a refusal.
+    pub fn refused(&self, reason: Reason) {
+        self.refusals.inc(reason);
+    }
+
+    /// Counts sequences of the engine that nobody owns.
+    pub fn strays(&self, count: usize) {
+        self.strays.inc_by(count as u64);
+    }
+
+    /// Sets the gauges and gives all metrics as text.
+    #[must_use]
+    pub fn encode(&self, open: usize, reserved: Tokens) -> String {
+        self.open.set(i64::try_from(open).unwrap_or(i64::MAX));
+        self.reserved
+            .set(i64::try_from(reserved.get()).unwrap_or(i64::MAX));
+        let mut text = String::new();
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/jujubewind/src/metrics/mod.rs
@@ -0,0 +1,8 @@
+//! Metrics in the Prometheus text format.
+
+mod agent_metrics;
+mod entry_metrics;
+mod reason_counter;
+
+pub use agent_metrics::AgentMetrics;
+pub use entry_metrics::EntryMetrics;
--- a/jujubewind/src/refusal/reason.rs
+++ b/jujubewind/src/refusal/reason.rs
@@ -5,6 +5,8 @@
     pub enum Reason {
         /// The body is longer than the limit.
         BodyTooLarge = "body_too_large",
+        /// The body came too slowly.
+        BodyTooSlow = "body_too_slow",
         /// The body is not the JSON that the route expects.
         BadRequest = "bad_request",
         /// The key is missing or belongs to nobody.
@@ -47,6 +49,8 @@
         KeyBusy = "key_busy",
         /// The platform's store does not answer, so the call cannot be claimed.
         StoreDown = "store_down",
+        /// The call was sent and its answer was lost.
+        OutcomeUnknown = "outcome_unknown",
         /// The request crashed backend servers before.
         Convicted = "convicted",
         /// The order's fencing number is old.
--- a/jujubewind/src/rpc/agent_service.rs
+++ b/jujubewind/src/rpc/agent_service.rs
@@ -30,6 +30,6 @@
     /// Makes one call to the plain service beside the agent.
     async fn call(order: Call) -> CallReply;
 
-    /// Reports the agent's state to an operator.
-    async fn status() -> AgentStatus;
+    /// Reports the agent's state to an operator; `None` when it is stopping.
+    async fn status() -> Option<AgentStatus>;
 }
--- /dev/null
+++ b/jujubewind/src/settings/entry_settings.rs
@@ -0,0 +1,106 @@
+//! Settings of an entry.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Checked;
+use super::Error;
+use super::Result;
+use crate::types::Bytes;
+use crate::types::DomainId;
+use crate::types::Millis;
+use crate::types::NodeId;
+
+/// The settings file of `jujube-entry`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// This process's name, unique in the fleet.
+    pub node: NodeId,
+    /// The failure domain of its VM.
+    pub domain: DomainId,
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where other processes of ours reach it.
+    pub peer: SocketAddr,
+    /// The platform's key-value service.
+    #[serde(default)]
+    pub platform: Option<SocketAddr>,
+    /// Agents to ask until more are known.
+    #[serde(default)]
+    pub agents: Vec<SocketAddr>,
+    /// Other entries to ask until more are known.
+    #[serde(default)]
+    pub entries: Vec<SocketAddr>,
+    /// A folder of declarations to start from; without it the catalogue comes from the platform.
+    #[serde(default)]
+    pub catalogue: Option<PathBuf>,
+    /// The longest body of a request.
+    #[serde(default = "default_body")]
+    pub body: Bytes,
+    /// The longest wait for a whole request to arrive.
+    #[serde(default = "default_arrival")]
+    pub arrival: Millis,
+    /// The time of a request that names none.
+    #[serde(default = "default_budget")]
+    pub budget: Millis,
+    /// How long a stop goes on accepting after readiness fails.
+    #[serde(default = "default_grace")]
+    pub grace: Millis,
+    /// The least severe level that is logged.
+    #[serde(default = "default_log")]
+    pub log: log::LevelFilter,
+}
+
+impl Checked for EntrySettings {
+    fn check(&self) -> Result<()> {
+        if self.body < Bytes(1_024) {
+            return Err(Error::value("body", &self.body, "write 1024 or more bytes"));
+        }
+        if self.arrival == Millis::ZERO {
+            return Err(Error::value(
+                "arrival",
+                &self.arrival,
+                "write 1 or more milliseconds",
+            ));
+        }
+        if self.budget == Millis::ZERO {
+            return Err(Error::value(
+                "budget",
+                &self.budget,
+                "write 1 or more milliseconds",
+            ));
+        }
+        if self.platform.is_none() && self.catalogue.is_none() {
+            return Err(Error::value(
+                "platform",
+                "none",
+                "name the platform or a catalogue folder",
+            ));
+        }
+        Ok(())
+    }
+}
+
+const fn default_body() -> Bytes {
+    Bytes(16 << 20)
+}
+
+const fn default_arrival() -> Millis {
+    Millis(20_000)
+}
+
+const fn default_budget() -> Millis {
+    Millis(60_000)
+}
+
+const fn default_grace() -> Millis {
+    Millis(5_000)
+}
+
+const fn default_log() -> log::LevelFilter {
+    log::LevelFilter::Info
+}
--- a/jujubewind/src/util/derive.rs
+++ b/jujubewind/src/util/derive.rs
@@ -31,6 +31,7 @@
 
         impl $name {
             /// Every variant, in the order of declaration.
+            #[allow(dead_code, reason = "private labels need not be listed")]
             pub const ALL: &'static [Self] = &[$(Self::$variant,)+];
 
             /// The text used in logs, metrics and messages.
