Add the decisions of routing, scheduling, limits and retries

Ruled out: a table of loads at each entry (1,300 reports a second are seven times the bandwidth allowed), and reservations taken without an order (two groups could each hold what the other waits for).

Change: Router, Group, RetryBudget, Limiter, Scheduler and Ledger as plain state machines.

--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -7,8 +7,12 @@
 pub mod util;
 
 pub mod chart;
+pub mod limits;
 pub mod prefix;
 pub mod refusal;
+pub mod retry;
+pub mod routing;
 pub mod rpc;
+pub mod scheduler;
 pub mod timer;
 pub mod types;
--- /dev/null
+++ b/jujubewind/src/limits/bucket.rs
@@ -0,0 +1,40 @@
+//! The generic cell rate algorithm, with the price paid afterwards.
+
+use crate::types::Millis;
+use crate::types::MonoTime;
+
+const MICROS_PER_SECOND: u64 = 1_000_000;
+
+/// How far ahead of its rate a bucket may run: a second of burst.
+const WINDOW: u64 = MICROS_PER_SECOND;
+
+/// A rate limit whose state is one point in time: when all that was taken is paid off.
+///
+/// A request larger than the window is let in when the bucket is nearly paid off, and its whole
+/// price then delays those after it. So the longest prompt can pass, and the rate holds on average.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Bucket {
+    paid: MonoTime,
+}
+
+impl Bucket {
+    /// The wait until something may be taken; zero if it may now.
+    pub fn wait(self, now: MonoTime) -> Millis {
+        let debt = self.paid.micros().saturating_sub(now.micros());
+        let over = debt.saturating_sub(WINDOW);
+        Millis(over.div_ceil(1_000))
+    }
+
+    /// Takes `amount` at `rate` a second.
+    pub fn take(&mut self, now: MonoTime, amount: u64, rate: u64) {
+        let price = amount.saturating_mul(MICROS_PER_SECOND) / rate.max(1);
+        let from = self.paid.max(now).micros();
+        self.paid = MonoTime::from_micros(from.saturating_add(price));
+    }
+
+    /// Gives back what was taken and not used.
+    pub fn refund(&mut self, amount: u64, rate: u64) {
+        let price = amount.saturating_mul(MICROS_PER_SECOND) / rate.max(1);
+        self.paid = MonoTime::from_micros(self.paid.micros().saturating_sub(price));
+    }
+}
--- /dev/null
+++ b/jujubewind/src/routing/router.rs
@@ -0,0 +1,148 @@
+//! The entry's choice: whom to ask, and which answer to take.
+
+use rand::Rng;
+use rand::RngExt;
+
+use super::Candidate;
+use super::Offer;
+use super::Request;
+use super::Settings;
+use super::rendezvous;
+use crate::rpc::message::QuoteReply;
+use crate::types::Class;
+use crate::types::DomainId;
+use crate::types::NodeId;
+
+/// Chooses backend servers for one entry.
+#[derive(Clone, Debug)]
+pub struct Router {
+    home: DomainId,
+    settings: Settings,
+}
+
+impl Router {
+    /// A router for an entry in the failure domain `home`.
+    #[must_use]
+    pub fn new(home: DomainId, settings: Settings) -> Self {
+        Self { home, settings }
+    }
+
+    /// The agents to ask: those likely to have the prefix cached, then chance, home first.
+    ///
+    /// Agents in `excluded` were tried before. Suspects are asked only if nobody else is left.
+    #[must_use]
+    pub fn choose(
+        &self,
+        members: &[Candidate],
+        request: &Request<'_>,
+        excluded: &[NodeId],
+        rng: &mut impl Rng,
+    ) -> Vec<NodeId> {
+        let open = open_members(members, request, excluded);
+        let count = self.count(request).min(open.len());
+        let mut chosen = affine(&open, request, count);
+        self.fill(&open, &mut chosen, count, rng);
+        chosen.into_iter().map(|one| one.node.clone()).collect()
+    }
+
+    /// The place in `offers` of the best estimate for `class`; `None` if all refused.
+    ///
+    /// Answers within a tie's width are equal, and chance decides between them, so that entries
+    /// which asked at the same moment do not all go the same way.
+    #[must_use]
+    pub fn pick(&self, class: Class, offers: &[Offer], rng: &mut impl Rng) -> Option<usize> {
+        let costs: Vec<Option<u64>> = offers.iter().map(|offer| self.cost(class, offer)).collect();
+        let best = costs.iter().flatten().min()?;
+        let limit = best.saturating_add(self.settings.tie.get());
+        let equal: Vec<usize> = (0..offers.len())
+            .filter(|&place| costs[place].is_some_and(|cost| cost <= limit))
+            .collect();
+        Some(equal[rng.random_range(0..equal.len())])
+    }
+
+    fn count(&self, request: &Request<'_>) -> usize {
+        if request.prompt >= self.settings.long {
+            self.settings.longs
+        } else {
+            self.settings.asks
+        }
+    }
+
+    /// The first random place goes to the own failure domain, the next ones to any.
+    fn fill<'a>(
+        &self,
+        open: &[&'a Candidate],
+        chosen: &mut Vec<&'a Candidate>,
+        count: usize,
+        rng: &mut impl Rng,
+    ) {
+        let mut home_first = true;
+        while chosen.len() < count {
+            let rest: Vec<&Candidate> = open
+                .iter()
+                .copied()
+                .filter(|one| !holds(chosen, one))
+                .collect();
+            let near: Vec<&Candidate> = rest
+                .iter()
+                .copied()
+                .filter(|one| one.domain == self.home)
+                .collect();
+            let pool = if home_first && !near.is_empty() {
+                near
+            } else {
+                rest
+            };
+            chosen.push(pool[rng.random_range(0..pool.len())]);
+            home_first = false;
+        }
+    }
+
+    fn cost(&self, class: Class, offer: &Offer) -> Option<u64> {
+        let QuoteReply::Estimate { first, total, .. } = &offer.reply else {
+            return None;
+        };
+        let span = match class {
+            Class::Urgent | Class::Interactive => first,
+            Class::Batch => total,
+        };
+        let away = if offer.domain == self.home {
+            0
+        } else {
+            self.settings.penalty.get()
+        };
+        Some(span.get().saturating_add(away))
+    }
+}
+
+fn open_members<'a>(
+    members: &'a [Candidate],
+    request: &Request<'_>,
+    excluded: &[NodeId],
+) -> Vec<&'a Candidate> {
+    let able: Vec<&Candidate> = members
+        .iter()
+        .filter(|one| one.serves(request.model) && !excluded.contains(&one.node))
+        .collect();
+    let sound: Vec<&Candidate> = able.iter().copied().filter(|one| !one.suspect).collect();
+    if sound.is_empty() { able } else { sound }
+}
+
+fn holds(chosen: &[&Candidate], one: &Candidate) -> bool {
+    chosen.iter().any(|other| other.node == one.node)
+}
+
+/// At least one place is left to chance, so that a popular prefix cannot overload its agent.
+fn affine<'a>(open: &[&'a Candidate], request: &Request<'_>, count: usize) -> Vec<&'a Candidate> {
+    let mut chosen: Vec<&Candidate> = Vec::new();
+    for key in rendezvous::keys(request) {
+        if chosen.len() + 1 >= count {
+            break;
+        }
+        match rendezvous::first(key, open) {
+            Some(first) if !holds(&chosen, first) => chosen.push(first),
+            _ => {}
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/jujubewind/src/scheduler/job.rs
@@ -0,0 +1,35 @@
+//! One attempt as an agent's scheduler sees it.
+
+use crate::types::AttemptId;
+use crate::types::Class;
+use crate::types::Millis;
+use crate::types::OrgId;
+use crate::types::Tokens;
+
+crate::data! {
+    /// The shape of an attempt, and the time it has left.
+    pub struct Job {
+        /// The attempt.
+        pub attempt: AttemptId,
+        /// The organisation that pays.
+        pub org: OrgId,
+        /// The class of work.
+        pub class: Class,
+        /// The length of the prompt, or of the part of it that this engine holds.
+        pub prompt: Tokens,
+        /// How much of the prompt is cached here.
+        pub cached: Tokens,
+        /// The longest answer allowed.
+        pub output: Tokens,
+        /// The time left to the request.
+        pub remaining: Millis,
+    }
+}
+
+impl Job {
+    /// The KV cache that the attempt needs at its end.
+    #[must_use]
+    pub const fn memory(&self) -> Tokens {
+        self.prompt.saturating_add(self.output)
+    }
+}
--- /dev/null
+++ b/jujubewind/src/scheduler/mod.rs
@@ -0,0 +1,41 @@
+//! When requests run at one engine: order, memory, batch slots and pauses.
+
+mod action;
+mod cost;
+mod estimate;
+mod forecast;
+mod job;
+mod ledger;
+mod listed;
+mod order;
+mod past;
+mod phase;
+mod placement;
+mod rank;
+#[expect(clippy::module_inception, reason = "a file for each type")]
+mod scheduler;
+mod settings;
+mod shares;
+mod state;
+mod task;
+mod upkeep;
+mod work;
+
+pub use action::Action;
+pub use cost::Cost;
+pub use estimate::Estimate;
+pub use job::Job;
+pub use ledger::Audit;
+pub use ledger::Ledger;
+pub use ledger::Place;
+pub use listed::Listed;
+pub use order::Order;
+pub use phase::Phase;
+pub use scheduler::Scheduler;
+pub use settings::Settings;
+pub use work::Work;
+
+use crate::refusal::Refusal;
+
+/// A decision, or the refusal that the entry is told.
+pub type Result<T> = std::result::Result<T, Refusal>;
--- /dev/null
+++ b/jujubewind/src/scheduler/placement.rs
@@ -0,0 +1,224 @@
+//! Handing work to the engine, and pausing work that is in the way.
+
+use super::Action;
+use super::Phase;
+use super::Place;
+use super::rank::Rank;
+use super::state::State;
+use super::task::Task;
+use crate::types::AttemptId;
+use crate::types::Class;
+use crate::types::MonoTime;
+use crate::types::Tokens;
+
+/// One pass over the waiting work.
+#[derive(Debug)]
+pub struct Placement<'a> {
+    state: &'a mut State,
+    now: MonoTime,
+    actions: Vec<Action>,
+}
+
+/// What became of one candidate in a pass.
+enum Outcome {
+    Placed,
+    /// It waits, and long work behind it does too.
+    Blocked,
+    /// Nothing behind it can be placed either.
+    Full,
+}
+
+impl<'a> Placement<'a> {
+    /// A pass at `now`.
+    #[must_use]
+    pub fn new(state: &'a mut State, now: MonoTime) -> Self {
+        Self {
+            state,
+            now,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Places what can be placed and tells the orders for it.
+    #[must_use]
+    pub fn run(mut self) -> Vec<Action> {
+        self.make_room_for_wish();
+        let mut blocked = self.state.wish.is_some();
+        for (rank, attempt) in self.queue() {
+            let long = self.is_long(attempt);
+            if long && blocked {
+                continue;
+            }
+            match self.try_place(rank, attempt, long) {
+                Outcome::Placed => {}
+                Outcome::Blocked => blocked = true,
+                Outcome::Full => break,
+            }
+        }
+        self.actions
+    }
+
+    fn queue(&self) -> Vec<(Rank, AttemptId)> {
+        let waits = |task: &&Task| matches!(task.phase, Phase::Waiting | Phase::Paused);
+        let mut queue: Vec<(Rank, AttemptId)> = self
+            .state
+            .tasks
+            .values()
+            .filter(waits)
+            .map(|task| (self.state.rank(self.now, task), task.job.attempt))
+            .collect();
+        queue.sort_unstable();
+        queue
+    }
+
+    fn try_place(&mut self, rank: Rank, attempt: AttemptId, long: bool) -> Outcome {
+        let full = if long {
+            Outcome::Blocked
+        } else {
+            Outcome::Full
+        };
+        if self.reading_before(rank) >= self.state.settings.window {
+            return Outcome::Full;
+        }
+        if long && self.reading_long() >= self.state.settings.longs {
+            return Outcome::Blocked;
+        }
+        if !self.state.has_slot(long) {
+            return full;
+        }
+        if !self.state.ledger.take(attempt, Place::Engine) {
+            let amount = self.state.tasks[&attempt].job.memory();
+            self.make_room(rank, amount, long);
+            return full;
+        }
+        self.hand_over(rank, attempt);
+        Outcome::Placed
+    }
+
+    fn hand_over(&mut self, rank: Rank, attempt: AttemptId) {
+        let Some(task) = self.state.tasks.get_mut(&attempt) else {
+            return;
+        };
+        let priority = rank.priority();
+        let action = if task.phase == Phase::Paused {
+            Action::Resume { attempt, priority }
+        } else {
+            Action::Submit { attempt, priority }
+        };
+        task.since = self.now;
+        task.phase = if task.written > Tokens::ZERO {
+            Phase::Decode
+        } else {
+            Phase::Prefill
+        };
+        let work = task.prefill(&self.state.cost);
+        self.state.shares.charge(self.now, &task.job.org, work);
+        self.actions.push(action);
+    }
+
+    fn reading(&self) -> impl Iterator<Item = &Task> {
+        let reads = |task: &&Task| task.phase == Phase::Prefill;
+        self.state.tasks.values().filter(reads)
+    }
+
+    fn reading_before(&self, rank: Rank) -> usize {
+        self.reading()
+            .filter(|task| self.state.rank(self.now, task) <= rank)
+            .count()
+    }
+
+    fn reading_long(&self) -> usize {
+        self.reading()
+            .filter(|task| self.state.is_long(task))
+            .count()
+    }
+
+    fn is_long(&self, attempt: AttemptId) -> bool {
+        self.state.is_long(&self.state.tasks[&attempt])
+    }
+
+    /// Pauses the work furthest behind `rank` until `amount` will be free.
+    fn make_room(&mut self, rank: Rank, amount: Tokens, long: bool) {
+        let mut victims: Vec<(Rank, AttemptId, Tokens)> = self
+            .state
+            .running()
+            .filter(|task| self.may_pause(task))
+            .map(|task| {
+                (
+                    self.state.rank(self.now, task),
+                    task.job.attempt,
+                    task.job.memory(),
+                )
+            })
+            .filter(|(other, _, _)| other.yields_to(rank))
+            .collect();
+        victims.sort_unstable();
+        let mut room = self
+            .state
+            .ledger
+            .room(long)
+            .saturating_add(self.being_freed());
+        let all: Tokens = victims.iter().map(|(_, _, amount)| *amount).sum();
+        if room.saturating_add(all) < amount {
+            return;
+        }
+        while room < amount {
+            let Some((_, attempt, freed)) = victims.pop() else {
+                return;
+            };
+            self.pause(attempt);
+            room = room.saturating_add(freed);
+        }
+    }
+
+    fn make_room_for_wish(&mut self) {
+        let Some(wish) = self.state.wish else {
+            return;
+        };
+        let mut room = self
+            .state
+            .ledger
+            .room(true)
+            .saturating_add(self.being_freed());
+        let victims: Vec<(AttemptId, Tokens)> = self
+            .state
+            .running()
+            .filter(|task| self.may_pause(task))
+            .map(|task| (task.job.attempt, task.job.memory()))
+            .collect();
+        for (attempt, freed) in victims {
+            if room >= wish.amount {
+                break;
+            }
+            self.pause(attempt);
+            room = room.saturating_add(freed);
+        }
+    }
+
+    /// Only long work is paused, never while somebody reads its answer, and not for ever.
+    fn may_pause(&self, task: &Task) -> bool {
+        let idle = match task.phase {
+            Phase::Prefill => true,
+            Phase::Decode => task.job.class == Class::Batch,
+            _ => false,
+        };
+        idle && self.state.is_long(task) && task.pauses < self.state.settings.pauses
+    }
+
+    fn pause(&mut self, attempt: AttemptId) {
+        if let Some(task) = self.state.tasks.get_mut(&attempt) {
+            task.phase = Phase::Pausing;
+            task.pauses += 1;
+            self.actions.push(Action::Pause { attempt });
+        }
+    }
+
+    fn being_freed(&self) -> Tokens {
+        self.state
+            .tasks
+            .values()
+            .filter(|task| matches!(task.phase, Phase::Pausing | Phase::Ending))
+            .map(|task| task.job.memory())
+            .sum()
+    }
+}
--- /dev/null
+++ b/jujubewind/src/scheduler/scheduler.rs
@@ -0,0 +1,251 @@
+//! The scheduler of one engine.
+
+use super::Action;
+use super::Cost;
+use super::Estimate;
+use super::Job;
+use super::Ledger;
+use super::Listed;
+use super::Phase;
+use super::Place;
+use super::Result;
+use super::Settings;
+use super::Work;
+use super::forecast::Forecast;
+use super::placement::Placement;
+use super::state::State;
+use super::state::Wish;
+use super::task::Task;
+use super::upkeep::Upkeep;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::types::AttemptId;
+use crate::types::Millis;
+use crate::types::MonoTime;
+use crate::types::Tokens;
+
+/// When to ask again for the part of a group that waits for memory.
+const PART_RETRY: Millis = Millis(50);
+
+/// When a full queue may have room.
+const QUEUE_RETRY: Millis = Millis(1_000);
+
+/// Decides which attempts one engine runs, and when.
+///
+/// Every input is followed by [`Scheduler::poll`], whose actions the caller carries out.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    state: State,
+    arrivals: u64,
+    busy: Option<MonoTime>,
+}
+
+impl Scheduler {
+    /// The scheduler of an idle engine.
+    #[must_use]
+    pub fn new(settings: Settings, cost: Cost) -> Self {
+        Self {
+            state: State::new(settings, cost),
+            arrivals: 0,
+            busy: None,
+        }
+    }
+
+    /// When `job` would be served; reserves nothing.
+    ///
+    /// # Errors
+    /// The job would be refused if it were admitted now.
+    pub fn quote(&self, now: MonoTime, job: &Job) -> Result<Estimate> {
+        let settings = &self.state.settings;
+        let long = settings.is_long(job.prompt);
+        if job.memory() > self.state.ledger.ceiling(long) {
+            return refuse(Reason::PromptTooLong, Millis::ZERO);
+        }
+        if self.state.waiting() >= settings.queue {
+            return refuse(Reason::QueueFull, QUEUE_RETRY);
+        }
+        let estimate = Forecast::new(&self.state, now).estimate(job);
+        if estimate.total > job.remaining {
+            let over = estimate.total.saturating_sub(job.remaining);
+            return refuse(Reason::NoTime, over);
+        }
+        Ok(estimate)
+    }
+
+    /// Takes `job` with a promise of memory, for good; admitting it again changes nothing.
+    ///
+    /// # Errors
+    /// The job is not predicted to end in its time, its memory cannot be promised, or the attempt
+    /// is over.
+    pub fn admit(&mut self, now: MonoTime, job: Job) -> Result<()> {
+        let attempt = job.attempt;
+        if self.state.tasks.contains_key(&attempt) {
+            return Ok(());
+        }
+        if self.state.past.ran(attempt).is_some() {
+            return refuse(Reason::Cancelled, Millis::ZERO);
+        }
+        self.quote(now, &job)?;
+        let long = self.state.settings.is_long(job.prompt);
+        let until = now.after(self.state.settings.ttl);
+        let ledger = &mut self.state.ledger;
+        ledger.promise(attempt, job.memory(), long, until)?;
+        self.arrivals += 1;
+        let task = Task::new(job, now, self.arrivals);
+        self.state.tasks.insert(attempt, task);
+        Ok(())
+    }
+
+    /// Holds memory for a part of a group; asking again renews it.
+    ///
+    /// # Errors
+    /// There is no room yet: long work is kept back and paused until there is. Or the attempt is
+    /// over.
+    pub fn hold(
+        &mut self,
+        now: MonoTime,
+        attempt: AttemptId,
+        amount: Tokens,
+        ttl: Millis,
+    ) -> Result<()> {
+        if self.state.past.ran(attempt).is_some() {
+            return refuse(Reason::Cancelled, Millis::ZERO);
+        }
+        let until = now.after(ttl);
+        let placed = self.state.ledger.place(attempt);
+        if placed.is_none() {
+            self.state.ledger.promise(attempt, amount, true, until)?;
+        }
+        self.state.ledger.renew(attempt, until);
+        if self.state.ledger.take(attempt, Place::Aside) {
+            self.state.wish.take_if(|wish| wish.attempt == attempt);
+            return Ok(());
+        }
+        let wish = Wish {
+            attempt,
+            amount,
+            until,
+        };
+        self.state.wish.get_or_insert(wish);
+        refuse(Reason::NoMemory, PART_RETRY)
+    }
+
+    /// Keeps an attempt alive; `false` if it is unknown here.
+    pub fn renew(&mut self, now: MonoTime, attempt: AttemptId) -> bool {
+        let until = now.after(self.state.settings.ttl);
+        self.state.ledger.renew(attempt, until)
+    }
+
+    /// Fences an attempt: it never starts afterwards. `true` if it never reached the engine in
+    /// this process's life; whether an earlier life ran it, the caller must know.
+    pub fn cancel(&mut self, now: MonoTime, attempt: AttemptId) -> bool {
+        Upkeep::new(&mut self.state, now).cancel(attempt)
+    }
+
+    /// The engine ended the attempt, for whatever reason.
+    pub fn ended(&mut self, now: MonoTime, attempt: AttemptId) {
+        self.track(now);
+        self.state.forget(now, attempt);
+    }
+
+    /// The engine wrote the first token.
+    pub fn first_token(&mut self, now: MonoTime, attempt: AttemptId) {
+        let prompt = self.state.tasks.get(&attempt).map(|task| task.job.prompt);
+        if let Some(prompt) = prompt {
+            self.progress(now, attempt, prompt, Tokens(1));
+        }
+    }
+
+    /// The engine has read `done` tokens of the prompt and written `written` of the answer.
+    pub fn progress(&mut self, now: MonoTime, attempt: AttemptId, done: Tokens, written: Tokens) {
+        let spent = self.track(now);
+        let Some(task) = self.state.tasks.get_mut(&attempt) else {
+            return;
+        };
+        let before = task.done;
+        task.done = task.done.max(done.min(task.job.prompt));
+        task.written = task.written.max(written);
+        if task.phase == Phase::Prefill && task.written > Tokens::ZERO {
+            task.phase = Phase::Decode;
+        }
+        self.state.cost.learn(before, task.done, spent);
+    }
+
+    /// The engine exported the attempt's KV cache and freed its memory.
+    pub fn paused(&mut self, now: MonoTime, attempt: AttemptId) {
+        self.track(now);
+        if let Some(task) = self.state.tasks.get_mut(&attempt)
+            && task.phase == Phase::Pausing
+        {
+            task.phase = Phase::Paused;
+            self.state.ledger.give_back(attempt);
+        }
+    }
+
+    /// Compares with the engine's own list: strays are cancelled, lost attempts reported.
+    pub fn reconcile(&mut self, now: MonoTime, listing: &[Listed]) {
+        Upkeep::new(&mut self.state, now).reconcile(listing);
+    }
+
+    /// The engine restarted with empty memory: all that it had is lost.
+    pub fn restarted(&mut self, now: MonoTime) {
+        Upkeep::new(&mut self.state, now).restarted();
+    }
+
+    /// What is to be done at `now`.
+    pub fn poll(&mut self, now: MonoTime) -> Vec<Action> {
+        Upkeep::new(&mut self.state, now).expire();
+        let mut actions = std::mem::take(&mut self.state.actions);
+        actions.extend(Placement::new(&mut self.state, now).run());
+        if self.is_reading() {
+            self.busy.get_or_insert(now);
+        } else {
+            self.busy = None;
+        }
+        actions
+    }
+
+    /// The memory of the engine.
+    #[must_use]
+    pub fn ledger(&self) -> &Ledger {
+        &self.state.ledger
+    }
+
+    /// The cost model with what was learnt.
+    #[must_use]
+    pub fn cost(&self) -> &Cost {
+        &self.state.cost
+    }
+
+    /// Attempts held, waiting or running.
+    #[must_use]
+    pub fn attempts(&self) -> usize {
+        self.state.tasks.len()
+    }
+
+    /// The phase of an attempt; `None` if it is unknown here.
+    #[must_use]
+    pub fn phase(&self, attempt: AttemptId) -> Option<Phase> {
+        self.state.tasks.get(&attempt).map(|task| task.phase)
+    }
+
+    /// The busy time since it was last asked for.
+    fn track(&mut self, now: MonoTime) -> Work {
+        let Some(since) = self.busy.replace(now) else {
+            self.busy = None;
+            return Work::ZERO;
+        };
+        Work::between(since, now)
+    }
+
+    fn is_reading(&self) -> bool {
+        self.state
+            .tasks
+            .values()
+            .any(|task| task.phase == Phase::Prefill)
+    }
+}
+
+fn refuse<T>(reason: Reason, retry: Millis) -> Result<T> {
+    Err(Refusal { reason, retry })
+}
--- /dev/null
+++ b/jujubewind/src/scheduler/settings.rs
@@ -0,0 +1,65 @@
+//! The scheduler's parameters.
+
+use super::Order;
+use crate::types::Millis;
+use crate::types::Tokens;
+
+crate::data! {
+    /// What one engine can hold, and how it is shared.
+    pub struct Settings {
+        /// KV cache of the engine.
+        pub capacity: Tokens,
+        /// KV cache that long work cannot take.
+        pub guard: Tokens,
+        /// Attempts that the engine runs at once.
+        pub slots: usize,
+        /// Batch slots that long work cannot take.
+        pub spare: usize,
+        /// The length from which a prompt is long.
+        pub long: Tokens,
+        /// Attempts whose prompts the engine is given to read at once.
+        pub window: usize,
+        /// Long prompts among them.
+        pub longs: usize,
+        /// Attempts that may wait.
+        pub queue: usize,
+        /// Memory promised to waiting work, as a multiple of the capacity.
+        pub promise: u64,
+        /// Who goes next.
+        pub order: Order,
+        /// How long an attempt lives without being renewed.
+        pub ttl: Millis,
+        /// How often one attempt may be paused.
+        pub pauses: u32,
+        /// Whether organisations above their share go later.
+        pub fair: bool,
+    }
+}
+
+impl Settings {
+    /// Settings for an engine with `capacity` tokens of KV cache and `slots` batch slots.
+    #[must_use]
+    pub fn for_engine(capacity: Tokens, slots: usize) -> Self {
+        Self {
+            capacity,
+            guard: Tokens(capacity.get() / 8),
+            slots,
+            spare: slots / 4,
+            long: Tokens(32_768),
+            window: 4,
+            longs: 2,
+            queue: 2_000,
+            promise: 8,
+            order: Order::Laxity,
+            ttl: Millis(10_000),
+            pauses: 3,
+            fair: true,
+        }
+    }
+
+    /// Whether a prompt of this length counts as long work.
+    #[must_use]
+    pub fn is_long(&self, prompt: Tokens) -> bool {
+        prompt >= self.long
+    }
+}
--- /dev/null
+++ b/jujubewind/src/scheduler/state.rs
@@ -0,0 +1,119 @@
+//! All that one engine's scheduler knows.
+
+use std::collections::BTreeMap;
+
+use super::Action;
+use super::Cost;
+use super::Ledger;
+use super::Phase;
+use super::Settings;
+use super::past::Past;
+use super::rank::Rank;
+use super::shares::Shares;
+use super::task::Task;
+use crate::types::AttemptId;
+use crate::types::MonoTime;
+use crate::types::OrgId;
+use crate::types::Tokens;
+
+/// Memory that a part of a group waits for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The part's memory.
+    pub amount: Tokens,
+    /// When the wish is forgotten.
+    pub until: MonoTime,
+}
+
+/// The tasks, and what is shared between them.
+#[derive(Clone, Debug)]
+pub struct State {
+    /// The parameters.
+    pub settings: Settings,
+    /// The cost model.
+    pub cost: Cost,
+    /// The memory.
+    pub ledger: Ledger,
+    /// The organisations' use.
+    pub shares: Shares,
+    /// The admitted attempts.
+    pub tasks: BTreeMap<AttemptId, Task>,
+    /// The group that waits for memory here.
+    pub wish: Option<Wish>,
+    /// The attempts that are over.
+    pub past: Past,
+    /// What the next poll gives.
+    pub actions: Vec<Action>,
+}
+
+impl State {
+    /// The state of an idle engine.
+    #[must_use]
+    pub fn new(settings: Settings, cost: Cost) -> Self {
+        let limit = Tokens(settings.capacity.get().saturating_mul(settings.promise));
+        Self {
+            ledger: Ledger::new(settings.capacity, settings.guard, limit),
+            settings,
+            cost,
+            shares: Shares::default(),
+            tasks: BTreeMap::new(),
+            wish: None,
+            past: Past::default(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// How heavily work of `org` counts.
+    #[must_use]
+    pub fn weight(&self, org: &OrgId) -> u64 {
+        if self.settings.fair {
+            self.shares.weight(org)
+        } else {
+            1_000
+        }
+    }
+
+    /// The place of `task` in the order of work.
+    #[must_use]
+    pub fn rank(&self, now: MonoTime, task: &Task) -> Rank {
+        task.rank(now, &self.settings, &self.cost, self.weight(&task.job.org))
+    }
+
+    /// Whether `task` is long work.
+    #[must_use]
+    pub fn is_long(&self, task: &Task) -> bool {
+        self.settings.is_long(task.job.prompt)
+    }
+
+    /// The tasks in the engine.
+    pub fn running(&self) -> impl Iterator<Item = &Task> {
+        self.tasks.values().filter(|task| task.phase.in_engine())
+    }
+
+    /// Whether a batch slot is free for long or short work.
+    #[must_use]
+    pub fn has_slot(&self, long: bool) -> bool {
+        let used = self.running().count();
+        let longs = self.running().filter(|task| self.is_long(task)).count();
+        let most = self.settings.slots.saturating_sub(self.settings.spare);
+        used < self.settings.slots && (!long || longs < most)
+    }
+
+    /// Drops an attempt with its reservation, and remembers whether it reached the engine.
+    pub fn forget(&mut self, now: MonoTime, attempt: AttemptId) {
+        let task = self.tasks.remove(&attempt);
+        let ran = task.as_ref().is_some_and(|one| one.phase != Phase::Waiting);
+        let deadline = task.map_or(now, |one| one.deadline);
+        self.past.note(now, attempt, ran, deadline);
+        self.ledger.release(attempt);
+    }
+
+    /// Attempts that wait for the engine.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        let waits = |task: &&Task| task.phase == Phase::Waiting;
+        self.tasks.values().filter(waits).count()
+    }
+}
