--- /dev/null
+++ b/jujubewind/tests/routing.rs
@@ -0,0 +1,279 @@
+//! The router and the reservation of groups.
+
+use std::collections::BTreeMap;
+
+use jujubewind::refusal::Reason;
+use jujubewind::refusal::Refusal;
+use jujubewind::routing::Candidate;
+use jujubewind::routing::Group;
+use jujubewind::routing::Offer;
+use jujubewind::routing::Request;
+use jujubewind::routing::Router;
+use jujubewind::routing::Settings;
+use jujubewind::routing::Step;
+use jujubewind::rpc::message::QuoteReply;
+use jujubewind::types::Class;
+use jujubewind::types::DomainId;
+use jujubewind::types::Millis;
+use jujubewind::types::ModelId;
+use jujubewind::types::MonoTime;
+use jujubewind::types::NodeId;
+use jujubewind::types::OrgId;
+use jujubewind::types::Tokens;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn domain(number: usize) -> DomainId {
+    format!("domain-{number}").parse().expect("a name")
+}
+
+fn node(number: usize) -> NodeId {
+    format!("agent-{number:02}").parse().expect("a name")
+}
+
+fn model() -> ModelId {
+    "large".parse().expect("a name")
+}
+
+fn members(count: usize) -> Vec<Candidate> {
+    let member = |number| Candidate {
+        node: node(number),
+        domain: domain(number % 3),
+        models: vec![model()],
+        leaving: false,
+        suspect: false,
+    };
+    (0..count).map(member).collect()
+}
+
+fn router() -> Router {
+    Router::new(domain(0), Settings::default())
+}
+
+fn choose(members: &[Candidate], excluded: &[NodeId], blocks: &[u64], seed: u64) -> Vec<NodeId> {
+    let org: OrgId = "school".parse().expect("a name");
+    let request = Request {
+        org: &org,
+        model: &model(),
+        class: Class::Interactive,
+        prompt: Tokens(2_000),
+        blocks,
+    };
+    router().choose(
+        members,
+        &request,
+        excluded,
+        &mut StdRng::seed_from_u64(seed),
+    )
+}
+
+fn offer(number: usize, first: u64) -> Offer {
+    Offer {
+        node: node(number),
+        domain: domain(number % 3),
+        reply: QuoteReply::Estimate {
+            first: Millis(first),
+            total: Millis(first * 2),
+            cached: Tokens::ZERO,
+        },
+    }
+}
+
+#[test]
+fn entries_agree_where_a_prefix_is_cached() {
+    let members = members(15);
+
+    let one = choose(&members, &[], &[7], 1);
+    let other = choose(&members, &[], &[7], 2);
+
+    assert_eq!(one[0], other[0]);
+    assert_eq!(one.len(), 3);
+}
+
+#[test]
+fn a_member_that_goes_moves_only_its_own_prefixes() {
+    let before = members(15);
+    let after: Vec<Candidate> = before[1..].to_vec();
+
+    let moved = (0..1_000_u64)
+        .filter(|&block| {
+            let first = choose(&before, &[], &[block], 0)[0].clone();
+            first != node(0) && first != choose(&after, &[], &[block], 0)[0]
+        })
+        .count();
+
+    assert_eq!(moved, 0);
+}
+
+#[test]
+fn leaving_excluded_and_foreign_members_are_never_asked() {
+    let mut members = members(6);
+    members[0].leaving = true;
+    members[1].models.clear();
+
+    for seed in 0..100 {
+        let chosen = choose(&members, &[node(2)], &[seed], seed);
+
+        let barred = [node(0), node(1), node(2)];
+        assert!(
+            chosen.iter().all(|one| !barred.contains(one)),
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn suspects_are_asked_when_nobody_else_is_left() {
+    let mut members = members(2);
+    members[0].suspect = true;
+
+    let sound = choose(&members, &[], &[], 1);
+    let rest = choose(&members, &[node(1)], &[], 1);
+
+    assert_eq!(sound, vec![node(1)]);
+    assert_eq!(rest, vec![node(0)]);
+}
+
+#[test]
+fn the_own_domain_wins_unless_another_gains_more_than_the_link_costs() {
+    let mut rng = StdRng::seed_from_u64(1);
+
+    let near = router().pick(Class::Urgent, &[offer(1, 50), offer(0, 55)], &mut rng);
+    let far = router().pick(Class::Urgent, &[offer(1, 50), offer(0, 95)], &mut rng);
+
+    assert_eq!(near, Some(1));
+    assert_eq!(far, Some(0));
+}
+
+#[test]
+fn equal_offers_are_spread_over_all() {
+    let offers = [offer(0, 50), offer(3, 50), offer(6, 50)];
+    let mut counts = [0; 3];
+    let mut rng = StdRng::seed_from_u64(1);
+
+    for _ in 0..300 {
+        let place = router()
+            .pick(Class::Urgent, &offers, &mut rng)
+            .expect("an offer");
+        counts[place] += 1;
+    }
+
+    assert!(counts.iter().all(|&count| count > 60), "{counts:?}");
+}
+
+#[test]
+fn refusals_are_no_offers() {
+    let refusal = Refusal {
+        reason: Reason::Leaving,
+        retry: Millis::ZERO,
+    };
+    let refused = Offer {
+        reply: QuoteReply::Refused(refusal),
+        ..offer(0, 1)
+    };
+
+    let picked = router().pick(Class::Batch, &[refused], &mut StdRng::seed_from_u64(1));
+
+    assert_eq!(picked, None);
+}
+
+/// Engines with room for one part each, and messages that are lost at random.
+struct Engines {
+    held: BTreeMap<NodeId, (usize, MonoTime)>,
+}
+
+impl Engines {
+    fn reserve(&mut self, now: MonoTime, group: usize, node: &NodeId, ttl: Millis) -> bool {
+        self.held.retain(|_, (_, until)| *until > now);
+        let (owner, until) = self
+            .held
+            .entry(node.clone())
+            .or_insert((group, now.after(ttl)));
+        if *owner == group {
+            *until = now.after(ttl);
+        }
+        *owner == group
+    }
+
+    fn release(&mut self, group: usize, node: &NodeId) {
+        if self
+            .held
+            .get(node)
+            .is_some_and(|(owner, _)| *owner == group)
+        {
+            self.held.remove(node);
+        }
+    }
+}
+
+fn run(engines: &mut Engines, now: MonoTime, group: &mut Group, number: usize, rng: &mut StdRng) {
+    let mut steps = group.poll(now);
+    while let Some(step) = steps.pop() {
+        let lost = rng.random_bool(0.2);
+        match step {
+            Step::Reserve { node, ttl, .. } if !lost => {
+                let more = if engines.reserve(now, number, &node, ttl) {
+                    group.granted(now, &node)
+                } else {
+                    let refusal = Refusal {
+                        reason: Reason::NoMemory,
+                        retry: Millis(20),
+                    };
+                    group.refused(now, &node, refusal)
+                };
+                steps.extend(more);
+            }
+            Step::Release { node } if !lost => engines.release(number, &node),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn racing_groups_neither_deadlock_nor_leak() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut engines = Engines {
+            held: BTreeMap::new(),
+        };
+        let deadline = MonoTime::from_millis(60_000);
+        let parts = [
+            vec![node(2), node(0), node(1)],
+            vec![node(1), node(2), node(3)],
+        ];
+        let mut groups: Vec<Group> = parts
+            .iter()
+            .map(|nodes| Group::new(nodes, Tokens(1), Millis(300), deadline))
+            .collect();
+        let mut done = [false; 2];
+
+        for tick in 0..2_000 {
+            let now = MonoTime::from_millis(tick * 20);
+            for number in 0..2 {
+                run(&mut engines, now, &mut groups[number], number, &mut rng);
+                if groups[number].is_ready() {
+                    done[number] = true;
+                    groups[number].cancel();
+                }
+            }
+        }
+        engines
+            .held
+            .retain(|_, (_, until)| *until > MonoTime::from_millis(40_000));
+
+        assert_eq!(done, [true, true], "seed {seed}");
+        assert!(engines.held.is_empty(), "seed {seed}");
+    }
+}
+
+#[test]
+fn a_grant_that_comes_after_the_end_is_released() {
+    let mut group = Group::new(&[node(0), node(1)], Tokens(1), Millis(300), MonoTime::NEVER);
+    group.poll(MonoTime::ZERO);
+    group.cancel();
+
+    let steps = group.granted(MonoTime::ZERO, &node(0));
+
+    assert_eq!(steps, vec![Step::Release { node: node(0) }]);
+}
