--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod scheduler;
 pub mod timer;
 pub mod types;
+pub mod wire;
