Count engine time for the prompt that is read first

Cause: engines report no progress within a prompt, so the scheduler could not tell how much of a long prefill is left.

Change: elapsed time is counted for the attempt of the best priority; the cost model learns from it at the first token. Jobs say how many engines share them; the router picks the engines of a group.

--- a/jujubewind/src/routing/router.rs
+++ b/jujubewind/src/routing/router.rs
@@ -60,6 +60,23 @@
         Some(equal[rng.random_range(0..equal.len())])
     }
 
+    /// The places in `offers` of the `count` best estimates, for a group; `None` if fewer accept.
+    #[must_use]
+    pub fn pick_group(&self, class: Class, offers: &[Offer], count: usize) -> Option<Vec<usize>> {
+        let mut costs: Vec<(u64, usize)> = offers
+            .iter()
+            .enumerate()
+            .filter_map(|(place, offer)| Some((self.cost(class, offer)?, place)))
+            .collect();
+        costs.sort_unstable();
+        costs.truncate(count);
+        let places = costs
+            .into_iter()
+            .map(|(_, place)| place)
+            .collect::<Vec<_>>();
+        (places.len() == count).then_some(places)
+    }
+
     fn count(&self, request: &Request<'_>) -> usize {
         if request.prompt >= self.settings.long {
             self.settings.longs
--- a/jujubewind/src/scheduler/cost.rs
+++ b/jujubewind/src/scheduler/cost.rs
@@ -1,5 +1,6 @@
 //! What work costs at one engine, corrected by what is seen.
 
+use super::Job;
 use super::Work;
 use crate::types::Tokens;
 
@@ -20,7 +21,7 @@
         pub token: u64,
         /// Nanoseconds for each prompt token and each 1,024 tokens before it.
         pub context: u64,
-        /// Microseconds for each token of an answer.
+        /// Microseconds for each token of an answer, learnt.
         pub step: u64,
         /// The learnt correction of prefill, in thousandths.
         pub scale: u64,
@@ -45,10 +46,10 @@
         }
     }
 
-    /// The engine time to read the prompt's tokens from `done` to `prompt`.
+    /// The engine time to read the job's prompt from its cached part on.
     #[must_use]
-    pub const fn prefill(&self, done: Tokens, prompt: Tokens) -> Work {
-        self.raw(done, prompt).scaled(self.scale)
+    pub fn prefill(&self, job: &Job) -> Work {
+        self.raw(job).scaled(self.scale)
     }
 
     /// The time to write `count` tokens of an answer.
@@ -57,9 +58,9 @@
         Work(self.step.saturating_mul(count.get()))
     }
 
-    /// Learns that the engine read the tokens from `done` to `prompt` in `spent` busy time.
-    pub fn learn(&mut self, done: Tokens, prompt: Tokens, spent: Work) {
-        self.planned = self.planned.saturating_add(self.raw(done, prompt));
+    /// Learns that the job's prompt took `spent`, other sequences' decoding included.
+    pub fn learn_prefill(&mut self, job: &Job, spent: Work) {
+        self.planned = self.planned.saturating_add(self.raw(job));
         self.spent = self.spent.saturating_add(spent);
         if self.planned < LESSON {
             return;
@@ -71,14 +72,22 @@
         self.spent = Work::ZERO;
     }
 
-    const fn raw(&self, done: Tokens, prompt: Tokens) -> Work {
-        let (from, to) = (done.get(), prompt.get());
+    /// Learns that `count` tokens of an answer took `spent`.
+    pub fn learn_step(&mut self, count: Tokens, spent: Work) {
+        if count > Tokens::ZERO {
+            self.step = (self.step * 15 + spent.get() / count.get()) / 16;
+        }
+    }
+
+    /// Engines that share a prompt read it in parallel.
+    fn raw(&self, job: &Job) -> Work {
+        let (from, to) = (job.cached.get(), job.prompt.get());
         if from >= to {
             return Work::ZERO;
         }
         let linear = (to - from).saturating_mul(self.token);
         let pairs = to.saturating_mul(to) - from.saturating_mul(from);
         let attention = (pairs / (2 * CONTEXT)).saturating_mul(self.context);
-        Work(linear.saturating_add(attention) / 1_000)
+        Work(linear.saturating_add(attention) / 1_000 / job.parts.max(1))
     }
 }
--- a/jujubewind/src/scheduler/forecast.rs
+++ b/jujubewind/src/scheduler/forecast.rs
@@ -3,6 +3,7 @@
 use super::Estimate;
 use super::Job;
 use super::Phase;
+use super::Place;
 use super::Work;
 use super::rank::Rank;
 use super::state::State;
@@ -29,7 +30,7 @@
     pub fn estimate(&self, job: &Job) -> Estimate {
         let task = Task::new(job.clone(), self.now, u64::MAX);
         let rank = self.state.rank(self.now, &task);
-        let wait = self.work_before(rank).max(self.memory_wait(&task));
+        let wait = self.work_before(rank).max(self.memory_wait(&task, rank));
         let first = wait
             .saturating_add(task.prefill(&self.state.cost))
             .saturating_add(Work(self.state.cost.step));
@@ -52,24 +53,36 @@
             .sum()
     }
 
-    /// The time until enough running work has ended; nothing if pausing makes room at once.
-    fn memory_wait(&self, task: &Task) -> Work {
+    /// The time until enough running work has ended; what would be paused is free at once.
+    fn memory_wait(&self, task: &Task, rank: Rank) -> Work {
+        if self.state.ledger.place(task.job.attempt) == Some(Place::Aside) {
+            return Work::ZERO;
+        }
         let long = self.state.is_long(task);
         let mut room = self.state.ledger.room(long);
         let mut ends: Vec<(Work, Tokens)> = self
             .state
             .running()
-            .map(|other| (other.need(&self.state.cost), other.job.memory()))
+            .map(|other| (self.leaves_in(other, rank), other.job.memory()))
             .collect();
         ends.sort_unstable();
         let mut wait = Work::ZERO;
-        for (need, amount) in ends {
+        for (end, amount) in ends {
             if room >= task.job.memory() {
                 break;
             }
             room = room.saturating_add(amount);
-            wait = need;
+            wait = end;
         }
         wait
     }
+
+    fn leaves_in(&self, other: &Task, rank: Rank) -> Work {
+        let yields = self.state.rank(self.now, other).yields_to(rank);
+        if yields && self.state.may_pause(other) {
+            Work::ZERO
+        } else {
+            other.need(&self.state.cost)
+        }
+    }
 }
--- a/jujubewind/src/scheduler/job.rs
+++ b/jujubewind/src/scheduler/job.rs
@@ -15,21 +15,24 @@
         pub org: OrgId,
         /// The class of work.
         pub class: Class,
-        /// The length of the prompt, or of the part of it that this engine holds.
+        /// The length of the prompt.
         pub prompt: Tokens,
         /// How much of the prompt is cached here.
         pub cached: Tokens,
         /// The longest answer allowed.
         pub output: Tokens,
+        /// Engines that share the prompt; more than one for a group.
+        pub parts: u64,
         /// The time left to the request.
         pub remaining: Millis,
     }
 }
 
 impl Job {
-    /// The KV cache that the attempt needs at its end.
+    /// The KV cache that the attempt needs here at its end.
     #[must_use]
-    pub const fn memory(&self) -> Tokens {
-        self.prompt.saturating_add(self.output)
+    pub fn memory(&self) -> Tokens {
+        let whole = self.prompt.saturating_add(self.output).get();
+        Tokens(whole.div_ceil(self.parts.max(1)))
     }
 }
--- a/jujubewind/src/scheduler/placement.rs
+++ b/jujubewind/src/scheduler/placement.rs
@@ -7,7 +7,6 @@
 use super::state::State;
 use super::task::Task;
 use crate::types::AttemptId;
-use crate::types::Class;
 use crate::types::MonoTime;
 use crate::types::Tokens;
 
@@ -106,6 +105,7 @@
             Action::Submit { attempt, priority }
         };
         task.since = self.now;
+        task.priority = priority;
         task.phase = if task.written > Tokens::ZERO {
             Phase::Decode
         } else {
@@ -142,7 +142,7 @@
         let mut victims: Vec<(Rank, AttemptId, Tokens)> = self
             .state
             .running()
-            .filter(|task| self.may_pause(task))
+            .filter(|task| self.state.may_pause(task))
             .map(|task| {
                 (
                     self.state.rank(self.now, task),
@@ -183,7 +183,7 @@
         let victims: Vec<(AttemptId, Tokens)> = self
             .state
             .running()
-            .filter(|task| self.may_pause(task))
+            .filter(|task| self.state.may_pause(task))
             .map(|task| (task.job.attempt, task.job.memory()))
             .collect();
         for (attempt, freed) in victims {
@@ -195,16 +195,6 @@
         }
     }
 
-    /// Only long work is paused, never while somebody reads its answer, and not for ever.
-    fn may_pause(&self, task: &Task) -> bool {
-        let idle = match task.phase {
-            Phase::Prefill => true,
-            Phase::Decode => task.job.class == Class::Batch,
-            _ => false,
-        };
-        idle && self.state.is_long(task) && task.pauses < self.state.settings.pauses
-    }
-
     fn pause(&mut self, attempt: AttemptId) {
         if let Some(task) = self.state.tasks.get_mut(&attempt) {
             task.phase = Phase::Pausing;
--- a/jujubewind/src/scheduler/scheduler.rs
+++ b/jujubewind/src/scheduler/scheduler.rs
@@ -37,7 +37,6 @@
 pub struct Scheduler {
     state: State,
     arrivals: u64,
-    busy: Option<MonoTime>,
 }
 
 impl Scheduler {
@@ -47,7 +46,6 @@
         Self {
             state: State::new(settings, cost),
             arrivals: 0,
-            busy: None,
         }
     }
 
@@ -144,36 +142,38 @@
 
     /// The engine ended the attempt, for whatever reason.
     pub fn ended(&mut self, now: MonoTime, attempt: AttemptId) {
-        self.track(now);
+        self.state.count_time(now);
+        if let Some(task) = self.state.tasks.get(&attempt) {
+            let spent = Work::between(task.began, now);
+            let count = task.written.saturating_sub(Tokens(1));
+            self.state.cost.learn_step(count, spent);
+        }
         self.state.forget(now, attempt);
     }
 
     /// The engine wrote the first token.
     pub fn first_token(&mut self, now: MonoTime, attempt: AttemptId) {
-        let prompt = self.state.tasks.get(&attempt).map(|task| task.job.prompt);
-        if let Some(prompt) = prompt {
-            self.progress(now, attempt, prompt, Tokens(1));
-        }
+        self.progress(now, attempt, Tokens(1));
     }
 
-    /// The engine has read `done` tokens of the prompt and written `written` of the answer.
-    pub fn progress(&mut self, now: MonoTime, attempt: AttemptId, done: Tokens, written: Tokens) {
-        let spent = self.track(now);
-        let Some(task) = self.state.tasks.get_mut(&attempt) else {
+    /// The engine has written `written` tokens of the answer.
+    pub fn progress(&mut self, now: MonoTime, attempt: AttemptId, written: Tokens) {
+        self.state.count_time(now);
+        let State { tasks, cost, .. } = &mut self.state;
+        let Some(task) = tasks.get_mut(&attempt) else {
             return;
         };
-        let before = task.done;
-        task.done = task.done.max(done.min(task.job.prompt));
         task.written = task.written.max(written);
         if task.phase == Phase::Prefill && task.written > Tokens::ZERO {
             task.phase = Phase::Decode;
+            task.began = now;
+            cost.learn_prefill(&task.job, task.spent);
         }
-        self.state.cost.learn(before, task.done, spent);
     }
 
     /// The engine exported the attempt's KV cache and freed its memory.
     pub fn paused(&mut self, now: MonoTime, attempt: AttemptId) {
-        self.track(now);
+        self.state.count_time(now);
         if let Some(task) = self.state.tasks.get_mut(&attempt)
             && task.phase == Phase::Pausing
         {
@@ -194,14 +194,10 @@
 
     /// What is to be done at `now`.
     pub fn poll(&mut self, now: MonoTime) -> Vec<Action> {
+        self.state.count_time(now);
         Upkeep::new(&mut self.state, now).expire();
         let mut actions = std::mem::take(&mut self.state.actions);
         actions.extend(Placement::new(&mut self.state, now).run());
-        if self.is_reading() {
-            self.busy.get_or_insert(now);
-        } else {
-            self.busy = None;
-        }
         actions
     }
 
@@ -228,22 +224,6 @@
     pub fn phase(&self, attempt: AttemptId) -> Option<Phase> {
         self.state.tasks.get(&attempt).map(|task| task.phase)
     }
-
-    /// The busy time since it was last asked for.
-    fn track(&mut self, now: MonoTime) -> Work {
-        let Some(since) = self.busy.replace(now) else {
-            self.busy = None;
-            return Work::ZERO;
-        };
-        Work::between(since, now)
-    }
-
-    fn is_reading(&self) -> bool {
-        self.state
-            .tasks
-            .values()
-            .any(|task| task.phase == Phase::Prefill)
-    }
 }
 
 fn refuse<T>(reason: Reason, retry: Millis) -> Result<T> {
--- a/jujubewind/src/scheduler/state.rs
+++ b/jujubewind/src/scheduler/state.rs
@@ -7,11 +7,13 @@
 use super::Ledger;
 use super::Phase;
 use super::Settings;
+use super::Work;
 use super::past::Past;
 use super::rank::Rank;
 use super::shares::Shares;
 use super::task::Task;
 use crate::types::AttemptId;
+use crate::types::Class;
 use crate::types::MonoTime;
 use crate::types::OrgId;
 use crate::types::Tokens;
@@ -44,6 +46,8 @@
     pub wish: Option<Wish>,
     /// The attempts that are over.
     pub past: Past,
+    /// Up to when engine time is counted.
+    pub counted: MonoTime,
     /// What the next poll gives.
     pub actions: Vec<Action>,
 }
@@ -61,6 +65,7 @@
             tasks: BTreeMap::new(),
             wish: None,
             past: Past::default(),
+            counted: MonoTime::ZERO,
             actions: Vec::new(),
         }
     }
@@ -101,6 +106,20 @@
         used < self.settings.slots && (!long || longs < most)
     }
 
+    /// Counts the time since the last call for the prompt that the engine reads first.
+    pub fn count_time(&mut self, now: MonoTime) {
+        let elapsed = Work::between(self.counted, now);
+        self.counted = now;
+        let first = self
+            .tasks
+            .values_mut()
+            .filter(|task| task.phase == Phase::Prefill)
+            .min_by_key(|task| (task.priority, task.since, task.arrival));
+        if let Some(task) = first {
+            task.spent = task.spent.saturating_add(elapsed);
+        }
+    }
+
     /// Drops an attempt with its reservation, and remembers whether it reached the engine.
     pub fn forget(&mut self, now: MonoTime, attempt: AttemptId) {
         let task = self.tasks.remove(&attempt);
@@ -110,6 +129,17 @@
         self.ledger.release(attempt);
     }
 
+    /// Only long work is paused, never while somebody reads its answer, and not for ever.
+    #[must_use]
+    pub fn may_pause(&self, task: &Task) -> bool {
+        let idle = match task.phase {
+            Phase::Prefill => true,
+            Phase::Decode => task.job.class == Class::Batch,
+            _ => false,
+        };
+        idle && self.is_long(task) && task.pauses < self.settings.pauses
+    }
+
     /// Attempts that wait for the engine.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/jujubewind/src/scheduler/task.rs
+++ b/jujubewind/src/scheduler/task.rs
@@ -25,8 +25,12 @@
     pub arrival: u64,
     /// When it was last handed to the engine.
     pub since: MonoTime,
-    /// Prompt tokens that the engine has read, cached ones included.
-    pub done: Tokens,
+    /// The priority it was handed over with.
+    pub priority: u8,
+    /// Engine time that its prompt has had.
+    pub spent: Work,
+    /// When the answer began.
+    pub began: MonoTime,
     /// Tokens of the answer.
     pub written: Tokens,
     /// How often it was paused.
@@ -43,7 +47,9 @@
             deadline: now.after(job.remaining),
             arrival,
             since: now,
-            done: job.cached.min(job.prompt),
+            priority: 0,
+            spent: Work::ZERO,
+            began: now,
             written: Tokens::ZERO,
             pauses: 0,
             job,
@@ -53,7 +59,10 @@
     /// Prefill still to do.
     #[must_use]
     pub fn prefill(&self, cost: &Cost) -> Work {
-        cost.prefill(self.done, self.job.prompt)
+        if self.written > Tokens::ZERO {
+            return Work::ZERO;
+        }
+        cost.prefill(&self.job).saturating_sub(self.spent)
     }
 
     /// Engine time still needed to the end of the longest answer.
--- a/jujubewind/tests/scheduler.rs
+++ b/jujubewind/tests/scheduler.rs
@@ -33,6 +33,7 @@
         prompt: Tokens(prompt),
         cached: Tokens::ZERO,
         output: Tokens(100),
+        parts: 1,
         remaining: Millis(600_000),
     }
 }
