Add a load generator that checks every answer

The measure of the whole is the time to the first token by prompt length, of answers that are whole. The generator sends requests at random times whether or not others have ended, so a slow system does not slow its own load, and holds each answer against the one that follows from its prompt.

--- a/emulator/src/cli/options.rs
+++ b/emulator/src/cli/options.rs
@@ -7,6 +7,8 @@
 use jujubewind::types::Millis;
 use jujubewind::types::Tokens;
 
+use crate::load::LengthMix;
+
 /// Stand-ins for the systems around jujubewind, and tools to try it with.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -14,6 +16,9 @@
     /// Serve a model engine.
     #[bpaf(command)]
     Engine(#[bpaf(external(engine_command))] EngineCommand),
+    /// Send requests to an entry and check every answer.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load_command))] LoadCommand),
     /// Serve the platform: key-value service and list of VMs.
     #[bpaf(command)]
     Platform(#[bpaf(external(platform_command))] PlatformCommand),
@@ -77,3 +82,36 @@
     #[bpaf(argument("MILLIS"), fallback(Millis(2_000)), display_fallback)]
     pub vm_lag: Millis,
 }
+
+/// The options of the load generator.
+#[derive(Clone, Debug, Bpaf)]
+pub struct LoadCommand {
+    /// The entry's root URL
+    #[bpaf(argument("URL"))]
+    pub target: String,
+    /// The organisation's bearer key
+    #[bpaf(argument("KEY"))]
+    pub key: String,
+    /// The model's name in the catalogue
+    #[bpaf(argument("NAME"))]
+    pub model: String,
+    /// How many requests
+    #[bpaf(argument("COUNT"), fallback(100), display_fallback)]
+    pub count: u64,
+    /// The seed of lengths, prompts and times
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// Requests a second
+    #[bpaf(argument("RATE"), fallback(5.0), display_fallback)]
+    pub rate: f64,
+    /// Lengths of prompts in tokens, with weights
+    #[bpaf(
+        argument("LENGTH:WEIGHT,.."),
+        fallback(LengthMix::default()),
+        display_fallback
+    )]
+    pub lengths: LengthMix,
+    /// The length asked of each answer, in tokens
+    #[bpaf(argument("TOKENS"), fallback(32), display_fallback)]
+    pub max_tokens: u64,
+}
--- a/emulator/src/cli/run.rs
+++ b/emulator/src/cli/run.rs
@@ -14,9 +14,12 @@
 
 use super::Command;
 use super::options::EngineCommand;
+use super::options::LoadCommand;
 use super::options::PlatformCommand;
 use crate::engine::EngineOptions;
 use crate::engine::core::EngineConfig;
+use crate::load::LoadPlan;
+use crate::load::Target;
 use crate::platform::PlatformFaults;
 use crate::platform::PlatformOptions;
 use crate::service::ServiceFaults;
@@ -33,6 +36,7 @@
                 crate::engine::serve(listener, options)
             })
         }
+        Command::Load(command) => put_load(command),
         Command::Platform(command) => {
             let options = platform_options(&command)?;
             serve(command.listen, |listener| {
@@ -63,6 +67,31 @@
     Ok(())
 }
 
+/// Puts the load on and prints the report; an answer that is cut or wrong is an error.
+fn put_load(command: LoadCommand) -> anyhow::Result<()> {
+    let plan = LoadPlan {
+        count: command.count,
+        seed: command.seed,
+        rate: command.rate,
+        lengths: command.lengths,
+        max_tokens: command.max_tokens,
+    };
+    let target = Target {
+        url: command.target,
+        key: command.key,
+        model: command.model,
+    };
+    let runtime = Runtime::new().context("cannot start the runtime")?;
+    let report = runtime.block_on(crate::load::run(target, plan))?;
+    print!("{report}");
+    let wrong = report.wrong();
+    anyhow::ensure!(
+        wrong == 0,
+        "{wrong} answers were cut or wrong: see the log of the entry"
+    );
+    Ok(())
+}
+
 fn engine_options(command: &EngineCommand) -> EngineOptions {
     EngineOptions {
         config: EngineConfig {
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod cli;
 pub mod engine;
 pub mod http;
+pub mod load;
 pub mod platform;
 pub mod service;
