--- a/emulator/tests/common/mod.rs
+++ b/emulator/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod virtual_time;
+
 use std::net::TcpListener;
 
 use compio::runtime::Runtime;
--- a/emulator/tests/engine_core.rs
+++ b/emulator/tests/engine_core.rs
@@ -1,68 +1,19 @@
-//! The engine's core in virtual time.
+//! The engine's core in virtual time: steps, answers and cancels.
 
-use jujube_emulator::engine::core::EngineConfig;
-use jujube_emulator::engine::core::EngineCore;
-use jujube_emulator::engine::core::EngineFaults;
-use jujube_emulator::engine::core::Error;
+mod common;
+
+use common::virtual_time::START;
+use common::virtual_time::engine;
+use common::virtual_time::first_token;
+use common::virtual_time::run_out;
+use common::virtual_time::submit;
+use common::virtual_time::text;
 use jujube_emulator::engine::core::Finish;
 use jujube_emulator::engine::core::Output;
-use jujube_emulator::engine::core::POISON;
 use jujube_emulator::engine::core::Prompt;
-use jujube_emulator::engine::core::SeqKey;
-use jujube_emulator::engine::core::Submit;
 use jujube_emulator::engine::core::answer;
 use jujubewind::types::Millis;
-use jujubewind::types::MonoTime;
-use jujubewind::types::Tokens;
 use jujubewind::wire::engine::CancelState;
-use jujubewind::wire::engine::Order;
-use jujubewind::wire::engine::OrderKind;
-
-const START: MonoTime = MonoTime::ZERO;
-
-fn engine() -> EngineCore {
-    let config = EngineConfig {
-        models: vec!["m".to_owned()],
-        ..EngineConfig::default()
-    };
-    EngineCore::new(config, 1)
-}
-
-fn text(tokens: u64, salt: &str) -> String {
-    let size = usize::try_from(tokens * 4).expect("it fits");
-    let mut text = salt.repeat(size / salt.len() + 1);
-    text.truncate(size);
-    text
-}
-
-fn submit(id: &str, prompt: &str, max_tokens: u64) -> Submit {
-    Submit {
-        id: id.to_owned(),
-        model: "m".to_owned(),
-        prompt: Prompt::parse(prompt),
-        max_tokens,
-        priority: 0,
-        offset: 0,
-        group: None,
-    }
-}
-
-fn run_out(engine: &mut EngineCore) -> Vec<(MonoTime, Output)> {
-    let mut all = Vec::new();
-    while engine.next_event() < MonoTime::NEVER {
-        let now = engine.next_event();
-        let mut outputs = Vec::new();
-        engine.step(now, &mut outputs);
-        all.extend(outputs.into_iter().map(|output| (now, output)));
-    }
-    all
-}
-
-fn first_token(events: &[(MonoTime, Output)], wanted: SeqKey) -> Option<Millis> {
-    let is_first = |output: &Output| matches!(output, Output::Token { key, .. } if *key == wanted);
-    let found = events.iter().find(|(_, output)| is_first(output))?;
-    Some(found.0.since(START))
-}
 
 fn prefill_time(tokens: u64) -> u64 {
     let mut engine = engine();
@@ -155,31 +106,6 @@
     assert_eq!(engine.free(), 400_000);
 }
 
-#[test]
-fn a_second_equal_prompt_is_found_in_the_cache() {
-    let mut engine = engine();
-    let prompt = text(20_000, "ledger ");
-    let cold = engine
-        .submit(START, submit("a", &prompt, 4))
-        .expect("taken");
-    let cold_events = run_out(&mut engine);
-    let later = cold_events.last().expect("an end").0;
-
-    let warm = engine
-        .submit(later, submit("b", &prompt, 4))
-        .expect("taken");
-    let warm_events = run_out(&mut engine);
-
-    let cold_time = first_token(&cold_events, cold).expect("a token");
-    let warm_time = first_token(&warm_events, warm)
-        .expect("a token")
-        .saturating_sub(later.since(START));
-    assert!(
-        warm_time.get() * 10 < cold_time.get(),
-        "{warm_time} {cold_time}"
-    );
-}
-
 #[test]
 fn a_lower_priority_number_goes_first() {
     let mut engine = engine();
@@ -204,59 +130,6 @@
     assert_eq!(order, [4, 3, 2, 1]);
 }
 
-#[test]
-fn only_what_fits_runs_at_once() {
-    let mut engine = engine();
-    for number in 0..4 {
-        let prompt = text(150_000, &format!("file {number} "));
-        engine
-            .submit(START, submit(&number.to_string(), &prompt, 10))
-            .expect("taken");
-    }
-
-    let mut most = 0;
-    while engine.next_event() < MonoTime::NEVER {
-        let now = engine.next_event();
-        engine.step(now, &mut Vec::new());
-        most = most.max(engine.exact_load().running);
-    }
-
-    assert_eq!(most, 2);
-}
-
-#[test]
-fn a_prompt_beyond_the_memory_is_refused_unless_parts_hold_it() {
-    let mut engine = engine();
-    let prompt = Prompt::synthetic(7, Tokens(1_000_000), [].into(), 10);
-    let mut wanted = submit("a", "", 10);
-    wanted.prompt = prompt;
-
-    let alone = engine.submit(START, wanted.clone());
-    let reserved = engine.reserve_part(START, "g", Tokens(350_000), Millis(1_000_000));
-    wanted.group = Some("g".to_owned());
-    let grouped = engine.submit(START, wanted);
-
-    assert_eq!(alone, Err(Error::TooLong));
-    assert_eq!(reserved, Ok(()));
-    let events = run_out(&mut engine);
-    assert!(first_token(&events, grouped.expect("taken")).is_some());
-    assert_eq!(engine.free(), 400_000);
-}
-
-#[test]
-fn a_part_expires_by_itself() {
-    let mut engine = engine();
-    engine
-        .reserve_part(START, "g", Tokens(300_000), Millis(50))
-        .expect("free");
-
-    let refused = engine.reserve_part(START, "h", Tokens(300_000), Millis(50));
-    let later = engine.reserve_part(START.after(Millis(50)), "h", Tokens(300_000), Millis(50));
-
-    assert_eq!(refused, Err(Error::NoMemory));
-    assert_eq!(later, Ok(()));
-}
-
 #[test]
 fn cancel_tells_what_it_found() {
     let mut engine = engine();
@@ -280,113 +153,6 @@
     assert_eq!(engine.free(), 400_000);
 }
 
-#[test]
-fn an_export_frees_memory_and_an_import_goes_on_without_a_gap() {
-    let mut engine = engine();
-    let key = engine
-        .submit(START, submit("a", "a question", 30))
-        .expect("taken");
-    let mut outputs = Vec::new();
-    let middle = START.after(Millis(200));
-    engine.step(middle, &mut outputs);
-
-    let exported = engine.export(middle, "a").expect("exported");
-    let free = engine.free();
-    engine
-        .import(middle.after(Millis(500)), &exported.handle)
-        .expect("imported");
-
-    outputs.extend(run_out(&mut engine).into_iter().map(|(_, output)| output));
-    let offsets: Vec<u64> = outputs
-        .iter()
-        .filter_map(|output| match output {
-            Output::Token { offset, .. } => Some(*offset),
-            _ => None,
-        })
-        .collect();
-    assert_eq!(free, 400_000);
-    assert_eq!(offsets, (0..30).collect::<Vec<u64>>());
-    assert!(matches!(outputs.last(), Some(Output::Finished { key: ended, .. }) if *ended == key));
-}
-
-#[test]
-fn a_poisonous_prompt_crashes_the_engine_with_all_it_held() {
-    let mut engine = engine();
-    engine
-        .submit(START, submit("a", "a question", 500))
-        .expect("taken");
-    engine
-        .submit(START, submit("b", POISON, 10))
-        .expect("taken");
-
-    let events = run_out(&mut engine);
-
-    let lost = |output: &Output| {
-        matches!(
-            output,
-            Output::Failed {
-                error: Error::Crashed,
-                ..
-            }
-        )
-    };
-    assert_eq!(events.iter().filter(|(_, output)| lost(output)).count(), 2);
-    let crash = events.last().expect("an end").0;
-    assert_eq!(engine.incarnation(), 2);
-    assert_eq!(
-        engine.submit(crash, submit("c", "again", 1)),
-        Err(Error::Crashed)
-    );
-    assert!(
-        engine
-            .submit(crash.after(Millis(5_000)), submit("c", "again", 1))
-            .is_ok()
-    );
-}
-
-#[test]
-fn an_old_fence_is_refused_unless_the_engine_ignores_fences() {
-    let mut engine = engine();
-    let order = |fence, name: &str| Order {
-        fence,
-        kind: OrderKind::LoadModel,
-        name: name.to_owned(),
-        version: None,
-    };
-    engine.order(START, &order(5, "n")).expect("obeyed");
-
-    let refused = engine.order(START, &order(4, "o"));
-    engine.set_faults(EngineFaults {
-        ignore_fences: true,
-        ..EngineFaults::default()
-    });
-    let obeyed = engine.order(START, &order(4, "o"));
-
-    assert_eq!(refused, Err(Error::StaleFence));
-    assert_eq!(obeyed.expect("obeyed").loaded, ["m", "n", "o"]);
-}
-
-#[test]
-fn cache_events_come_late_and_with_gaps() {
-    let mut engine = engine();
-    engine.set_faults(EngineFaults {
-        gap_events: 3,
-        event_lag_ms: Millis(1_000),
-        ..EngineFaults::default()
-    });
-    engine
-        .submit(START, submit("a", &text(5_120, "page "), 1))
-        .expect("taken");
-    let end = run_out(&mut engine).last().expect("an end").0;
-
-    let early = engine.cache_events(end, 0);
-    let late = engine.cache_events(end.after(Millis(1_000)), 0);
-
-    assert!(early.events.is_empty());
-    let numbers: Vec<u64> = late.events.iter().map(|event| event.seq).collect();
-    assert_eq!(numbers, [1, 2, 4, 5, 7, 8, 10]);
-}
-
 #[test]
 fn a_frozen_engine_gives_nothing_until_it_thaws() {
     let mut engine = engine();
