--- /dev/null
+++ b/emulator/tests/system/caller.rs
@@ -0,0 +1,142 @@
+//! A caller's HTTP request, built step by step.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::answer::Answer;
+use crate::fleet::KEY;
+
+/// The longest a test waits for any answer.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    addr: SocketAddr,
+    method: &'static str,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: String,
+}
+
+impl Caller {
+    /// A request to `addr` with the test organisation's key.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            method: "POST",
+            path: "/".to_owned(),
+            headers: vec![("authorization".to_owned(), format!("Bearer {KEY}"))],
+            body: String::new(),
+        }
+    }
+
+    /// Asks with GET.
+    pub fn get(mut self, path: &str) -> Self {
+        self.method = "GET";
+        path.clone_into(&mut self.path);
+        self
+    }
+
+    /// Asks with POST.
+    pub fn post(mut self, path: &str, body: impl Into<String>) -> Self {
+        self.method = "POST";
+        path.clone_into(&mut self.path);
+        self.body = body.into();
+        self
+    }
+
+    /// Asks for a streamed completion.
+    pub fn complete(self, prompt: &str, max_tokens: u64) -> Self {
+        let body = json!({
+            "model": "m1", "prompt": prompt, "max_tokens": max_tokens, "stream": true,
+        });
+        self.post("/v1/completions", body.to_string())
+    }
+
+    /// Calls a method of the plain service.
+    pub fn call(self, method: &str, body: &Value) -> Self {
+        self.post(&format!("/v1/services/desk/{method}"), body.to_string())
+    }
+
+    /// Adds a header, or replaces it.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.retain(|(known, _)| known != name);
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Sends the request and reads the answer to its end.
+    pub fn send(&self) -> Answer {
+        match self.open() {
+            Ok(stream) => read(stream),
+            Err(_) => Answer {
+                status: 0,
+                retry_after: None,
+                body: String::new(),
+            },
+        }
+    }
+
+    /// Sends the request and returns the connection unread.
+    pub fn open(&self) -> std::io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(self.addr)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        let mut head = format!(
+            "{} {} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n",
+            self.method, self.path
+        );
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str(&format!("content-length: {}\r\n\r\n", self.body.len()));
+        stream.write_all(head.as_bytes())?;
+        stream.write_all(self.body.as_bytes())?;
+        Ok(stream)
+    }
+}
+
+/// Reads an answer to its end.
+pub fn read(mut stream: TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes);
+    let text = String::from_utf8_lossy(&bytes);
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.split(' ').nth(1).and_then(|code| code.parse().ok());
+    let chunked = head.contains("transfer-encoding: chunked");
+    Answer {
+        status: status.unwrap_or(0),
+        retry_after: header(head, "retry-after").and_then(|value| value.parse().ok()),
+        body: if chunked {
+            unchunk(body)
+        } else {
+            body.to_owned()
+        },
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    lines
+        .find(|(known, _)| *known == name)
+        .map(|(_, value)| value)
+}
+
+fn unchunk(mut body: &str) -> String {
+    let mut text = String::new();
+    while let Some((size, rest)) = body.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap_or(0);
+        let Some(chunk) = rest.get(..size) else {
+            break;
+        };
+        text.push_str(chunk);
+        body = rest.get(size + 2..).unwrap_or("");
+    }
+    text
+}
--- /dev/null
+++ b/emulator/tests/system/fleet.rs
@@ -0,0 +1,264 @@
+//! A small fleet of real processes on a loopback address of its own.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use jujubewind::catalogue::KeyHash;
+use nix::sys::signal::Signal;
+use tempfile::TempDir;
+
+use crate::caller::Caller;
+use crate::process::Process;
+
+/// The key of the test organisation's callers.
+pub const KEY: &str = "acme-key";
+/// How long a test waits for a condition before it fails.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// How often a condition is looked at.
+const POLL: Duration = Duration::from_millis(20);
+
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// Processes by name, their addresses, and how each is started.
+pub struct Fleet {
+    ip: Ipv4Addr,
+    dir: TempDir,
+    processes: BTreeMap<String, Process>,
+    commands: BTreeMap<String, (String, Vec<String>)>,
+    addrs: BTreeMap<String, SocketAddr>,
+    port: u16,
+    speed: u32,
+}
+
+impl Fleet {
+    /// A fleet without processes.
+    pub fn new() -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let [high, low] = u16::try_from(std::process::id() % 0xfffe)
+            .unwrap_or(1)
+            .to_be_bytes();
+        let fleet = Self {
+            ip: Ipv4Addr::new(127, high.max(1), low, number),
+            dir: TempDir::new().expect("a folder for the settings"),
+            processes: BTreeMap::new(),
+            commands: BTreeMap::new(),
+            addrs: BTreeMap::new(),
+            port: 7_000,
+            speed: 20,
+        };
+        fleet.write_catalogue();
+        fleet
+    }
+
+    /// Sets how many times faster than real time engines run that are started from now on.
+    pub fn speed(mut self, speed: u32) -> Self {
+        self.speed = speed;
+        self
+    }
+
+    /// Starts an engine and its agent.
+    pub fn engine(mut self, name: &str) -> Self {
+        let addr = self.address(&format!("{name}-engine"));
+        let mut args = words(&["engine", "--listen", &addr.to_string(), "--model", "m1"]);
+        args.extend(words(&["--speed", &self.speed.to_string()]));
+        self.start(&format!("{name}-engine"), "jujube-emulator", args);
+        self.agent(name, &format!("kind: engine, addr: \"{addr}\""), "m1");
+        self
+    }
+
+    /// Starts a plain service and its agent.
+    pub fn service(mut self, name: &str) -> Self {
+        let addr = self.address(&format!("{name}-service"));
+        let args = words(&["service", "--listen", &addr.to_string()]);
+        self.start(&format!("{name}-service"), "jujube-emulator", args);
+        self.agent(name, &format!("kind: service, addr: \"{addr}\""), "desk");
+        self
+    }
+
+    /// Starts an entry that knows the agents started so far, and waits until it is ready.
+    pub fn entry(mut self, name: &str) -> Self {
+        let listen = self.address(name);
+        let peer = self.address(&format!("{name}-peer"));
+        let mut text = format!(
+            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\nagents:\n",
+            self.dir.path().join("catalogue").display()
+        );
+        for (agent, addr) in self
+            .addrs
+            .iter()
+            .filter(|(name, _)| name.ends_with("-agent"))
+        {
+            let _ = writeln!(text, "  - \"{addr}\" # {agent}");
+        }
+        let settings = self.write(&format!("{name}.yaml"), &text);
+        let args = words(&["--settings", &settings.display().to_string()]);
+        self.start(name, "jujube-entry", args);
+        self.wait_ready(name);
+        self
+    }
+
+    /// A caller of the entry `name`.
+    pub fn caller(&self, name: &str) -> Caller {
+        Caller::new(self.addrs[name])
+    }
+
+    /// Sends a signal to a process.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        self.processes[name].signal(signal);
+    }
+
+    /// Kills a process at once.
+    pub fn kill(&mut self, name: &str) {
+        drop(self.processes.remove(name));
+    }
+
+    /// Waits for a process to end by itself and tells whether it succeeded.
+    pub fn wait(&mut self, name: &str) -> bool {
+        let mut process = self
+            .processes
+            .remove(name)
+            .expect("the process was started");
+        process.wait()
+    }
+
+    /// Starts a process again as it was started first.
+    pub fn restart(&mut self, name: &str) {
+        let (binary, args) = self.commands[name].clone();
+        self.start(name, &binary, args);
+    }
+
+    /// Switches faults of a stand-in.
+    pub fn faults(&self, name: &str, json: &str) {
+        let answer = Caller::new(self.addrs[name]).post("/faults", json).send();
+        assert_eq!(answer.status, 200, "{name} takes {json}: {}", answer.body);
+    }
+
+    /// Asks a process with GET.
+    pub fn get(&self, name: &str, path: &str) -> serde_json::Value {
+        Caller::new(self.addrs[name]).get(path).send().json()
+    }
+
+    /// The free KV memory of the engine `name`.
+    pub fn free_memory(&self, name: &str) -> u64 {
+        let list = self.get(&format!("{name}-engine"), "/v1/sequences");
+        list["free"].as_u64().unwrap_or(0)
+    }
+
+    /// Waits until `holds`, or fails with the logs.
+    pub fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let start = Instant::now();
+        while !holds(self) {
+            assert!(
+                start.elapsed() < PATIENCE,
+                "{what} never came about\n{}",
+                self.logs()
+            );
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// What all processes logged.
+    pub fn logs(&self) -> String {
+        let mut text = String::new();
+        for (name, process) in &self.processes {
+            let _ = writeln!(text, "--- {name}\n{}", process.log());
+        }
+        text
+    }
+
+    fn agent(&mut self, name: &str, backend: &str, model: &str) {
+        let listen = self.address(&format!("{name}-agent"));
+        let admin = self.address(&format!("{name}-admin"));
+        let text = format!(
+            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\nadmin: \"{admin}\"\nbackend: {{{backend}}}\nmodels: [{model}]\n"
+        );
+        let settings = self.write(&format!("{name}.yaml"), &text);
+        let args = words(&["--settings", &settings.display().to_string()]);
+        self.start(&format!("{name}-agent"), "jujube-agent", args);
+        self.wait_ready(&format!("{name}-admin"));
+    }
+
+    fn start(&mut self, name: &str, binary: &str, args: Vec<String>) {
+        let process = Process::start(binary, &args);
+        self.commands
+            .insert(name.to_owned(), (binary.to_owned(), args));
+        self.processes.insert(name.to_owned(), process);
+    }
+
+    fn wait_ready(&self, name: &str) {
+        let addr = self.addrs[name];
+        self.until(&format!("{name} ready"), |_| {
+            TcpStream::connect(addr).is_ok()
+                && Caller::new(addr).get("/readyz").send().status == 200
+        });
+    }
+
+    fn address(&mut self, name: &str) -> SocketAddr {
+        self.port += 1;
+        let addr = SocketAddr::from((self.ip, self.port));
+        self.addrs.insert(name.to_owned(), addr);
+        addr
+    }
+
+    fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.dir.path().join(name);
+        std::fs::write(&path, text).expect("the settings can be written");
+        path
+    }
+
+    fn write_catalogue(&self) {
+        let dir = self.dir.path().join("catalogue");
+        std::fs::create_dir(&dir).expect("a folder for the catalogue");
+        std::fs::write(dir.join("acme.yaml"), catalogue()).expect("the catalogue can be written");
+    }
+}
+
+fn words(words: &[&str]) -> Vec<String> {
+    words.iter().map(|word| (*word).to_owned()).collect()
+}
+
+fn catalogue() -> String {
+    let hash = KeyHash::of(KEY);
+    format!(
+        "entries:
+  - id: acme.reviews
+    owner: acme
+    class: interactive
+    target: {{models: [m1]}}
+    limits:
+      request_rate: 1000
+      request_burst: 1000
+      concurrency: 1000
+      token_rate: 100000000
+      engine_seconds: 1000000
+      longest_prompt: 1048576
+      longest_output: 100000
+      default_timeout: 60000
+      longest_timeout: 600000
+    keys: [{hash}]
+  - id: acme.desk
+    owner: acme
+    class: urgent
+    target:
+      service:
+        name: desk
+        methods:
+          - {{name: transfers, idempotent: false}}
+          - {{name: balances, idempotent: true}}
+    limits:
+      request_rate: 1000
+      request_burst: 1000
+      concurrency: 1000
+      default_timeout: 5000
+      longest_timeout: 60000
+"
+    )
+}
--- /dev/null
+++ b/emulator/tests/system/main.rs
@@ -0,0 +1,8 @@
+//! The real binaries together, each its own process on loopback.
+
+mod answer;
+mod caller;
+mod failures;
+mod fleet;
+mod process;
+mod whole_path;
--- a/jujubewind/src/agent/attempt.rs
+++ b/jujubewind/src/agent/attempt.rs
@@ -1,5 +1,6 @@
-//! One attempt that the agent holds.
+//! One attempt that the agent holds, with the part of the answer that is there.
 
+use crate::refusal::Refusal;
 use crate::rpc::message::Chunk;
 use crate::rpc::message::Finish;
 use crate::rpc::message::PullReply;
@@ -15,7 +16,7 @@
         Waiting = "waiting",
         /// Given to the engine.
         Running = "running",
-        /// Over: whole, failed, cancelled or expired.
+        /// Over: whole, failed, refused or cancelled.
         Ended = "ended",
     }
 }
@@ -29,51 +30,56 @@
         End = "end",
         /// The engine failed.
         Fail = "fail",
-        /// The entry gave it up.
+        /// The scheduler refuses it before it ran.
+        Refuse = "refuse",
+        /// The entry gave it up, or nobody asked for its tokens.
         Cancel = "cancel",
-        /// Nobody asked for its tokens for too long, or its time ran out.
-        Expire = "expire",
     }
 }
 
-/// An attempt with the part of the answer that is there.
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The answer is whole and has this many tokens.
+    Whole(Finish, Tokens),
+    /// The engine failed, or died.
+    Failed {
+        /// Whether its process is gone.
+        died: bool,
+    },
+    /// It never ran.
+    Refused(Refusal),
+}
+
+/// An attempt and its answer.
 #[derive(Clone, Debug)]
 pub struct Attempt {
     /// What was asked for.
     pub start: Start,
     /// Where it stands.
     pub phase: Phase,
-    /// Whether it was ever given to the engine.
-    pub ran: bool,
-    /// When its request's time is over.
-    pub deadline: MonoTime,
-    /// When an entry last asked for its tokens.
+    /// When an entry last asked for its tokens, or when it ended.
     pub touched: MonoTime,
-    /// The tokens from the start's offset on.
-    pub tokens: Vec<String>,
-    /// How the answer ended, with its whole count.
-    pub finish: Option<(Finish, Tokens)>,
     /// Whether an entry fetched the end of the answer.
     pub read: bool,
-    /// Whether the engine failed, and whether it died.
-    pub failed: Option<bool>,
+    /// The engine's name of the exported KV cache, while paused.
+    pub export: Option<String>,
+    tokens: Vec<String>,
+    ending: Option<Ending>,
 }
 
 impl Attempt {
     /// Takes an admitted request.
     #[must_use]
     pub fn new(start: Start, now: MonoTime) -> Self {
-        let deadline = now.after(start.quote.envelope.remaining);
         Self {
             start,
             phase: Phase::Waiting,
-            ran: false,
-            deadline,
             touched: now,
-            tokens: Vec::new(),
-            finish: None,
             read: false,
-            failed: None,
+            export: None,
+            tokens: Vec::new(),
+            ending: None,
         }
     }
 
@@ -83,38 +89,67 @@
         self.start.quote.envelope.attempt
     }
 
+    /// Whether it is not over.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.phase != Phase::Ended
+    }
+
+    /// Whether the answer is whole but its end was not fetched.
+    #[must_use]
+    pub fn is_unread(&self) -> bool {
+        !self.read && matches!(self.ending, Some(Ending::Whole(..)))
+    }
+
     /// Keeps a token if it is the next one; a repeat or a gap is refused.
+    #[must_use]
     pub fn push(&mut self, offset: Tokens, text: String) -> bool {
-        let next = self.next_offset();
-        if offset != next {
+        if offset != self.next_offset() {
             return false;
         }
         self.tokens.push(text);
         true
     }
 
+    /// How many tokens this attempt has written.
+    #[must_use]
+    pub fn written(&self) -> Tokens {
+        Tokens(self.tokens.len() as u64)
+    }
+
     /// The offset of the next token that the engine owes.
     #[must_use]
     pub fn next_offset(&self) -> Tokens {
-        self.start
-            .offset
-            .saturating_add(Tokens(self.tokens.len() as u64))
+        self.start.offset.saturating_add(self.written())
+    }
+
+    /// Ends the attempt; the first ending stays.
+    pub fn end(&mut self, ending: Ending) {
+        self.ending.get_or_insert(ending);
     }
 
     /// What there is from `offset` on; `None` if that is nothing yet.
-    #[must_use]
-    pub fn reply(&self, offset: Tokens) -> Option<PullReply> {
+    pub fn reply(&mut self, offset: Tokens) -> Option<PullReply> {
         let skip = offset.saturating_sub(self.start.offset).get();
         let skip = usize::try_from(skip).unwrap_or(usize::MAX);
         let tokens: Vec<String> = self.tokens.iter().skip(skip).cloned().collect();
-        if tokens.is_empty() && self.finish.is_none() {
-            return self.failed.map(|died| PullReply::EngineFailed { died });
+        let end = match &self.ending {
+            Some(Ending::Whole(finish, count)) => Some((*finish, *count)),
+            _ => None,
+        };
+        self.read |= end.is_some();
+        if !tokens.is_empty() || end.is_some() {
+            return Some(PullReply::Chunk(Chunk {
+                attempt: self.id(),
+                offset,
+                tokens,
+                end,
+            }));
+        }
+        match &self.ending {
+            Some(Ending::Failed { died }) => Some(PullReply::EngineFailed { died: *died }),
+            Some(Ending::Refused(refusal)) => Some(PullReply::Refused(refusal.clone())),
+            _ => None,
         }
-        Some(PullReply::Chunk(Chunk {
-            attempt: self.id(),
-            offset,
-            tokens,
-            end: self.finish,
-        }))
     }
 }
--- a/jujubewind/src/agent/core.rs
+++ b/jujubewind/src/agent/core.rs
@@ -3,21 +3,31 @@
 use std::collections::BTreeMap;
 
 use super::Attempt;
+use super::Command;
 use super::EngineEvent;
 use super::Phase;
+use super::attempt::Ending;
 use super::attempt::Step;
+use super::cached_blocks::CachedBlocks;
+use super::calls::Calls;
+use super::listing::Listing;
 use crate::chart::StateChart;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::rpc::message::Call;
 use crate::rpc::message::Cancel;
 use crate::rpc::message::CancelReply;
+use crate::rpc::message::Finish;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::Quote;
 use crate::rpc::message::QuoteReply;
 use crate::rpc::message::Start;
 use crate::rpc::message::StartReply;
+use crate::scheduler;
+use crate::scheduler::Action;
+use crate::scheduler::Job;
+use crate::scheduler::Scheduler;
 use crate::settings::AgentSettings;
 use crate::types::AttemptId;
 use crate::types::Incarnation;
@@ -36,26 +46,19 @@
 /// Clock drift and network delay allowed for when an attempt's age is compared with our uptime.
 const AGE_MARGIN: Millis = Millis(1_000);
 
-/// What the shell around the core must do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Command {
-    /// Give the attempt to the engine.
-    Submit(Box<Start>),
-    /// Take the attempt from the engine.
-    Stop(AttemptId),
-    /// Answer whoever waits for the attempt's tokens.
-    Wake(AttemptId),
-}
-
-/// All attempts of one agent and what it knows of its engine.
+/// All attempts of one agent and what it knows of its backend server.
 #[derive(Debug)]
 pub struct Core {
     settings: AgentSettings,
     incarnation: Incarnation,
     chart: StateChart<Phase, Step>,
+    scheduler: Scheduler,
+    cached: CachedBlocks,
     attempts: BTreeMap<AttemptId, Attempt>,
-    calls: BTreeMap<AttemptId, Option<MonoTime>>,
+    calls: Calls,
     fenced: BTreeMap<AttemptId, MonoTime>,
+    engine: Option<Incarnation>,
+    strays: Vec<String>,
     leaving: bool,
 }
 
@@ -65,13 +68,20 @@
     /// # Errors
     /// The chart of attempts is faulty.
     pub fn new(settings: AgentSettings, incarnation: Incarnation) -> crate::chart::Result<Self> {
+        let mut parameters =
+            scheduler::Settings::for_engine(settings.memory, settings.slots as usize);
+        parameters.ttl = settings.orphan;
         Ok(Self {
+            scheduler: Scheduler::new(parameters, settings.cost.clone()),
+            cached: CachedBlocks::default(),
             settings,
             incarnation,
             chart: StateChart::parse(CHART)?,
             attempts: BTreeMap::new(),
-            calls: BTreeMap::new(),
+            calls: Calls::default(),
             fenced: BTreeMap::new(),
+            engine: None,
+            strays: Vec::new(),
             leaving: false,
         })
     }
@@ -90,35 +100,40 @@
     /// How many attempts and calls are not over.
     #[must_use]
     pub fn open(&self) -> usize {
-        let attempts = self.attempts.values().filter(|a| a.phase != Phase::Ended);
-        let calls = self.calls.values().filter(|ended| ended.is_none());
-        attempts.count() + calls.count()
+        let attempts = self.attempts.values().filter(|a| a.is_open());
+        attempts.count() + self.calls.open()
     }
 
-    /// The engine memory held by attempts that are not over.
+    /// Whether an answer is whole but its end was not fetched yet.
     #[must_use]
-    pub fn reserved(&self) -> Tokens {
-        let open = self.attempts.values().filter(|a| a.phase != Phase::Ended);
-        open.map(|a| need(&a.start.quote)).sum()
+    pub fn unread(&self) -> bool {
+        self.attempts.values().any(Attempt::is_unread)
     }
 
-    /// Whether an answer is whole but its last tokens were not fetched yet.
+    /// The engine memory that is reserved.
     #[must_use]
-    pub fn unread(&self) -> bool {
-        let mut whole = self.attempts.values().filter(|a| a.finish.is_some());
-        whole.any(|a| !a.read)
+    pub fn reserved(&self) -> Tokens {
+        self.scheduler.ledger().used()
+    }
+
+    /// What is known of the engine's prefix cache.
+    pub fn cached(&mut self) -> &mut CachedBlocks {
+        &mut self.cached
     }
 
     /// Estimates when a request would get its first token.
     #[must_use]
-    pub fn quote(&self, ask: &Quote) -> QuoteReply {
-        match self.refusal(ask) {
-            Some(refusal) => QuoteReply::Refused(refusal),
-            None => QuoteReply::Estimate {
-                first: Millis(self.open() as u64),
-                total: Millis(self.open() as u64),
-                cached: Tokens::ZERO,
+    pub fn quote(&self, now: MonoTime, ask: &Quote) -> QuoteReply {
+        if let Some(refusal) = self.refusal(ask) {
+            return QuoteReply::Refused(refusal);
+        }
+        match self.scheduler.quote(now, &self.job(ask)) {
+            Ok(estimate) => QuoteReply::Estimate {
+                first: estimate.first,
+                total: estimate.total,
+                cached: estimate.cached,
             },
+            Err(refusal) => QuoteReply::Refused(refusal),
         }
     }
 
@@ -132,16 +147,18 @@
             return (accepted, Vec::new());
         }
         if self.fenced.contains_key(&id) {
-            return (refused(Reason::Cancelled, Millis::ZERO), Vec::new());
+            let refusal = refusal(Reason::Cancelled, Millis::ZERO);
+            return (StartReply::Refused(refusal), Vec::new());
         }
         if let Some(refusal) = self.refusal(&start.quote) {
             return (StartReply::Refused(refusal), Vec::new());
         }
-        let mut attempt = Attempt::new(start.clone(), now);
-        attempt.ran = true;
-        attempt.phase = self.next(attempt.phase, Step::Submit);
-        self.attempts.insert(id, attempt);
-        (accepted, vec![Command::Submit(Box::new(start))])
+        let job = self.job(&start.quote);
+        if let Err(refusal) = self.scheduler.admit(now, job) {
+            return (StartReply::Refused(refusal), Vec::new());
+        }
+        self.attempts.insert(id, Attempt::new(start, now));
+        (accepted, self.schedule(now))
     }
 
     /// Answers with what there is of an answer, or `None` if the asker must wait.
@@ -150,9 +167,8 @@
             return Some(PullReply::Unknown);
         };
         attempt.touched = now;
-        let reply = attempt.reply(ask.offset);
-        attempt.read |= matches!(&reply, Some(PullReply::Chunk(chunk)) if chunk.end.is_some());
-        reply
+        self.scheduler.renew(now, attempt.id());
+        attempt.reply(ask.offset)
     }
 
     /// Fences an attempt and says whether it ever ran; `uptime` is this process's age.
@@ -165,7 +181,7 @@
         let id = ask.envelope.attempt;
         let until = now.after(ask.envelope.remaining).after(LINGER);
         self.fenced.insert(id, until);
-        if self.calls.contains_key(&id) {
+        if self.calls.sent(id) {
             return (CancelReply::Ran, Vec::new());
         }
         let Some(attempt) = self.attempts.get(&id) else {
@@ -177,12 +193,17 @@
             };
             return (reply, Vec::new());
         };
-        let reply = if attempt.ran {
-            CancelReply::Ran
-        } else {
+        let waiting = attempt.phase == Phase::Waiting;
+        let unrun = self.scheduler.cancel(now, id) || waiting;
+        let ending = Ending::Refused(refusal(Reason::Cancelled, Millis::ZERO));
+        let mut commands = self.finish(now, id, Step::Cancel, ending);
+        commands.extend(self.schedule(now));
+        let reply = if unrun {
             CancelReply::NotRun
+        } else {
+            CancelReply::Ran
         };
-        (reply, self.finish(now, id, Step::Cancel))
+        (reply, commands)
     }
 
     /// Decides whether a call may be sent to the plain service; `None` means it is being sent now.
@@ -199,82 +220,185 @@
         if call.envelope.remaining == Millis::ZERO {
             return Some(refusal(Reason::DeadlinePassed, Millis::ZERO));
         }
-        if self.fenced.contains_key(&id) || self.calls.contains_key(&id) {
-            return Some(refusal(Reason::Cancelled, Millis::ZERO));
-        }
         if self.open() >= self.settings.slots as usize {
             return Some(refusal(Reason::QueueFull, RETRY_FULL));
         }
-        self.calls.insert(id, None);
+        if self.fenced.contains_key(&id) || !self.calls.begin(id) {
+            return Some(refusal(Reason::Cancelled, Millis::ZERO));
+        }
         None
     }
 
     /// Notes that a call is over.
     pub fn end_call(&mut self, now: MonoTime, id: AttemptId) {
-        self.calls.insert(id, Some(now));
+        self.calls.end(now, id);
     }
 
     /// Takes news from the engine.
     pub fn engine(&mut self, now: MonoTime, id: AttemptId, event: EngineEvent) -> Vec<Command> {
-        let Some(attempt) = self.attempts.get_mut(&id) else {
+        if !self.attempts.contains_key(&id) {
             return vec![Command::Stop(id)];
-        };
-        match event {
-            EngineEvent::Token { offset, text } => {
-                if attempt.push(offset, text) {
-                    return vec![Command::Wake(id)];
-                }
-                attempt.failed = Some(false);
-                self.finish(now, id, Step::Fail)
+        }
+        let mut commands = match event {
+            EngineEvent::Token { offset, text } => return self.token(now, id, offset, text),
+            EngineEvent::End { finish, count } => self.whole(now, id, finish, count),
+            EngineEvent::Failed { died } => {
+                self.scheduler.ended(now, id);
+                self.finish(now, id, Step::Fail, Ending::Failed { died })
             }
-            EngineEvent::End { finish, count } if count == attempt.next_offset() => {
-                attempt.finish = Some((finish, count));
-                self.finish(now, id, Step::End)
+            EngineEvent::Paused { handle } => self.paused(now, id, handle),
+            EngineEvent::Stopped => {
+                self.scheduler.ended(now, id);
+                Vec::new()
             }
-            EngineEvent::End { .. } => {
-                attempt.failed = Some(false);
-                self.finish(now, id, Step::Fail)
+        };
+        commands.extend(self.schedule(now));
+        commands
+    }
+
+    fn token(
+        &mut self,
+        now: MonoTime,
+        id: AttemptId,
+        offset: Tokens,
+        text: String,
+    ) -> Vec<Command> {
+        let kept = self.attempts.get_mut(&id).and_then(|attempt| {
+            let kept = attempt.push(offset, text);
+            kept.then(|| attempt.written())
+        });
+        match kept {
+            Some(written) => {
+                self.scheduler.progress(now, id, written);
+                vec![Command::Wake(id)]
             }
-            EngineEvent::Failed { died } => {
-                attempt.failed = Some(died);
-                self.finish(now, id, Step::Fail)
+            None => self.broken(now, id),
+        }
+    }
+
+    fn whole(
+        &mut self,
+        now: MonoTime,
+        id: AttemptId,
+        finish: Finish,
+        count: Tokens,
+    ) -> Vec<Command> {
+        let next = self.attempts.get(&id).map(Attempt::next_offset);
+        if next != Some(count) {
+            return self.broken(now, id);
+        }
+        self.scheduler.ended(now, id);
+        self.finish(now, id, Step::End, Ending::Whole(finish, count))
+    }
+
+    /// Ends an attempt whose tokens have a gap or a wrong count.
+    fn broken(&mut self, now: MonoTime, id: AttemptId) -> Vec<Command> {
+        self.scheduler.cancel(now, id);
+        let mut commands = self.finish(now, id, Step::Fail, Ending::Failed { died: false });
+        commands.extend(self.schedule(now));
+        commands
+    }
+
+    fn paused(&mut self, now: MonoTime, id: AttemptId, handle: String) -> Vec<Command> {
+        match self.attempts.get_mut(&id) {
+            Some(attempt) if attempt.is_open() => {
+                attempt.export = Some(handle);
+                self.scheduler.paused(now, id);
+                Vec::new()
             }
+            _ => vec![Command::Drop(handle)],
         }
     }
 
-    /// Ends what nobody asks for any more or whose time is over, and forgets what ended long ago.
+    /// Lets time pass: expiry, deadlines, and work that can go on.
     pub fn tick(&mut self, now: MonoTime) -> Vec<Command> {
-        let orphan = self.settings.orphan;
-        let expired: Vec<AttemptId> = self
+        self.attempts
+            .retain(|_, a| a.is_open() || now < a.touched.after(LINGER));
+        self.calls.prune(now);
+        self.fenced.retain(|_, until| now < *until);
+        self.schedule(now)
+    }
+
+    /// Compares what the engine lists with what is held here; a new engine start number means
+    /// that it lost all it had.
+    pub fn reconcile(&mut self, now: MonoTime, listing: &Listing) -> Vec<Command> {
+        if self
+            .engine
+            .replace(listing.incarnation)
+            .is_some_and(|old| old != listing.incarnation)
+        {
+            self.scheduler.restarted(now);
+            self.cached = CachedBlocks::default();
+        }
+        self.scheduler.reconcile(now, &listing.sequences);
+        let mut commands = self.drop_stray_exports(&listing.exports);
+        commands.extend(self.schedule(now));
+        commands
+    }
+
+    /// Drops exports that nobody here knows in two listings in a row: one may be on its way.
+    fn drop_stray_exports(&mut self, exports: &[String]) -> Vec<Command> {
+        let known: Vec<&String> = self
             .attempts
             .values()
-            .filter(|a| a.phase != Phase::Ended)
-            .filter(|a| now >= a.deadline || now >= a.touched.after(orphan))
-            .map(Attempt::id)
+            .filter_map(|a| a.export.as_ref())
             .collect();
+        let strays: Vec<String> = exports
+            .iter()
+            .filter(|e| !known.contains(e))
+            .cloned()
+            .collect();
+        let before = std::mem::replace(&mut self.strays, strays.clone());
+        let twice = strays.into_iter().filter(|stray| before.contains(stray));
+        twice.map(Command::Drop).collect()
+    }
+
+    /// Carries the scheduler's actions over to the attempts.
+    fn schedule(&mut self, now: MonoTime) -> Vec<Command> {
+        let actions = self.scheduler.poll(now);
         let mut commands = Vec::new();
-        for id in expired {
-            commands.extend(self.finish(now, id, Step::Expire));
+        for action in actions {
+            commands.extend(self.act(now, action));
         }
-        self.attempts
-            .retain(|_, a| a.phase != Phase::Ended || now < a.touched.after(LINGER));
-        self.calls
-            .retain(|_, ended| ended.is_none_or(|at| now < at.after(LINGER)));
-        self.fenced.retain(|_, until| now < *until);
         commands
     }
 
-    /// Compares what the engine runs with what is held here, and stops what is not.
-    #[must_use]
-    pub fn reconcile(&self, listed: &[AttemptId]) -> Vec<Command> {
-        listed
-            .iter()
-            .filter(|id| {
-                self.attempts
-                    .get(id)
-                    .is_none_or(|a| a.phase == Phase::Ended)
-            })
-            .map(|id| Command::Stop(*id))
+    fn act(&mut self, now: MonoTime, action: Action) -> Vec<Command> {
+        match action {
+            Action::Submit { attempt, priority } => self.submit(attempt, priority),
+            Action::Pause { attempt } => vec![Command::Export(attempt)],
+            Action::Resume { attempt, .. } => self.resume(attempt),
+            Action::Cancel { attempt } => {
+                let ending = Ending::Refused(refusal(Reason::Cancelled, Millis::ZERO));
+                let mut commands = self.finish(now, attempt, Step::Cancel, ending);
+                commands.push(Command::Stop(attempt));
+                commands
+            }
+            Action::Expire { attempt, refusal } => {
+                self.finish(now, attempt, Step::Refuse, Ending::Refused(refusal))
+            }
+            Action::Lost { attempt } => {
+                self.finish(now, attempt, Step::Fail, Ending::Failed { died: true })
+            }
+        }
+    }
+
+    fn submit(&mut self, id: AttemptId, priority: u8) -> Vec<Command> {
+        let Some(attempt) = self.attempts.get_mut(&id) else {
+            return Vec::new();
+        };
+        if let Some(phase) = self.chart.next(attempt.phase, Step::Submit) {
+            attempt.phase = phase;
+        }
+        vec![Command::Submit(Box::new(attempt.start.clone()), priority)]
+    }
+
+    fn resume(&mut self, id: AttemptId) -> Vec<Command> {
+        let attempt = self.attempts.get_mut(&id);
+        let handle = attempt.and_then(|attempt| attempt.export.take());
+        handle
+            .map(|handle| Command::Import(id, handle))
+            .into_iter()
             .collect()
     }
 
@@ -288,53 +412,40 @@
         if ask.envelope.remaining == Millis::ZERO {
             return Some(refusal(Reason::DeadlinePassed, Millis::ZERO));
         }
-        if need(ask) > self.settings.memory {
-            return Some(refusal(Reason::PromptTooLong, Millis::ZERO));
-        }
-        if self.reserved().saturating_add(need(ask)) > self.settings.memory {
-            return Some(refusal(Reason::NoMemory, RETRY_FULL));
-        }
-        if self.open() >= self.settings.slots as usize {
-            return Some(refusal(Reason::QueueFull, RETRY_FULL));
-        }
         None
     }
 
-    fn finish(&mut self, now: MonoTime, id: AttemptId, step: Step) -> Vec<Command> {
-        let phase = match self.attempts.get(&id) {
-            Some(attempt) => self.next(attempt.phase, step),
-            None => return Vec::new(),
-        };
+    fn job(&self, ask: &Quote) -> Job {
+        Job {
+            attempt: ask.envelope.attempt,
+            org: ask.org.clone(),
+            class: ask.class,
+            prompt: ask.prompt,
+            cached: self.cached.prefix(&ask.blocks),
+            output: ask.output,
+            parts: 1,
+            remaining: ask.envelope.remaining,
+        }
+    }
+
+    fn finish(&mut self, now: MonoTime, id: AttemptId, step: Step, ending: Ending) -> Vec<Command> {
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return Vec::new();
         };
-        let was_running = attempt.phase == Phase::Running;
-        attempt.phase = phase;
-        attempt.touched = now;
-        if matches!(step, Step::Cancel | Step::Expire) && attempt.failed.is_none() {
-            attempt.failed = Some(false);
-        }
-        let mut commands = vec![Command::Wake(id)];
-        if was_running && step != Step::End {
-            commands.push(Command::Stop(id));
+        let ending = match (attempt.phase, ending) {
+            (Phase::Running, Ending::Refused(_)) => Ending::Failed { died: false },
+            (_, ending) => ending,
+        };
+        if let Some(phase) = self.chart.next(attempt.phase, step) {
+            attempt.phase = phase;
+            attempt.touched = now;
+            attempt.end(ending);
         }
-        commands
+        let dropped = attempt.export.take().map(Command::Drop);
+        dropped.into_iter().chain([Command::Wake(id)]).collect()
     }
-
-    fn next(&self, phase: Phase, step: Step) -> Phase {
-        self.chart.next(phase, step).unwrap_or(phase)
-    }
-}
-
-/// The engine memory that a request needs: its prompt and its longest answer.
-fn need(ask: &Quote) -> Tokens {
-    ask.prompt.saturating_add(ask.output)
 }
 
 fn refusal(reason: Reason, retry: Millis) -> Refusal {
     Refusal { reason, retry }
 }
-
-fn refused(reason: Reason, retry: Millis) -> StartReply {
-    StartReply::Refused(refusal(reason, retry))
-}
--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -36,6 +36,8 @@
 use crate::types::Incarnation;
 use crate::types::Millis;
 use crate::types::MonoTime;
+use crate::wire::engine::CacheChange;
+use crate::wire::engine::CacheEvents;
 
 /// How often attempts are looked over.
 const TICK: Millis = Millis(50);
@@ -150,7 +152,7 @@
         let now = self.clock.now();
         match message {
             Message::Quote(ask, reply) => {
-                let _ = reply.send(self.core.quote(&ask));
+                let _ = reply.send(self.core.quote(now, &ask));
             }
             Message::Start(start, reply) => {
                 let (answer, commands) = self.core.start(now, *start);
@@ -176,11 +178,12 @@
                 let commands = self.core.engine(now, attempt, event);
                 self.execute(now, commands);
             }
-            Message::Listed(ids) => {
-                let commands = self.core.reconcile(&ids);
+            Message::Listed(list) => {
+                let commands = self.core.reconcile(now, &list.into());
                 self.metrics.strays(commands.len());
                 self.execute(now, commands);
             }
+            Message::Cached(events) => self.cached(&events),
             Message::Tick => self.tick(now),
             Message::Leave => self.leave(now),
             Message::Metrics(reply) => {
@@ -255,7 +258,9 @@
         if now >= self.listed.after(LIST_EVERY) {
             self.listed = now;
             if let Client::Engine(client) = &self.client {
+                let seen = self.core.cached().seen();
                 compio::runtime::spawn(client.clone().list()).detach();
+                compio::runtime::spawn(client.clone().cache_events(seen)).detach();
             }
         }
     }
@@ -283,22 +288,41 @@
     fn execute(&mut self, now: MonoTime, commands: Vec<Command>) {
         for command in commands {
             match command {
-                Command::Submit(start) => {
-                    if let Client::Engine(client) = &self.client {
-                        compio::runtime::spawn(client.clone().generate(*start)).detach();
-                    }
-                }
-                Command::Stop(attempt) => {
-                    if let Client::Engine(client) = &self.client {
-                        compio::runtime::spawn(client.clone().cancel(attempt)).detach();
-                    }
-                }
                 Command::Wake(attempt) => {
                     if let Some(waiter) = self.waiters.remove(&attempt) {
                         self.pull(now, waiter.pull, waiter.reply);
                     }
                 }
+                order => self.order(order),
+            }
+        }
+    }
+
+    /// Sends an order to the engine; its outcome comes back as a message.
+    fn order(&self, order: Command) {
+        let Client::Engine(client) = &self.client else {
+            return;
+        };
+        let client = client.clone();
+        let work = async move {
+            match order {
+                Command::Submit(start, priority) => client.generate(*start, priority).await,
+                Command::Export(attempt) => client.export(attempt).await,
+                Command::Import(attempt, handle) => client.import(attempt, handle).await,
+                Command::Drop(handle) => client.drop_handle(handle).await,
+                Command::Stop(attempt) => client.cancel(attempt).await,
+                Command::Wake(_) => {}
             }
+        };
+        compio::runtime::spawn(work).detach();
+    }
+
+    /// Takes the engine's cache events, whose numbers tell of gaps.
+    fn cached(&mut self, events: &CacheEvents) {
+        let cached = self.core.cached();
+        for event in &events.events {
+            let stored = event.kind == CacheChange::Stored;
+            cached.note(event.seq, event.block.0, stored);
         }
     }
 
--- a/jujubewind/src/agent/engine_client.rs
+++ b/jujubewind/src/agent/engine_client.rs
@@ -3,20 +3,30 @@
 use std::net::SocketAddr;
 
 use cyper::Client;
+use cyper::Response;
 use flume::Sender;
 use futures::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use super::EngineEvent;
+use super::error::Error;
+use super::error::Result;
 use super::message::Message;
 use crate::http::EventParser;
 use crate::rpc::message::Finish;
 use crate::rpc::message::Start;
 use crate::types::AttemptId;
-use crate::types::Class;
 use crate::types::Tokens;
+use crate::wire::engine::CacheEvents;
 use crate::wire::engine::CancelRequest;
+use crate::wire::engine::CancelResult;
+use crate::wire::engine::Empty;
 use crate::wire::engine::GenerateEvent;
 use crate::wire::engine::GenerateRequest;
+use crate::wire::engine::KvExport;
+use crate::wire::engine::KvHandle;
+use crate::wire::engine::KvRequest;
 use crate::wire::engine::SequenceList;
 
 /// The event that closes a stream.
@@ -35,7 +45,7 @@
     ///
     /// # Errors
     /// The HTTP client cannot be set up.
-    pub fn new(addr: SocketAddr, messages: Sender<Message>) -> Result<Self, cyper::Error> {
+    pub fn new(addr: SocketAddr, messages: Sender<Message>) -> Result<Self> {
         Ok(Self {
             http: Client::new()?,
             base: format!("http://{addr}"),
@@ -44,9 +54,9 @@
     }
 
     /// Runs one attempt and reports its tokens and its end.
-    pub async fn generate(self, start: Start) {
+    pub async fn generate(self, start: Start, priority: u8) {
         let attempt = start.quote.envelope.attempt;
-        let ended = match self.stream(&start).await {
+        let ended = match self.stream(&start, priority).await {
             Ok(ended) => ended,
             Err(error) => {
                 crate::event!(warn, "engine_failed", attempt = attempt, error = error);
@@ -54,7 +64,7 @@
             }
         };
         if !ended {
-            let died = !self.alive().await;
+            let died = self.sequences().await.is_err();
             self.report(attempt, EngineEvent::Failed { died }).await;
         }
     }
@@ -64,53 +74,94 @@
         let request = CancelRequest {
             request_id: attempt.to_string(),
         };
-        if let Err(error) = self.post("/v1/cancel", &request).await {
-            crate::event!(
-                warn,
-                "engine_cancel_failed",
-                attempt = attempt,
-                error = error
-            );
+        match self.post::<_, CancelResult>("/v1/cancel", &request).await {
+            Ok(_) => self.report(attempt, EngineEvent::Stopped).await,
+            Err(error) => {
+                crate::event!(warn, "cancel_failed", attempt = attempt, error = error);
+            }
+        }
+    }
+
+    /// Exports a sequence's KV cache, which pauses it.
+    pub async fn export(self, attempt: AttemptId) {
+        let request = KvExport {
+            request_id: attempt.to_string(),
+        };
+        match self.post::<_, KvHandle>("/v1/kv/export", &request).await {
+            Ok(export) => {
+                let handle = export.handle;
+                self.report(attempt, EngineEvent::Paused { handle }).await;
+            }
+            Err(error) => self.give_up(attempt, &error).await,
+        }
+    }
+
+    /// Imports a sequence's KV cache, which resumes it.
+    pub async fn import(self, attempt: AttemptId, handle: String) {
+        let request = KvRequest { handle };
+        if let Err(error) = self.post::<_, Empty>("/v1/kv/import", &request).await {
+            self.give_up(attempt, &error).await;
         }
     }
 
-    /// Reports which attempts the engine lists.
+    /// Reports what the engine lists as its sequences.
     pub async fn list(self) {
         if let Ok(list) = self.sequences().await {
-            let ids = list.sequences.iter();
-            let ids = ids.filter_map(|s| s.request_id.parse().ok()).collect();
-            let _ = self.messages.send_async(Message::Listed(ids)).await;
+            let _ = self.messages.send_async(Message::Listed(list)).await;
         }
     }
 
-    async fn sequences(&self) -> Result<SequenceList, cyper::Error> {
-        let url = format!("{}/v1/sequences", self.base);
-        self.http.get(url)?.send().await?.json().await
+    /// Reports the engine's cache events after `seen`.
+    pub async fn cache_events(self, seen: u64) {
+        let path = format!("/v1/cache/events?after={seen}");
+        if let Ok(events) = self.get::<CacheEvents>(&path).await {
+            let _ = self.messages.send_async(Message::Cached(events)).await;
+        }
     }
 
-    async fn alive(&self) -> bool {
-        self.sequences().await.is_ok()
+    /// Drops an export that nobody will import.
+    pub async fn drop_handle(self, handle: String) {
+        let request = KvRequest { handle };
+        let _ = self.post::<_, Empty>("/v1/kv/drop", &request).await;
     }
 
-    async fn post(
-        &self,
-        path: &str,
-        body: &impl serde::Serialize,
-    ) -> Result<cyper::Response, cyper::Error> {
+    /// Ends an attempt whose KV cache could not be moved.
+    async fn give_up(&self, attempt: AttemptId, error: &Error) {
+        crate::event!(warn, "kv_move_failed", attempt = attempt, error = error);
+        self.report(attempt, EngineEvent::Failed { died: false })
+            .await;
+        self.clone().cancel(attempt).await;
+    }
+
+    async fn sequences(&self) -> Result<SequenceList> {
+        self.get("/v1/sequences").await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         let url = format!("{}{path}", self.base);
-        self.http.post(url)?.json(body)?.send().await
+        let response = self.http.get(url)?.send().await?;
+        Ok(checked(response)?.json().await?)
     }
 
-    async fn stream(&self, start: &Start) -> Result<bool, cyper::Error> {
+    async fn post<B, T>(&self, path: &str, body: &B) -> Result<T>
+    where
+        B: Serialize,
+        T: DeserializeOwned,
+    {
+        let url = format!("{}{path}", self.base);
+        let response = self.http.post(url)?.json(body)?.send().await?;
+        Ok(checked(response)?.json().await?)
+    }
+
+    async fn stream(&self, start: &Start, priority: u8) -> Result<bool> {
         let attempt = start.quote.envelope.attempt;
-        let response = self.post("/v1/completions", &request(start)).await?;
-        if !response.status().is_success() {
-            return Ok(false);
-        }
+        let url = format!("{}/v1/completions", self.base);
+        let request = self.http.post(url)?.json(&request(start, priority))?;
+        let response = checked(request.send().await?)?;
         let mut bytes = response.bytes_stream();
         let mut parser = EventParser::default();
         while let Some(part) = bytes.next().await {
-            for data in parser.push(&part?) {
+            for data in parser.push(part?.as_ref()) {
                 if data == DONE {
                     continue;
                 }
@@ -131,10 +182,8 @@
             return false;
         }
         let offset = Tokens(event.offset);
-        let finish = event
-            .finish_reason
-            .as_deref()
-            .and_then(|f| f.parse::<Finish>().ok());
+        let finish = event.finish_reason.as_deref();
+        let finish = finish.and_then(|text| text.parse::<Finish>().ok());
         let mut count = offset;
         if !event.text.is_empty() {
             count = offset.saturating_add(Tokens(1));
@@ -158,24 +207,23 @@
     }
 }
 
-fn request(start: &Start) -> GenerateRequest {
+fn checked(response: Response) -> Result<Response> {
+    if response.status().is_success() {
+        Ok(response)
+    } else {
+        Err(Error::Status(response.status()))
+    }
+}
+
+fn request(start: &Start, priority: u8) -> GenerateRequest {
     let quote = &start.quote;
     GenerateRequest {
         model: quote.model.to_string(),
         prompt: start.text.clone(),
         max_tokens: quote.output.get(),
-        priority: priority(quote.class),
+        priority: i64::from(priority),
         request_id: quote.envelope.attempt.to_string(),
         offset: start.offset.get(),
         group: None,
     }
 }
-
-/// The engine runs lower numbers sooner.
-fn priority(class: Class) -> i64 {
-    match class {
-        Class::Urgent => 0,
-        Class::Interactive => 10,
-        Class::Batch => 20,
-    }
-}
--- a/jujubewind/src/agent/event.rs
+++ b/jujubewind/src/agent/event.rs
@@ -20,6 +20,13 @@
         /// How many tokens it has, those before the attempt's offset included.
         count: Tokens,
     },
+    /// The KV cache was exported and its memory is free.
+    Paused {
+        /// The engine's name of the export.
+        handle: String,
+    },
+    /// The engine has stopped the sequence, as asked.
+    Stopped,
     /// The engine broke off.
     Failed {
         /// Whether its process is gone, rather than refusing.
--- a/jujubewind/src/agent/message.rs
+++ b/jujubewind/src/agent/message.rs
@@ -15,6 +15,8 @@
 use crate::rpc::message::Start;
 use crate::rpc::message::StartReply;
 use crate::types::AttemptId;
+use crate::wire::engine::CacheEvents;
+use crate::wire::engine::SequenceList;
 
 /// A message to the task that owns the agent's state; the sender in it takes the answer.
 #[derive(Debug)]
@@ -38,7 +40,9 @@
     /// The engine has news of an attempt.
     Engine(AttemptId, EngineEvent),
     /// What the engine lists as its sequences.
-    Listed(Vec<AttemptId>),
+    Listed(SequenceList),
+    /// The engine's cache events.
+    Cached(CacheEvents),
     /// Time has passed.
     Tick,
     /// The process was asked to stop.
--- a/jujubewind/src/agent/mod.rs
+++ b/jujubewind/src/agent/mod.rs
@@ -2,15 +2,20 @@
 
 mod admin;
 mod attempt;
+mod cached_blocks;
+mod calls;
+mod command;
 mod core;
 mod daemon;
 mod engine_client;
+mod error;
 mod event;
+mod listing;
 mod message;
 mod server;
 mod service_client;
 
-pub use core::Command;
+pub use command::Command;
 pub use core::Core;
 
 pub use attempt::Attempt;
--- a/jujubewind/src/entry/request/machine.rs
+++ b/jujubewind/src/entry/request/machine.rs
@@ -131,7 +131,7 @@
     fn started(&mut self, reply: Option<StartReply>) -> Vec<Output> {
         match reply {
             Some(StartReply::Accepted { .. }) => {
-                self.ran = Ran::Ran;
+                self.doubt();
                 self.advance(Step::Accepted);
                 self.pull()
             }
@@ -157,7 +157,15 @@
     fn pulled(&mut self, reply: Option<PullReply>) -> Vec<Output> {
         match reply {
             Some(PullReply::Chunk(chunk)) => self.chunk(chunk),
-            Some(PullReply::Unknown | PullReply::EngineFailed { .. }) => {
+            Some(PullReply::Refused(refusal)) => {
+                self.settle();
+                self.last = refusal;
+                self.retry(false)
+            }
+            Some(reply @ (PullReply::Unknown | PullReply::EngineFailed { .. })) => {
+                if reply != PullReply::Unknown {
+                    self.ran = Ran::Ran;
+                }
                 self.last = Refusal {
                     reason: Reason::BackendDown,
                     retry: RETRY_FAILED,
@@ -183,6 +191,9 @@
             .offset
             .saturating_add(Tokens(chunk.tokens.len() as u64));
         let mut outputs = Vec::new();
+        if !chunk.tokens.is_empty() || chunk.end.is_some() {
+            self.ran = Ran::Ran;
+        }
         if !chunk.tokens.is_empty() {
             outputs.push(Output::Emit(chunk.tokens));
         }
@@ -265,7 +276,9 @@
     }
 
     fn doubt_attempt(&mut self, attempt: AttemptId) {
-        self.doubted.push(attempt);
+        if !self.doubted.contains(&attempt) {
+            self.doubted.push(attempt);
+        }
         if self.ran == Ran::NotRun {
             self.ran = Ran::Unknown;
         }
@@ -274,14 +287,25 @@
     /// Clears a doubt that an agent has settled.
     fn fenced(&mut self, attempt: AttemptId, reply: CancelReply) -> Vec<Output> {
         match reply {
-            CancelReply::NotRun => self.doubted.retain(|id| *id != attempt),
+            CancelReply::NotRun => self.clear(attempt),
             CancelReply::Ran => self.ran = Ran::Ran,
             CancelReply::Unknown => {}
         }
+        Vec::new()
+    }
+
+    /// Notes that the agent says the current attempt never ran.
+    fn settle(&mut self) {
+        if let Some((_, attempt)) = self.current {
+            self.clear(attempt);
+        }
+    }
+
+    fn clear(&mut self, attempt: AttemptId) {
+        self.doubted.retain(|id| *id != attempt);
         if self.ran == Ran::Unknown && self.doubted.is_empty() {
             self.ran = Ran::NotRun;
         }
-        Vec::new()
     }
 
     fn advance(&mut self, step: Step) {
--- a/jujubewind/src/logging/mod.rs
+++ b/jujubewind/src/logging/mod.rs
@@ -12,6 +12,7 @@
 use log4rs::append::console::Target;
 use log4rs::config::Appender;
 use log4rs::config::Config;
+use log4rs::config::Logger;
 use log4rs::config::Root;
 use log4rs::encode::pattern::PatternEncoder;
 
@@ -29,6 +30,7 @@
         .build();
     let config = Config::builder()
         .appender(Appender::builder().build("stderr", Box::new(appender)))
+        .logger(Logger::builder().build("tarpc", LevelFilter::Warn))
         .build(Root::builder().appender("stderr").build(level))?;
     log4rs::init_config(config)?;
     Ok(())
--- a/jujubewind/src/rpc/message/pull.rs
+++ b/jujubewind/src/rpc/message/pull.rs
@@ -1,6 +1,7 @@
 //! Fetching an answer's tokens from an agent.
 
 use super::Envelope;
+use crate::refusal::Refusal;
 use crate::types::AttemptId;
 use crate::types::Millis;
 use crate::types::Tokens;
@@ -44,6 +45,8 @@
         Chunk(Chunk),
         /// The attempt is unknown here: the agent restarted, or nobody pulled for too long.
         Unknown,
+        /// The attempt was taken but never ran, and never will.
+        Refused(Refusal),
         /// The engine failed; tokens already sent stay valid.
         EngineFailed {
             /// Whether the engine process died, rather than refused.
--- a/jujubewind/src/settings/agent_settings.rs
+++ b/jujubewind/src/settings/agent_settings.rs
@@ -9,6 +9,7 @@
 use super::Checked;
 use super::Error;
 use super::Result;
+use crate::scheduler::Cost;
 use crate::types::DomainId;
 use crate::types::Millis;
 use crate::types::ModelId;
@@ -34,6 +35,9 @@
     /// The engine's memory in tokens of KV cache.
     #[serde(default = "default_memory")]
     pub memory: Tokens,
+    /// What work costs at the engine until more is learnt.
+    #[serde(default = "default_cost")]
+    pub cost: Cost,
     /// The most requests the engine runs at once.
     #[serde(default = "default_slots")]
     pub slots: u32,
@@ -84,6 +88,11 @@
     Tokens(400_000)
 }
 
+/// Nanoseconds a token, nanoseconds a token and 1,024 before it, microseconds a token written.
+const fn default_cost() -> Cost {
+    Cost::new(40_000, 600, 20_000)
+}
+
 const fn default_slots() -> u32 {
     64
 }
