--- a/emulator/src/cli/options.rs
+++ b/emulator/src/cli/options.rs
@@ -1,11 +1,14 @@
 //! The options of each command.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use bpaf::Bpaf;
 use jujubewind::types::Millis;
 use jujubewind::types::Tokens;
 
+use crate::load::LengthMix;
+
 /// Stand-ins for the systems around jujubewind, and tools to try it with.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -13,6 +16,12 @@
     /// Serve a model engine.
     #[bpaf(command)]
     Engine(#[bpaf(external(engine_command))] EngineCommand),
+    /// Send requests to an entry and check every answer.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load_command))] LoadCommand),
+    /// Serve the platform: key-value service and list of VMs.
+    #[bpaf(command)]
+    Platform(#[bpaf(external(platform_command))] PlatformCommand),
     /// Serve a plain service.
     #[bpaf(command)]
     Service(#[bpaf(external(service_command))] ServiceCommand),
@@ -53,3 +62,56 @@
     #[bpaf(argument("MILLIS"), fallback(Millis(0)), display_fallback)]
     pub delay: Millis,
 }
+
+/// The options of the platform.
+#[derive(Clone, Debug, Bpaf)]
+pub struct PlatformCommand {
+    /// Where to listen; port 0 takes a free one
+    #[bpaf(argument("ADDR"))]
+    pub listen: SocketAddr,
+    /// Writes a second that are taken
+    #[bpaf(argument("COUNT"), fallback(500), display_fallback)]
+    pub writes: u64,
+    /// Reads a second that are taken, each waiting watch included
+    #[bpaf(argument("COUNT"), fallback(2_000), display_fallback)]
+    pub reads: u64,
+    /// A file with the list of VMs, as JSON
+    #[bpaf(argument("FILE"))]
+    pub vms: Option<PathBuf>,
+    /// How far the list of VMs lags behind
+    #[bpaf(argument("MILLIS"), fallback(Millis(2_000)), display_fallback)]
+    pub vm_lag: Millis,
+}
+
+/// The options of the load generator.
+#[derive(Clone, Debug, Bpaf)]
+pub struct LoadCommand {
+    /// The entry's root URL
+    #[bpaf(argument("URL"))]
+    pub target: String,
+    /// The organisation's bearer key
+    #[bpaf(argument("KEY"))]
+    pub key: String,
+    /// The model's name in the catalogue
+    #[bpaf(argument("NAME"))]
+    pub model: String,
+    /// How many requests
+    #[bpaf(argument("COUNT"), fallback(100), display_fallback)]
+    pub count: u64,
+    /// The seed of lengths, prompts and times
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// Requests a second
+    #[bpaf(argument("RATE"), fallback(5.0), display_fallback)]
+    pub rate: f64,
+    /// Lengths of prompts in tokens, with weights
+    #[bpaf(
+        argument("LENGTH:WEIGHT,.."),
+        fallback(LengthMix::default()),
+        display_fallback
+    )]
+    pub lengths: LengthMix,
+    /// The length asked of each answer, in tokens
+    #[bpaf(argument("TOKENS"), fallback(32), display_fallback)]
+    pub max_tokens: u64,
+}
