Keep membership by heartbeats to home entries and bounded gossip

Cause: entries must know at every moment which agents live, leave or are dead, and control may cost a daemon 7 KB/s. Every agent heartbeating to every entry costs about 52 KB/s an entry at 1,300 agents.

Ruled out: all-pairs heartbeats (cost); a watch of the store by each process (1,710 of about 2,000 calls/s); rendezvous homes among entries (three entries that listen for one another and die together were never noticed: seen red in a_crash_of_an_agent_with_both_its_homes_is_noticed, now a ring); death records for each member of a cut-off failure domain (a storm of 244 changes; now one age for each failure domain).

Change: a pure machine for entries and agents: heartbeats to two homes of the own failure domain, probe before doubt, suspicion, death, refutation by the member's own version, rumours with logarithmic retransmission, digests for each failure domain with buckets for repair, at most 24 records a message. The platform's list adds and marks, and kills nobody.

--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod util;
 
 pub mod chart;
+pub mod membership;
 pub mod prefix;
 pub mod refusal;
 pub mod rpc;
--- a/jujubewind/src/rpc/message/gossip.rs
+++ b/jujubewind/src/rpc/message/gossip.rs
@@ -1,7 +1,9 @@
 //! News between processes that share state.
 
+use crate::membership::Member;
 use crate::types::DomainId;
 use crate::types::Incarnation;
+use crate::types::Millis;
 use crate::types::NodeId;
 use crate::types::Revision;
 
@@ -12,9 +14,79 @@
         pub sender: NodeId,
         /// Its start number.
         pub incarnation: Incarnation,
+        /// The version of its own record.
+        pub version: u32,
         /// Its failure domain.
         pub domain: DomainId,
         /// The catalogue revision it has in force.
         pub revision: Revision,
+        /// What it has to say.
+        pub news: News,
+    }
+
+    /// The kinds of news; each holds a bounded number of records.
+    pub enum News {
+        /// A member tells its home that it lives.
+        Heartbeat {
+            /// Its record, until the home has shown that it has it.
+            member: Option<Box<Member>>,
+            /// The digest of the entries it knows in the failure domain that watches it.
+            sum: u64,
+        },
+        /// An entry compares views with another.
+        Exchange {
+            /// What it has of each failure domain.
+            pulses: Vec<Pulse>,
+            /// Records that changed lately.
+            records: Vec<Member>,
+        },
+        /// An entry tells another what changed lately.
+        Push {
+            /// The changed records.
+            records: Vec<Member>,
+        },
+        /// An entry mends a difference that an exchange showed.
+        Repair {
+            /// The failure domain.
+            domain: DomainId,
+            /// The buckets that differ.
+            buckets: Vec<u8>,
+            /// The sender's records in them.
+            records: Vec<Member>,
+        },
+        /// A home asks a silent member whether it lives.
+        Probe {
+            /// The home's record, by which the member knows whom to heartbeat to.
+            home: Box<Member>,
+        },
+        /// The answer to any of these.
+        Answer {
+            /// Whether the sender's record is wanted.
+            ask: bool,
+            /// What it has of each failure domain, to an exchange.
+            pulses: Vec<Pulse>,
+            /// The digests of one failure domain's buckets, to an exchange that differs there.
+            detail: Option<Detail>,
+            /// Records that the other side lacks.
+            records: Vec<Member>,
+        },
+    }
+
+    /// What an entry has of one failure domain.
+    pub struct Pulse {
+        /// The failure domain.
+        pub domain: DomainId,
+        /// The time since its last sign of life.
+        pub age: Millis,
+        /// The digest of its members.
+        pub sum: u64,
+    }
+
+    /// The digests of one failure domain's buckets.
+    pub struct Detail {
+        /// The failure domain.
+        pub domain: DomainId,
+        /// The digest of each bucket.
+        pub sums: Vec<u64>,
     }
 }
