--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -6,10 +6,23 @@
 #[macro_use]
 pub mod util;
 
+pub mod agent;
+pub mod catalogue;
 pub mod chart;
+pub mod daemon;
+pub mod entry;
+pub mod http;
+pub mod limits;
+pub mod logging;
 pub mod membership;
+pub mod metrics;
 pub mod prefix;
 pub mod refusal;
+pub mod retry;
+pub mod routing;
 pub mod rpc;
+pub mod scheduler;
+pub mod settings;
 pub mod timer;
 pub mod types;
+pub mod wire;
