Start membership from bare addresses and read the platform's list

Cause: settings name entries by address alone, and the list's lines are text. Change: unknown addresses are probed for their record, often while no entry is known; a line of the list matches a member by name or else by address; each outgoing call names the role of its receiver.

--- a/jujubewind/src/membership/limits.rs
+++ b/jujubewind/src/membership/limits.rs
@@ -20,6 +20,8 @@
 pub const PASS_OVER: Millis = Millis(60_000);
 /// The unanswered heartbeats after which a home is passed over.
 pub const MISSED: u32 = 3;
+/// The periods between two tries of an address from the settings, once an entry is known.
+pub const RECONTACT: usize = 10;
 /// The records in one message.
 pub const MAX_RECORDS: usize = 24;
 /// The peers told in each period while there is something new.
--- a/jujubewind/src/membership/local.rs
+++ b/jujubewind/src/membership/local.rs
@@ -70,7 +70,7 @@
     /// A message of this process to `target`.
     pub(super) fn send(&self, target: &Member, news: News) -> Outgoing {
         Outgoing {
-            node: target.node.clone(),
+            role: target.role,
             addr: target.addr,
             news: self.speak(news),
         }
--- a/jujubewind/src/membership/machine.rs
+++ b/jujubewind/src/membership/machine.rs
@@ -1,5 +1,7 @@
 //! The decisions of one process about membership.
 
+use std::net::SocketAddr;
+
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -9,6 +11,7 @@
 use super::Seed;
 use super::Status;
 use super::View;
+use super::contacts::Contacts;
 use super::exchange;
 use super::heartbeats::Heartbeats;
 use super::limits::FORGET;
@@ -30,6 +33,7 @@
 #[derive(Debug)]
 pub struct Machine {
     local: Local,
+    contacts: Contacts,
     heartbeats: Heartbeats,
     watch: Watch,
     rng: StdRng,
@@ -38,15 +42,12 @@
 }
 
 impl Machine {
-    /// A process that has just started and knows `seeds` from its settings.
+    /// A process that has just started and knows the addresses of some entries.
     #[must_use]
-    pub fn new(me: Member, seeds: &[Seed], rng_seed: u64) -> Self {
-        let mut local = Local::new(me);
-        for seed in seeds.iter().filter(|seed| seed.node != local.me.node) {
-            local.table.merge_seed(MonoTime::ZERO, seed);
-        }
+    pub fn new(me: Member, contacts: &[SocketAddr], rng_seed: u64) -> Self {
         Self {
-            local,
+            local: Local::new(me),
+            contacts: Contacts::new(contacts),
             heartbeats: Heartbeats::default(),
             watch: Watch::default(),
             rng: StdRng::seed_from_u64(rng_seed),
@@ -88,7 +89,10 @@
     pub fn tick(&mut self, now: MonoTime) -> Vec<Outgoing> {
         self.note_pause(now);
         self.local.table.forget(now, &self.local.me.domain);
-        let mut out = Vec::new();
+        let Local { me, table, .. } = &self.local;
+        let strangers = self.contacts.tick(&table.view, me);
+        let ask = |addr| self.probe(Role::Entry, addr);
+        let mut out: Vec<Outgoing> = strangers.into_iter().map(ask).collect();
         if self.is_entry() {
             self.watch_others(now, &mut out);
         }
@@ -123,8 +127,8 @@
                 let missing = exchange::missing(view, domain, buckets, records, &mut self.rng);
                 Reply::of(missing)
             }
-            News::Probe { home } => {
-                self.merge(now, [home.as_ref()]);
+            News::Probe { sender } => {
+                self.merge(now, [sender.as_ref()]);
                 Reply::of(vec![self.local.me.clone()])
             }
             News::Push { records } | News::Answer { records, .. } => {
@@ -176,12 +180,12 @@
 
     /// Takes in the platform's list, a lagging witness: it adds and marks, and never kills.
     pub fn vm_list(&mut self, now: MonoTime, list: &[Seed]) -> Vec<Outgoing> {
-        let me = &self.local.me.node;
-        let leaving = list.iter().any(|seed| seed.node == *me && seed.leaving);
-        let others = list.iter().filter(|seed| seed.node != *me);
-        self.local.table.drop_unlisted(list, &self.local.me.node);
-        for seed in others {
-            self.local.table.merge_seed(now, seed);
+        let Local { me, table, .. } = &mut self.local;
+        let is_me = |seed: &&Seed| seed.node == me.node || seed.addr == me.addr;
+        let leaving = list.iter().any(|seed| is_me(&seed) && seed.leaving);
+        table.drop_unlisted(list, &me.node);
+        for seed in list.iter().filter(|seed| !is_me(seed)) {
+            table.merge_seed(now, seed);
         }
         if leaving { self.leave(now) } else { Vec::new() }
     }
@@ -213,15 +217,20 @@
         for verdict in self.watch.tick(now, &table.view) {
             match verdict {
                 Verdict::Status(node, status) => self.local.table.set_status(now, &node, status),
-                Verdict::Probe(node) => out.extend(self.probe(&node)),
+                Verdict::Probe(node) => out.extend(self.probe_member(&node)),
             }
         }
     }
 
-    fn probe(&self, node: &NodeId) -> Option<Outgoing> {
-        let home = Box::new(self.local.me.clone());
+    fn probe(&self, role: Role, addr: SocketAddr) -> Outgoing {
+        let sender = Box::new(self.local.me.clone());
+        let news = self.local.speak(News::Probe { sender });
+        Outgoing { role, addr, news }
+    }
+
+    fn probe_member(&self, node: &NodeId) -> Option<Outgoing> {
         let member = self.view().get(node)?;
-        Some(self.local.send(member, News::Probe { home }))
+        Some(self.probe(member.role, member.addr))
     }
 
     fn heartbeat(&mut self, now: MonoTime, out: &mut Vec<Outgoing>) {
--- a/jujubewind/src/membership/mod.rs
+++ b/jujubewind/src/membership/mod.rs
@@ -5,6 +5,8 @@
 //! compare digests for each failure domain, so that what a peer missed is repaired. The platform's
 //! list of VMs brings unknown processes in and marks those that leave; it kills nobody.
 
+mod contacts;
+mod error;
 mod exchange;
 mod heartbeats;
 pub mod limits;
@@ -24,6 +26,8 @@
 mod view;
 mod watch;
 
+pub use error::Error;
+pub use error::Result;
 pub use exchange::BUCKETS;
 pub use machine::Machine;
 pub use member::Member;
--- a/jujubewind/src/membership/outgoing.rs
+++ b/jujubewind/src/membership/outgoing.rs
@@ -2,15 +2,15 @@
 
 use std::net::SocketAddr;
 
+use super::Role;
 use crate::rpc::message::Gossip;
-use crate::types::NodeId;
 
 /// One call to make; its answer goes to [`super::Machine::answered`], a failure nowhere.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outgoing {
-    /// Whom to call.
-    pub node: NodeId,
-    /// Where it answers.
+    /// The role of the other process, by which its service is known.
+    pub role: Role,
+    /// Where the other process answers.
     pub addr: SocketAddr,
     /// What to say.
     pub news: Gossip,
--- a/jujubewind/src/membership/seed.rs
+++ b/jujubewind/src/membership/seed.rs
@@ -2,10 +2,15 @@
 
 use std::net::SocketAddr;
 
+use super::Error;
 use super::Member;
+use super::Result;
 use super::Role;
 use crate::types::DomainId;
 use crate::types::NodeId;
+use crate::wire::platform::Vm;
+use crate::wire::platform::VmRole;
+use crate::wire::platform::VmState;
 
 crate::data! {
     /// One line of the settings or of the platform's list of VMs.
@@ -34,3 +39,21 @@
         }
     }
 }
+
+impl TryFrom<&Vm> for Seed {
+    type Error = Error;
+
+    fn try_from(vm: &Vm) -> Result<Self> {
+        let addr = vm.addr.parse();
+        Ok(Self {
+            node: vm.name.parse()?,
+            role: match vm.role {
+                VmRole::Entry => Role::Entry,
+                VmRole::Agent => Role::Agent,
+            },
+            addr: addr.map_err(|_| Error::Address(vm.addr.clone()))?,
+            domain: vm.domain.parse()?,
+            leaving: vm.state == VmState::Leaving,
+        })
+    }
+}
--- a/jujubewind/src/membership/table.rs
+++ b/jujubewind/src/membership/table.rs
@@ -61,7 +61,8 @@
 
     /// Takes in what the platform's list says of one process, as far as nothing better is known.
     pub(super) fn merge_seed(&mut self, now: MonoTime, seed: &Seed) {
-        let Some(known) = self.view.get(&seed.node) else {
+        let known = self.view.get(&seed.node);
+        let Some(known) = known.or_else(|| self.view.by_addr(seed.addr)) else {
             self.merge(now, &Member::provisional(seed.clone()));
             return;
         };
--- a/jujubewind/src/membership/view.rs
+++ b/jujubewind/src/membership/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use super::Member;
 use super::Role;
@@ -98,6 +99,13 @@
         self.sums.get(domain).copied().unwrap_or(0)
     }
 
+    /// The member that answers at `addr` and has spoken for itself.
+    #[must_use]
+    pub fn by_addr(&self, addr: SocketAddr) -> Option<&Member> {
+        self.living()
+            .find(|member| member.addr == addr && !member.is_provisional())
+    }
+
     /// Every record, the dead included.
     pub(super) fn records(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/jujubewind/src/rpc/message/gossip.rs
+++ b/jujubewind/src/rpc/message/gossip.rs
@@ -54,10 +54,10 @@
             /// The sender's records in them.
             records: Vec<Member>,
         },
-        /// A home asks a silent member whether it lives.
+        /// Asks a silent or unknown process for its record.
         Probe {
-            /// The home's record, by which the member knows whom to heartbeat to.
-            home: Box<Member>,
+            /// The sender's record, by which a member knows whom to heartbeat to.
+            sender: Box<Member>,
         },
         /// The answer to any of these.
         Answer {
--- a/jujubewind/tests/fleet/mod.rs
+++ b/jujubewind/tests/fleet/mod.rs
@@ -70,8 +70,8 @@
 impl Fleet {
     /// Entries first, then agents, who all know the first entries from their settings.
     pub fn new(entries: usize, agents: usize, domains: usize, rng_seed: u64) -> Self {
-        let seeds: Vec<Seed> = (0..entries.min(2 * domains))
-            .map(|i| seed(i, Role::Entry, domains))
+        let contacts: Vec<SocketAddr> = (0..entries.min(2 * domains))
+            .map(|i| seed(i, Role::Entry, domains).addr)
             .collect();
         let mut fleet = Self {
             machines: Vec::new(),
@@ -89,20 +89,20 @@
             } else {
                 Role::Agent
             };
-            fleet.add(member(number, role, domains), &seeds);
+            fleet.add(member(number, role, domains), &contacts);
         }
         fleet
     }
 
     /// Adds a process.
-    pub fn add(&mut self, member: Member, seeds: &[Seed]) {
+    pub fn add(&mut self, member: Member, contacts: &[SocketAddr]) {
         let number = self.machines.len();
         self.numbers.insert(member.addr, number);
         let rng_seed = self
             .seed
             .wrapping_mul(1_000_003)
             .wrapping_add(number as u64);
-        self.machines.push(Machine::new(member, seeds, rng_seed));
+        self.machines.push(Machine::new(member, contacts, rng_seed));
     }
 
     /// Puts calls of process `from` on the network.
--- a/jujubewind/tests/membership.rs
+++ b/jujubewind/tests/membership.rs
@@ -218,10 +218,10 @@
         let mut reborn = member(AGENT, Role::Agent, DOMAINS);
         reborn.incarnation = Incarnation(2);
         reborn.addr = "10.9.9.9:7000".parse().expect("an address");
-        let seeds = [seed(3, Role::Entry, DOMAINS)];
+        let contacts = [seed(3, Role::Entry, DOMAINS).addr];
 
         fleet.down.insert(AGENT);
-        fleet.add(reborn.clone(), &seeds);
+        fleet.add(reborn.clone(), &contacts);
         fleet.run(20);
 
         let unaware = fleet.entries_without(|m| {
