Stop daemons by phases that cut no request

Cause: the balancer goes on sending for a while after readiness fails, and a stop in the middle of a stop must not shorten it. Change: a daemon's life as types, and a stop that a chart drives: it accepts for a settable grace, then refuses with a time to come back, and ends when quiet or when the last request's own deadline has passed.

--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod entry;
 pub mod http;
+pub mod lifecycle;
 pub mod limits;
 pub mod logging;
 pub mod membership;
--- /dev/null
+++ b/jujubewind/src/lifecycle/mod.rs
@@ -0,0 +1,24 @@
+//! The life of a daemon, and the stop that cuts no request.
+
+mod daemon;
+mod drain;
+mod drain_event;
+mod drain_limits;
+mod drain_phase;
+mod load;
+
+pub use daemon::Daemon;
+pub use daemon::Draining;
+pub use daemon::Serving;
+pub use daemon::Starting;
+pub use daemon::Stopped;
+pub use drain::Drain;
+pub use drain_event::DrainEvent;
+pub use drain_limits::DrainLimits;
+pub use drain_phase::DrainPhase;
+pub use load::Load;
+
+use crate::chart;
+
+/// A result of the lifecycle; only a faulty chart fails.
+pub type Result<T> = chart::Result<T>;
--- /dev/null
+++ b/jujubewind/tests/lifecycle.rs
@@ -0,0 +1,168 @@
+//! A stop fails readiness first, takes what the balancer still sends and cuts no request.
+
+use jujubewind::lifecycle::Daemon;
+use jujubewind::lifecycle::Drain;
+use jujubewind::lifecycle::DrainLimits;
+use jujubewind::lifecycle::DrainPhase;
+use jujubewind::lifecycle::Load;
+use jujubewind::refusal::Reason;
+use jujubewind::types::Millis;
+use jujubewind::types::MonoTime;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const GRACE: Millis = Millis(5_000);
+const STEP: Millis = Millis(100);
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+fn entry() -> Drain {
+    Drain::begin(at(0), DrainLimits::entry(GRACE)).expect("the chart is sound")
+}
+
+fn busy(deadline: u64) -> Load {
+    Load {
+        open: 1,
+        deadline: at(deadline),
+    }
+}
+
+#[test]
+fn an_entry_takes_requests_while_the_balancer_still_sends() {
+    let mut drain = entry();
+
+    let phase = drain.tick(at(4_900), Load::NONE);
+
+    assert_eq!(phase, DrainPhase::Accepting);
+    assert_eq!(drain.refusal(), None);
+}
+
+#[test]
+fn an_entry_refuses_afterwards_with_a_time_to_come_back() {
+    let mut drain = entry();
+
+    drain.tick(at(5_000), busy(60_000));
+
+    let refusal = drain.refusal().expect("a refusal");
+    assert_eq!(refusal.reason, Reason::Stopping);
+    assert!(refusal.retry > Millis::ZERO);
+}
+
+#[test]
+fn an_agent_refuses_from_the_start() {
+    let drain = Drain::begin(at(0), DrainLimits::agent()).expect("the chart is sound");
+
+    let refusal = drain.refusal().expect("a refusal");
+
+    assert_eq!(refusal.reason, Reason::Leaving);
+}
+
+#[test]
+fn a_second_stop_signal_changes_nothing() {
+    let mut once = entry();
+    let mut twice = entry();
+
+    for millis in (0..20_000).step_by(100) {
+        let load = if millis < 12_000 {
+            busy(30_000)
+        } else {
+            Load::NONE
+        };
+        twice.stop_again();
+        once.tick(at(millis), load);
+        twice.tick(at(millis), load);
+
+        assert_eq!(once.phase(), twice.phase(), "at {millis} ms");
+    }
+    assert!(twice.is_over());
+}
+
+#[test]
+fn a_stop_waits_for_a_request_until_its_own_deadline_and_no_longer() {
+    let mut drain = entry();
+
+    drain.tick(at(59_900), busy(60_000));
+    let before = drain.is_over();
+    drain.tick(at(60_400), busy(60_000));
+
+    assert!(!before);
+    assert!(drain.is_over());
+}
+
+#[test]
+fn a_stop_ends_only_after_the_last_answer_has_had_time_to_leave() {
+    let mut drain = entry();
+
+    drain.tick(at(9_000), busy(60_000));
+    drain.tick(at(9_100), Load::NONE);
+    let early = drain.is_over();
+    drain.tick(at(9_300), Load::NONE);
+
+    assert!(!early);
+    assert!(drain.is_over());
+}
+
+#[test]
+fn a_daemon_goes_through_its_phases_in_order() {
+    let daemon = Daemon::new().serve();
+
+    let drain = daemon.drain(at(0), DrainLimits::agent());
+    let waiting = drain
+        .expect("the chart is sound")
+        .tick(at(100), busy(9_000));
+    let stopped = waiting
+        .expect_err("work is left")
+        .tick(at(10_000), Load::NONE);
+
+    assert!(stopped.is_ok());
+}
+
+/// Random requests arrive until none is sent any more; the balancer lags behind readiness.
+fn stop_under_load(seed: u64) -> Result<(), String> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let lag = rng.random_range(0..GRACE.get());
+    let mut drain = entry();
+    let mut open: Vec<(u64, u64)> = Vec::new();
+    let mut millis = 0;
+    while !drain.is_over() {
+        if millis < lag && rng.random_bool(0.3) {
+            if drain.refusal().is_some() {
+                return Err(format!("refused at {millis} ms, balancer lag {lag} ms"));
+            }
+            let end = millis + rng.random_range(100..20_000);
+            open.push((end, end + rng.random_range(0..30_000)));
+        }
+        open.retain(|(end, _)| *end > millis);
+        let deadline = open
+            .iter()
+            .map(|(_, deadline)| *deadline)
+            .max()
+            .unwrap_or(0);
+        let load = Load {
+            open: open.len(),
+            deadline: at(deadline),
+        };
+        drain.tick(at(millis), load);
+        if rng.random_bool(0.05) {
+            drain.stop_again();
+        }
+        millis += STEP.get();
+    }
+    if open.is_empty() {
+        Ok(())
+    } else {
+        Err(format!("{} requests cut", open.len()))
+    }
+}
+
+#[test]
+fn no_request_is_cut_or_refused_while_the_balancer_lags_within_the_grace() {
+    for seed in 0..500 {
+        let outcome = stop_under_load(seed);
+
+        assert_eq!(outcome, Ok(()), "seed {seed}");
+    }
+}
