--- /dev/null
+++ b/jujubewind/src/membership/outgoing.rs
@@ -0,0 +1,17 @@
+//! A message to be sent.
+
+use std::net::SocketAddr;
+
+use super::Role;
+use crate::rpc::message::Gossip;
+
+/// One call to make; its answer goes to [`super::Machine::answered`], a failure nowhere.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The role of the other process, by which its service is known.
+    pub role: Role,
+    /// Where the other process answers.
+    pub addr: SocketAddr,
+    /// What to say.
+    pub news: Gossip,
+}
