Hold that a refusal for lack of time comes at once with a time to come back

Cause: the point had no test. Ruled out: a timed assertion; the status, the kind and Retry-After are held.

--- a/emulator/tests/system/caller.rs
+++ b/emulator/tests/system/caller.rs
@@ -1,7 +1,8 @@
 //! A caller's HTTP request, built step by step.
 
+use std::fmt::Write as _;
 use std::io::Read;
-use std::io::Write;
+use std::io::Write as _;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::time::Duration;
@@ -88,14 +89,13 @@
     pub fn open(&self) -> std::io::Result<TcpStream> {
         let mut stream = TcpStream::connect(self.addr)?;
         stream.set_read_timeout(Some(PATIENCE))?;
-        let mut head = format!(
-            "{} {} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n",
-            self.method, self.path
-        );
+        let length = self.body.len();
+        let mut head = format!("{} {} HTTP/1.1\r\nhost: test\r\n", self.method, self.path);
+        let _ = write!(head, "connection: close\r\ncontent-length: {length}\r\n");
         for (name, value) in &self.headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
+            let _ = write!(head, "{name}: {value}\r\n");
         }
-        head.push_str(&format!("content-length: {}\r\n\r\n", self.body.len()));
+        head.push_str("\r\n");
         stream.write_all(head.as_bytes())?;
         stream.write_all(self.body.as_bytes())?;
         Ok(stream)
--- a/emulator/tests/system/whole_path.rs
+++ b/emulator/tests/system/whole_path.rs
@@ -125,3 +125,18 @@
         fleet.free_memory("a") == before
     });
 }
+
+#[test]
+fn a_refusal_for_lack_of_time_is_immediate_and_says_when_to_come_back() {
+    let fleet = small_fleet();
+    fleet.faults("s-service", "{\"delay_ms\": 0}");
+
+    let answer = fleet
+        .caller("e1")
+        .complete("x", 100_000)
+        .header("x-timeout-ms", "2000")
+        .send();
+
+    assert_refused(&answer, 429, "no_time");
+    assert!(answer.retry_after.is_some_and(|seconds| seconds > 0));
+}
