Run a call that may not be repeated at most once, by a claim in the store

Cause: a call such as a transfer may reach two entries at once, its entry may pause or die at any moment, and the store may be down, late, or lose an answer.

Ruled out: a claim with one phase (an entry paused after its claim could not be told from one that sent, so its key would be stuck or run twice); deciding by clocks or leases who may send (a pause voids them); replying only after the answer is kept (a write more on the caller's path, and nothing safer).

Change: store vocabulary whose outcomes part applied, not applied and unknown; a claim record with the phases of charts/claim.yaml, moved by compare-and-swap on versions that never come again; the claimant's machine, which gives one permit to send and only at the sight of its own mark; the batch that lets several claims share a call; the leases by which old claims end.

A repeat that is refused says nothing of an earlier call with its key: callers must know that.

--- /dev/null
+++ b/jujubewind/src/claims/call_key.rs
@@ -0,0 +1,43 @@
+//! What a call is known by.
+
+use sha2::Digest;
+use sha2::Sha256;
+
+use super::body_hash::hex;
+use crate::store::Key;
+use crate::types::ModelId;
+use crate::types::OrgId;
+
+/// The prefix of claims in the store.
+const TOPIC: &str = "claims";
+
+/// A caller's idempotency key with all that it is valid within.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallKey {
+    /// The organisation that calls.
+    pub org: OrgId,
+    /// The service.
+    pub service: ModelId,
+    /// The method.
+    pub method: String,
+    /// The caller's idempotency key.
+    pub key: String,
+}
+
+impl CallKey {
+    /// The store's key of the claim: a hash, since callers' keys have any length and content.
+    #[must_use]
+    pub fn store_key(&self) -> Key {
+        let mut hash = Sha256::new();
+        for part in [
+            self.org.as_str(),
+            self.service.as_str(),
+            &self.method,
+            &self.key,
+        ] {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        Key::new(TOPIC, &hex(&hash.finalize()))
+    }
+}
--- /dev/null
+++ b/jujubewind/src/claims/draft.rs
@@ -0,0 +1,98 @@
+//! The claim that one call wants to make.
+
+use super::BodyHash;
+use super::CallKey;
+use super::Claimed;
+use super::Event;
+use super::Held;
+use super::Holder;
+use super::Phase;
+use super::Record;
+use crate::store::Entry;
+use crate::store::Key;
+use crate::store::LeaseId;
+use crate::store::Op;
+use crate::store::Version;
+use crate::store::Write;
+use crate::types::AttemptId;
+
+/// What a call's claim looks like, before the store has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Draft {
+    key: Key,
+    record: Record,
+    lease: LeaseId,
+}
+
+impl Draft {
+    /// The claim of `attempt` on `call`, which ends with `lease`.
+    #[must_use]
+    pub fn new(
+        call: &CallKey,
+        body: BodyHash,
+        attempt: AttemptId,
+        holder: Holder,
+        lease: LeaseId,
+    ) -> Self {
+        Self {
+            key: call.store_key(),
+            record: Record {
+                attempt,
+                holder,
+                body,
+                phase: Phase::Claimed,
+                kept: None,
+            },
+            lease,
+        }
+    }
+
+    /// Whether `entry` is the key of this claim.
+    pub(super) fn is_at(&self, entry: &Entry) -> bool {
+        entry.key == self.key
+    }
+
+    /// Whether `other` is a claim of the same attempt.
+    pub(super) fn is_ours(&self, other: &Record) -> bool {
+        other.attempt == self.record.attempt
+    }
+
+    /// Whether `other` was made for the same request.
+    pub(super) fn is_repeat(&self, other: &Record) -> bool {
+        other.body == self.record.body
+    }
+
+    /// Reads the key.
+    pub(super) fn read(&self) -> Op {
+        Op::Get(self.key.clone())
+    }
+
+    /// Claims the key if nobody has it.
+    pub(super) fn create(&self) -> Op {
+        self.write(Version::ABSENT, Phase::initial(), Event::Create)
+    }
+
+    /// Takes the key from a holder that sent nothing.
+    pub(super) fn take_over(&self, version: Version) -> Op {
+        self.write(version, Phase::Claimed, Event::TakeOver)
+    }
+
+    /// The claim once the store has it at `version`.
+    pub(super) fn held(&self, version: Version) -> Held<Claimed> {
+        Held::new(self.key.clone(), self.record.clone(), version, self.lease)
+    }
+
+    fn write(&self, expect: Version, before: Phase, event: Event) -> Op {
+        let phase = before.after(event).unwrap_or(self.record.phase);
+        let record = Record {
+            phase,
+            ..self.record.clone()
+        };
+        Op::CompareAndSwap(Write {
+            key: self.key.clone(),
+            expect,
+            value: Some(record.encode()),
+            lease: Some(self.lease),
+        })
+    }
+}
--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod util;
 
 pub mod chart;
+pub mod claims;
 pub mod prefix;
 pub mod refusal;
 pub mod rpc;
+pub mod store;
 pub mod timer;
 pub mod types;
--- /dev/null
+++ b/jujubewind/tests/coordination/main.rs
@@ -0,0 +1,8 @@
+//! Tests of what goes through the platform's store: claims, leases, fencing and credit.
+
+mod batch;
+mod claim_cases;
+mod claim_search;
+mod claim_world;
+mod fake_store;
+mod seeds;
