Convict requests that crash backend servers

Cause: now and then a request crashes each backend server that runs it and its caller sends it again, through any entry.

Ruled out: a list of suspects in the platform's store (a write for each request in flight at a crash and a read or watch at every entry, and the store may be down just then; what a restart of all entries forgets costs at most three more crashes). A count of crashes without running alone: it convicts those that shared.

Change: a fingerprint of organisation, model and prompt; a crash makes suspects, once for each crash; a suspect runs alone; two crashes alone or three in all convict for half an hour at most; completion clears. Suspects go to four random peers at once, then by rumour, then by digest. Members that begin to leave take the same fast way. The tests of membership and conviction are one test program now, since they share the fleet.

--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 pub mod catalogue;
 pub mod chart;
+pub mod conviction;
 pub mod daemon;
 pub mod entry;
 pub mod http;
--- a/jujubewind/src/membership/limits.rs
+++ b/jujubewind/src/membership/limits.rs
@@ -26,5 +26,7 @@
 pub const MAX_RECORDS: usize = 24;
 /// The peers told in each period while there is something new.
 pub const FANOUT: usize = 3;
+/// The peers told at once of what cannot wait.
+pub const EAGER: usize = 4;
 /// Sends of one change for each doubling of the number of entries.
 pub const SPREAD: u32 = 3;
--- a/jujubewind/src/membership/local.rs
+++ b/jujubewind/src/membership/local.rs
@@ -1,12 +1,18 @@
 //! A process's own record, and what it does about records that others hold of it.
 
+use std::net::SocketAddr;
+
 use super::Member;
 use super::Outgoing;
+use super::Role;
+use super::Seed;
 use super::Status;
 use super::table::Table;
+use crate::conviction::Register;
 use crate::rpc::message::Gossip;
 use crate::rpc::message::News;
 use crate::types::MonoTime;
+use crate::types::NodeId;
 use crate::types::Revision;
 
 /// The process itself, with the table in which its own record stands among the others.
@@ -14,6 +20,7 @@
 pub(super) struct Local {
     pub(super) me: Member,
     pub(super) table: Table,
+    pub(super) register: Register,
     pub(super) revision: Revision,
     pub(super) superseded: bool,
 }
@@ -26,6 +33,7 @@
         Self {
             me,
             table,
+            register: Register::default(),
             revision: Revision::ZERO,
             superseded: false,
         }
@@ -55,6 +63,17 @@
         self.me.version != version
     }
 
+    /// Takes in the platform's list; says whether this process is to leave.
+    pub(super) fn merge_list(&mut self, now: MonoTime, list: &[Seed]) -> bool {
+        let Self { me, table, .. } = self;
+        let is_me = |seed: &&Seed| seed.node == me.node || seed.addr == me.addr;
+        table.drop_unlisted(list, &me.node);
+        for seed in list.iter().filter(|seed| !is_me(seed)) {
+            table.merge_seed(now, seed);
+        }
+        list.iter().any(|seed| is_me(&seed) && seed.leaving)
+    }
+
     /// A message of this process.
     pub(super) fn speak(&self, news: News) -> Gossip {
         Gossip {
@@ -63,6 +82,7 @@
             version: self.me.version,
             domain: self.me.domain.clone(),
             revision: self.revision,
+            suspects: Vec::new(),
             news,
         }
     }
@@ -76,6 +96,19 @@
         }
     }
 
+    /// A call that asks the process at `addr` for its record.
+    pub(super) fn probe(&self, role: Role, addr: SocketAddr) -> Outgoing {
+        let sender = Box::new(self.me.clone());
+        let news = self.speak(News::Probe { sender });
+        Outgoing { role, addr, news }
+    }
+
+    /// A call that asks a known member for its record.
+    pub(super) fn probe_member(&self, node: &NodeId) -> Option<Outgoing> {
+        let member = self.table.view.get(node)?;
+        Some(self.probe(member.role, member.addr))
+    }
+
     fn compare(&mut self, now: MonoTime, record: &Member) {
         if record.incarnation != self.me.incarnation {
             self.superseded |= record.incarnation > self.me.incarnation;
--- a/jujubewind/src/membership/machine.rs
+++ b/jujubewind/src/membership/machine.rs
@@ -17,16 +17,16 @@
 use super::limits::FORGET;
 use super::limits::SILENCE;
 use super::local::Local;
+use super::peers;
 use super::peers::Peers;
 use super::reply::Reply;
 use super::watch::Verdict;
 use super::watch::Watch;
+use crate::conviction::Register;
 use crate::rpc::message::Gossip;
 use crate::rpc::message::News;
-use crate::rpc::message::Pulse;
 use crate::types::Millis;
 use crate::types::MonoTime;
-use crate::types::NodeId;
 use crate::types::Revision;
 
 /// The membership of one process: feed it ticks and messages, send what it gives out.
@@ -80,6 +80,25 @@
         self.local.superseded
     }
 
+    /// The requests under suspicion.
+    #[must_use]
+    pub fn register(&self) -> &Register {
+        &self.local.register
+    }
+
+    /// The requests under suspicion, to note crashes and completions.
+    pub fn register_mut(&mut self) -> &mut Register {
+        &mut self.local.register
+    }
+
+    /// The messages that cannot wait for the next tick; to be asked after each input.
+    pub fn urgent(&mut self, now: MonoTime) -> Vec<Outgoing> {
+        if !self.is_entry() {
+            return Vec::new();
+        }
+        peers::urgent(now, &mut self.local, &mut self.rng)
+    }
+
     /// Sets the catalogue revision that it says it has in force.
     pub fn set_revision(&mut self, revision: Revision) {
         self.local.revision = revision;
@@ -89,9 +108,10 @@
     pub fn tick(&mut self, now: MonoTime) -> Vec<Outgoing> {
         self.note_pause(now);
         self.local.table.forget(now, &self.local.me.domain);
+        self.local.register.expire(now);
         let Local { me, table, .. } = &self.local;
         let strangers = self.contacts.tick(&table.view, me);
-        let ask = |addr| self.probe(Role::Entry, addr);
+        let ask = |addr| self.local.probe(Role::Entry, addr);
         let mut out: Vec<Outgoing> = strangers.into_iter().map(ask).collect();
         if self.is_entry() {
             self.watch_others(now, &mut out);
@@ -105,6 +125,8 @@
 
     /// Takes in a call of another process and gives the answer to return.
     pub fn receive(&mut self, now: MonoTime, call: &Gossip) -> Gossip {
+        let mut suspects = Vec::new();
+        self.local.register.merge(now, &call.suspects);
         let reply = match &call.news {
             News::Heartbeat { member, sum } => {
                 self.merge(now, member.as_deref());
@@ -112,10 +134,15 @@
                 let view = &self.local.table.view;
                 Reply::to_heartbeat(view, domain, call, *sum, &mut self.rng)
             }
-            News::Exchange { pulses, records } => {
+            News::Exchange {
+                pulses,
+                cases,
+                records,
+            } => {
                 self.merge(now, records);
-                self.note_pulses(now, pulses);
-                self.reply_to_exchange(now, pulses)
+                self.local.table.pulses.note_all(now, pulses);
+                suspects = self.local.register.missing(now, *cases, &mut self.rng);
+                Reply::to_exchange(now, &self.local.table, pulses, &mut self.rng)
             }
             News::Repair {
                 domain,
@@ -137,7 +164,10 @@
             }
         };
         self.heard(now, call);
-        self.local.speak(reply.into())
+        Gossip {
+            suspects,
+            ..self.local.speak(reply.into())
+        }
     }
 
     /// Takes in the answer to a call; gives the calls that follow from it.
@@ -154,7 +184,8 @@
         self.heartbeats
             .answered(&answer.sender, &answer.domain, *ask);
         self.merge(now, records);
-        self.note_pulses(now, pulses);
+        self.local.table.pulses.note_all(now, pulses);
+        self.local.register.merge(now, &answer.suspects);
         self.heard(now, answer);
         let Self { local, rng, .. } = self;
         let repair = self
@@ -180,14 +211,10 @@
 
     /// Takes in the platform's list, a lagging witness: it adds and marks, and never kills.
     pub fn vm_list(&mut self, now: MonoTime, list: &[Seed]) -> Vec<Outgoing> {
-        let Local { me, table, .. } = &mut self.local;
-        let is_me = |seed: &&Seed| seed.node == me.node || seed.addr == me.addr;
-        let leaving = list.iter().any(|seed| is_me(&seed) && seed.leaving);
-        table.drop_unlisted(list, &me.node);
-        for seed in list.iter().filter(|seed| !is_me(seed)) {
-            table.merge_seed(now, seed);
+        if self.local.merge_list(now, list) {
+            return self.leave(now);
         }
-        if leaving { self.leave(now) } else { Vec::new() }
+        Vec::new()
     }
 
     fn is_entry(&self) -> bool {
@@ -217,22 +244,11 @@
         for verdict in self.watch.tick(now, &table.view) {
             match verdict {
                 Verdict::Status(node, status) => self.local.table.set_status(now, &node, status),
-                Verdict::Probe(node) => out.extend(self.probe_member(&node)),
+                Verdict::Probe(node) => out.extend(self.local.probe_member(&node)),
             }
         }
     }
 
-    fn probe(&self, role: Role, addr: SocketAddr) -> Outgoing {
-        let sender = Box::new(self.local.me.clone());
-        let news = self.local.speak(News::Probe { sender });
-        Outgoing { role, addr, news }
-    }
-
-    fn probe_member(&self, node: &NodeId) -> Option<Outgoing> {
-        let member = self.view().get(node)?;
-        Some(self.probe(member.role, member.addr))
-    }
-
     fn heartbeat(&mut self, now: MonoTime, out: &mut Vec<Outgoing>) {
         let Local { me, table, .. } = &self.local;
         let watch = self.heartbeats.watch(now, &table.view, me);
@@ -265,21 +281,6 @@
         }
     }
 
-    fn note_pulses(&mut self, now: MonoTime, pulses: &[Pulse]) {
-        for pulse in pulses {
-            self.local.table.pulses.note(now, &pulse.domain, pulse.age);
-        }
-    }
-
-    fn reply_to_exchange(&mut self, now: MonoTime, theirs: &[Pulse]) -> Reply {
-        let table = &self.local.table;
-        Reply {
-            pulses: exchange::pulses(now, &table.view, &table.pulses),
-            detail: exchange::detail(&table.view, theirs, &mut self.rng),
-            ..Reply::default()
-        }
-    }
-
     /// A message of a sender's current life counts as its heartbeat, whatever else it says.
     fn heard(&mut self, now: MonoTime, news: &Gossip) {
         let Some(sender) = self.local.table.view.get(&news.sender) else {
--- a/jujubewind/src/membership/peers.rs
+++ b/jujubewind/src/membership/peers.rs
@@ -7,8 +7,10 @@
 use super::Member;
 use super::Outgoing;
 use super::exchange;
+use super::limits::EAGER;
 use super::limits::FANOUT;
 use super::local::Local;
+use crate::conviction::Suspect;
 use crate::rpc::message::Detail;
 use crate::rpc::message::News;
 use crate::rpc::message::Pulse;
@@ -36,13 +38,20 @@
         let rounds = if self.behind { FANOUT } else { 1 };
         for _ in 0..rounds {
             let pulses = exchange::pulses(now, &local.table.view, &local.table.pulses);
-            let records = take_rumors(local);
-            out.extend(to_peer(local, News::Exchange { pulses, records }, rng));
+            let cases = local.register.sum();
+            let news = News::Exchange {
+                pulses,
+                cases,
+                records: take_rumors(local),
+            };
+            let suspects = local.register.take(now);
+            out.extend(to_peer(local, news, suspects, rng));
         }
         for _ in 0..FANOUT {
             let records = take_rumors(local);
-            if !records.is_empty() {
-                out.extend(to_peer(local, News::Push { records }, rng));
+            let suspects = local.register.take(now);
+            if !records.is_empty() || !suspects.is_empty() {
+                out.extend(to_peer(local, News::Push { records }, suspects, rng));
             }
         }
         out
@@ -66,16 +75,38 @@
     }
 }
 
+/// What cannot wait for the next period: new suspects, and members that begin to leave.
+pub(super) fn urgent(now: MonoTime, local: &mut Local, rng: &mut impl Rng) -> Vec<Outgoing> {
+    let entries = local.table.view.entries().count();
+    let suspects = local.register.take_urgent(now, entries);
+    let records = local.table.take_urgent();
+    if suspects.is_empty() && records.is_empty() {
+        return Vec::new();
+    }
+    let push = |_| {
+        let records = records.clone();
+        to_peer(local, News::Push { records }, suspects.clone(), rng)
+    };
+    (0..EAGER).filter_map(push).collect()
+}
+
 fn take_rumors(local: &mut Local) -> Vec<Member> {
     let table = &mut local.table;
     table.rumors.take(&table.view)
 }
 
-fn to_peer(local: &Local, news: News, rng: &mut impl Rng) -> Option<Outgoing> {
+fn to_peer(
+    local: &Local,
+    news: News,
+    suspects: Vec<Suspect>,
+    rng: &mut impl Rng,
+) -> Option<Outgoing> {
     let near = rng.random_bool(NEAR_SHARE);
     let Local { me, table, .. } = local;
     let others = || table.view.entries().filter(|entry| entry.node != me.node);
     let siblings = others().filter(|entry| near && entry.domain == me.domain);
     let peer = siblings.choose(rng).or_else(|| others().choose(rng));
-    peer.map(|peer| local.send(peer, news))
+    let mut call = local.send(peer?, news);
+    call.news.suspects = suspects;
+    Some(call)
 }
--- a/jujubewind/src/membership/pulses.rs
+++ b/jujubewind/src/membership/pulses.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::limits::DOMAIN_SILENCE;
+use crate::rpc::message::Pulse;
 use crate::types::DomainId;
 use crate::types::Millis;
 use crate::types::MonoTime;
@@ -25,6 +26,13 @@
         *last = seen.max(*last);
     }
 
+    /// Notes what another entry knows.
+    pub(super) fn note_all(&mut self, now: MonoTime, pulses: &[Pulse]) {
+        for pulse in pulses {
+            self.note(now, &pulse.domain, pulse.age);
+        }
+    }
+
     /// How long ago `domain` gave a sign of life; zero if it was never heard of.
     pub(super) fn age(&self, now: MonoTime, domain: &DomainId) -> Millis {
         self.last
--- a/jujubewind/src/membership/reply.rs
+++ b/jujubewind/src/membership/reply.rs
@@ -10,11 +10,13 @@
 use super::View;
 use super::exchange;
 use super::heartbeats::entry_sum;
+use super::table::Table;
 use crate::rpc::message::Detail;
 use crate::rpc::message::Gossip;
 use crate::rpc::message::News;
 use crate::rpc::message::Pulse;
 use crate::types::DomainId;
+use crate::types::MonoTime;
 
 /// One in so many heartbeats is answered with an entry of another failure domain.
 const FOREIGN_SHARE: u32 = 8;
@@ -67,6 +69,20 @@
         }
         reply
     }
+
+    /// The answer to an exchange: what this side has, and where it differs.
+    pub(super) fn to_exchange(
+        now: MonoTime,
+        table: &Table,
+        theirs: &[Pulse],
+        rng: &mut impl Rng,
+    ) -> Self {
+        Self {
+            pulses: exchange::pulses(now, &table.view, &table.pulses),
+            detail: exchange::detail(&table.view, theirs, rng),
+            ..Self::default()
+        }
+    }
 }
 
 impl From<Reply> for News {
--- a/jujubewind/src/membership/table.rs
+++ b/jujubewind/src/membership/table.rs
@@ -1,6 +1,7 @@
 //! The records a process holds, with what it still has to tell of them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use super::Member;
 use super::Role;
@@ -8,6 +9,7 @@
 use super::Status;
 use super::View;
 use super::limits::FORGET;
+use super::limits::MAX_RECORDS;
 use super::pulses::Pulses;
 use super::rumors::Rumors;
 use crate::types::DomainId;
@@ -22,6 +24,7 @@
     pub(super) pulses: Pulses,
     role: Role,
     touched: BTreeMap<NodeId, MonoTime>,
+    urgent: BTreeSet<NodeId>,
 }
 
 impl Table {
@@ -33,12 +36,17 @@
             pulses: Pulses::default(),
             role,
             touched: BTreeMap::new(),
+            urgent: BTreeSet::new(),
         }
     }
 
     /// Merges one record in and starts telling of it if it is news.
     pub(super) fn merge(&mut self, now: MonoTime, record: &Member) {
+        let stayed = self.view.get(&record.node).is_some_and(|m| !m.leaving);
         let changed = self.view.merge(record);
+        if stayed && record.leaving && self.urgent.len() < MAX_RECORDS {
+            self.urgent.insert(record.node.clone());
+        }
         if changed || self.role == Role::Agent {
             self.touched.insert(record.node.clone(), now);
         }
@@ -48,6 +56,13 @@
         }
     }
 
+    /// The members that began to leave since the last call.
+    pub(super) fn take_urgent(&mut self) -> Vec<Member> {
+        let nodes = std::mem::take(&mut self.urgent);
+        let records = nodes.iter().filter_map(|node| self.view.get(node));
+        records.cloned().collect()
+    }
+
     /// Raises the doubt about a member, if nothing newer is known.
     pub(super) fn set_status(&mut self, now: MonoTime, node: &NodeId, status: Status) {
         if let Some(known) = self.view.get(node) {
--- a/jujubewind/src/rpc/message/gossip.rs
+++ b/jujubewind/src/rpc/message/gossip.rs
@@ -1,5 +1,6 @@
 //! News between processes that share state.
 
+use crate::conviction::Suspect;
 use crate::membership::Member;
 use crate::types::DomainId;
 use crate::types::Incarnation;
@@ -20,6 +21,8 @@
         pub domain: DomainId,
         /// The catalogue revision it has in force.
         pub revision: Revision,
+        /// Requests under suspicion of crashing backend servers.
+        pub suspects: Vec<Suspect>,
         /// What it has to say.
         pub news: News,
     }
@@ -37,6 +40,8 @@
         Exchange {
             /// What it has of each failure domain.
             pulses: Vec<Pulse>,
+            /// The digest of the requests it suspects.
+            cases: u64,
             /// Records that changed lately.
             records: Vec<Member>,
         },
--- a/jujubewind/tests/fleet/mod.rs
+++ b/jujubewind/tests/control/fleet.rs
@@ -114,21 +114,37 @@
         }
     }
 
+    /// Puts on the network what process `from` does not let wait.
+    pub fn post_urgent(&mut self, from: usize) {
+        let calls = self.machines[from].urgent(self.now);
+        self.post(from, calls);
+    }
+
     /// Runs for `seconds` of virtual time.
     pub fn run(&mut self, seconds: usize) {
         self.run_counting(seconds, |_, _, _| {});
     }
 
+    /// Runs for `steps` tenths of a second.
+    pub fn run_steps(&mut self, steps: usize) {
+        self.run_steps_counting(steps, &mut |_, _, _| {});
+    }
+
     /// Runs for `seconds`, telling `count` of each message: sender, receiver and content.
     pub fn run_counting(&mut self, seconds: usize, mut count: impl FnMut(usize, usize, &Gossip)) {
-        for _ in 0..seconds * STEPS {
+        self.run_steps_counting(seconds * STEPS, &mut count);
+    }
+
+    fn run_steps_counting(&mut self, steps: usize, count: &mut impl FnMut(usize, usize, &Gossip)) {
+        for _ in 0..steps {
             self.now = self.now.after(STEP);
-            self.deliver(&mut count);
+            self.deliver(count);
             let turn = self.steps % STEPS;
             for number in (turn..self.machines.len()).step_by(STEPS) {
                 if !self.down.contains(&number) {
                     let calls = self.machines[number].tick(self.now);
                     self.post(number, calls);
+                    self.post_urgent(number);
                 }
             }
             self.steps += 1;
@@ -167,10 +183,12 @@
                 Message::Call(news) => {
                     let answer = self.machines[to].receive(self.now, &news);
                     self.flying.push((to, from, Message::Answer(answer)));
+                    self.post_urgent(to);
                 }
                 Message::Answer(news) => {
                     let calls = self.machines[to].answered(self.now, &news);
                     self.post(to, calls);
+                    self.post_urgent(to);
                 }
             }
         }
--- a/jujubewind/tests/membership.rs
+++ b/jujubewind/tests/control/membership.rs
@@ -1,18 +1,17 @@
 //! Who is seen as there, leaving or dead, under crashes, cuts and a lagging list.
 
-mod fleet;
-
 use std::collections::BTreeSet;
 
-use fleet::Fleet;
-use fleet::member;
-use fleet::seed;
 use jujubewind::membership::Machine;
 use jujubewind::membership::Role;
 use jujubewind::membership::Status;
 use jujubewind::types::Incarnation;
 use jujubewind::types::NodeId;
 
+use super::fleet::Fleet;
+use super::fleet::member;
+use super::fleet::seed;
+
 const SEEDS: std::ops::Range<u64> = 0..4;
 const ENTRIES: usize = 21;
 const AGENTS: usize = 60;
