--- /dev/null
+++ b/emulator/src/experiment/mod.rs
@@ -0,0 +1,30 @@
+//! Policies of routing and scheduling compared in virtual time.
+//!
+//! Routers, schedulers and engine cores exchange events with link delays; every run follows from
+//! its seed. Plain services are left out: they share nothing with the engines.
+
+mod arrival;
+mod fleet;
+mod links;
+mod mix;
+mod number;
+mod outcome;
+mod plot;
+mod policy;
+mod pool;
+mod queue;
+mod report;
+mod simulation;
+mod site;
+mod worker;
+
+pub use arrival::Arrival;
+pub use mix::Mix;
+pub use outcome::Outcome;
+pub use plot::plot;
+pub use policy::Policy;
+pub use report::Decade;
+pub use report::Report;
+pub use simulation::Run;
+pub use simulation::simulate;
+pub use site::Site;
--- /dev/null
+++ b/emulator/src/experiment/policy.rs
@@ -0,0 +1,72 @@
+//! The policies compared.
+
+use jujubewind::scheduler::Order;
+use jujubewind::scheduler::Settings;
+use jujubewind::types::Millis;
+use jujubewind::types::Tokens;
+
+/// Memory of an engine, in tokens of KV cache.
+pub const CAPACITY: Tokens = Tokens(400_000);
+
+/// The length from which baselines treat a prompt as long.
+pub const LONG: Tokens = Tokens(32_768);
+
+/// Batch slots of an engine.
+const SLOTS: usize = 64;
+
+/// Longer than any run, as nothing fails in these runs.
+const TTL: Millis = Millis(100_000_000);
+
+jujubewind::label! {
+    /// Who decides where and when requests run.
+    pub enum Policy {
+        /// Quotes from a few agents; shortest remaining prefill with laxity.
+        Ours = "quotes+laxity",
+        /// Each engine in turn, first come first served.
+        RoundRobin = "round-robin+fcfs",
+        /// The engine with the fewest requests in reports a second old, first come first served.
+        LeastLoaded = "least-loaded+fcfs",
+        /// Engines of their own for short prompts; in each pool the exact shortest queue.
+        Partition = "length-partition",
+        /// As the partition, but engines for long prompts help with short ones above a threshold
+        /// and put them first, with preemption and resumption.
+        Threshold = "threshold-resume",
+    }
+}
+
+impl Policy {
+    /// The engines' settings under this policy.
+    #[must_use]
+    pub fn settings(self) -> Settings {
+        let ours = Settings {
+            ttl: TTL,
+            ..Settings::for_engine(CAPACITY, SLOTS)
+        };
+        let plain = Settings {
+            guard: Tokens::ZERO,
+            spare: 0,
+            window: usize::MAX,
+            longs: usize::MAX,
+            pauses: 0,
+            order: Order::Arrival,
+            fair: false,
+            admission: false,
+            ..ours.clone()
+        };
+        match self {
+            Self::Ours => ours,
+            Self::RoundRobin | Self::LeastLoaded | Self::Partition => plain,
+            Self::Threshold => Settings {
+                order: Order::Shortest,
+                pauses: 3,
+                ..plain
+            },
+        }
+    }
+
+    /// Whether the fleet is split by length.
+    #[must_use]
+    pub const fn splits(self) -> bool {
+        matches!(self, Self::Partition | Self::Threshold)
+    }
+}
--- /dev/null
+++ b/emulator/src/experiment/simulation.rs
@@ -0,0 +1,460 @@
+//! One run: events between clients, entries and agents.
+
+use std::sync::Arc;
+
+use jujubewind::refusal::Reason;
+use jujubewind::refusal::Refusal;
+use jujubewind::retry;
+use jujubewind::retry::RetryBudget;
+use jujubewind::routing::Group;
+use jujubewind::routing::Offer;
+use jujubewind::routing::Request;
+use jujubewind::routing::Settings;
+use jujubewind::routing::Step;
+use jujubewind::rpc::message::QuoteReply;
+use jujubewind::scheduler::Job;
+use jujubewind::types::AttemptId;
+use jujubewind::types::Millis;
+use jujubewind::types::MonoTime;
+use jujubewind::types::NodeId;
+use jujubewind::types::Tokens;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::Arrival;
+use super::Outcome;
+use super::Policy;
+use super::Site;
+use super::fleet;
+use super::fleet::Fleet;
+use super::links;
+use super::links::DOMAINS;
+use super::policy::CAPACITY;
+use super::queue::Queue;
+use super::worker::Notice;
+use crate::engine::core::Prompt;
+
+/// The time between two looks of an agent at its deadlines, and of an entry at its groups.
+const TICK: Millis = Millis(50);
+/// Ticks between two load reports.
+const REPORT: u64 = 20;
+/// How long a part of a group holds by itself.
+const PART_TTL: Millis = Millis(1_000);
+/// Attempt numbers of one request.
+const ATTEMPTS: u128 = 16;
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Whose fleet.
+    pub site: Site,
+    /// Who decides.
+    pub policy: Policy,
+    /// The router's parameters.
+    pub routing: Settings,
+    /// The retry budget's parameters.
+    pub retry: retry::Settings,
+    /// The seed of all choices.
+    pub seed: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Arrive(usize),
+    Ask(usize, Vec<usize>),
+    Pick(usize, Vec<Offer>),
+    Start(usize, usize),
+    Refused(usize, Refusal),
+    Step(usize),
+    Tick(u64),
+}
+
+#[derive(Debug)]
+struct Pending {
+    attempt: u128,
+    tried: Vec<NodeId>,
+    parts: u64,
+    group: Option<Group>,
+}
+
+struct Simulation<'a> {
+    run: &'a Run,
+    arrivals: &'a [Arrival],
+    fleet: Fleet,
+    queue: Queue<Event>,
+    due: Vec<MonoTime>,
+    pending: Vec<Pending>,
+    outcomes: Vec<Outcome>,
+    budgets: Vec<RetryBudget>,
+    rng: StdRng,
+    open: usize,
+}
+
+/// Runs `arrivals` to their ends and tells what became of each.
+#[must_use]
+pub fn simulate(run: &Run, arrivals: &[Arrival]) -> Vec<Outcome> {
+    let mut simulation = Simulation::new(run, arrivals);
+    while simulation.open > 0 {
+        let Some((now, event)) = simulation.queue.pop() else {
+            break;
+        };
+        simulation.handle(now, event);
+    }
+    simulation.outcomes
+}
+
+impl<'a> Simulation<'a> {
+    fn new(run: &'a Run, arrivals: &'a [Arrival]) -> Self {
+        let mut queue = Queue::new();
+        for (id, arrival) in arrivals.iter().enumerate() {
+            queue.push(links::to_client(arrival.at), Event::Arrive(id));
+        }
+        queue.push(MonoTime::ZERO, Event::Tick(0));
+        Self {
+            run,
+            arrivals,
+            fleet: Fleet::new(run.policy, run.site, &run.routing),
+            queue,
+            due: vec![MonoTime::NEVER; run.site.engines()],
+            pending: (0..arrivals.len())
+                .map(|id| pending(&arrivals[id]))
+                .collect(),
+            outcomes: vec![Outcome::default(); arrivals.len()],
+            budgets: vec![RetryBudget::new(run.retry.clone()); DOMAINS],
+            rng: StdRng::seed_from_u64(run.seed),
+            open: arrivals.len(),
+        }
+    }
+
+    fn handle(&mut self, now: MonoTime, event: Event) {
+        match event {
+            Event::Arrive(id) => {
+                self.budgets[self.arrivals[id].entry].request();
+                self.route(now, id);
+            }
+            Event::Ask(id, engines) => self.ask(now, id, &engines),
+            Event::Pick(id, offers) => self.pick(now, id, &offers),
+            Event::Start(id, engine) => self.start(now, id, engine),
+            Event::Refused(id, refusal) => self.refused(now, id, refusal),
+            Event::Step(engine) => {
+                if self.due[engine] == now {
+                    self.due[engine] = MonoTime::NEVER;
+                    self.advance(now, engine);
+                }
+            }
+            Event::Tick(count) => self.tick(now, count),
+        }
+    }
+
+    fn tick(&mut self, now: MonoTime, count: u64) {
+        if count.is_multiple_of(REPORT) {
+            self.fleet.report();
+        }
+        for engine in 0..self.fleet.workers.len() {
+            self.advance(now, engine);
+        }
+        for id in 0..self.pending.len() {
+            if let Some(mut group) = self.pending[id].group.take() {
+                let steps = group.poll(now);
+                self.pending[id].group = Some(group);
+                self.carry_out(now, id, steps);
+            }
+        }
+        self.queue.push(now.after(TICK), Event::Tick(count + 1));
+    }
+
+    fn route(&mut self, now: MonoTime, id: usize) {
+        let arrival = &self.arrivals[id];
+        self.pending[id].attempt += 1;
+        let parts = super::number::index(self.pending[id].parts);
+        if self.run.policy != Policy::Ours {
+            let engines = self.fleet.assign(arrival, parts, &mut self.rng);
+            self.dispatch(now, id, &engines);
+            return;
+        }
+        let request = Request {
+            org: &arrival.org,
+            model: &fleet::model(),
+            class: arrival.class,
+            prompt: arrival.prompt,
+            blocks: &arrival.blocks,
+        };
+        let router = &self.fleet.routers[arrival.entry];
+        let tried = &self.pending[id].tried;
+        let nodes = router.choose(&self.fleet.members, &request, tried, &mut self.rng);
+        let engines: Vec<usize> = nodes.iter().map(fleet::number).collect();
+        self.queue
+            .push(self.slowest(now, id, &engines), Event::Ask(id, engines));
+    }
+
+    fn ask(&mut self, now: MonoTime, id: usize, engines: &[usize]) {
+        let offers = engines
+            .iter()
+            .map(|&engine| self.offer(now, id, engine))
+            .collect();
+        self.queue
+            .push(self.slowest(now, id, engines), Event::Pick(id, offers));
+    }
+
+    fn offer(&mut self, now: MonoTime, id: usize, engine: usize) -> Offer {
+        let job = self.job(now, id, engine);
+        let reply = match self.fleet.workers[engine].scheduler.quote(now, &job) {
+            Ok(estimate) => QuoteReply::Estimate {
+                first: estimate.first,
+                total: estimate.total,
+                cached: estimate.cached,
+            },
+            Err(refusal) => QuoteReply::Refused(refusal),
+        };
+        Offer {
+            node: fleet::node(engine),
+            domain: fleet::domain(engine),
+            reply,
+        }
+    }
+
+    fn pick(&mut self, now: MonoTime, id: usize, offers: &[Offer]) {
+        let arrival = &self.arrivals[id];
+        let router = &self.fleet.routers[arrival.entry];
+        let parts = super::number::index(self.pending[id].parts);
+        let places = if parts > 1 {
+            router.pick_group(arrival.class, offers, parts)
+        } else {
+            let place = router.pick(arrival.class, offers, &mut self.rng);
+            place.map(|place| vec![place])
+        };
+        if let Some(places) = places {
+            let engines: Vec<usize> = places
+                .iter()
+                .map(|&place| fleet::number(&offers[place].node))
+                .collect();
+            self.dispatch(now, id, &engines);
+            return;
+        }
+        for offer in offers {
+            self.pending[id].tried.push(offer.node.clone());
+        }
+        let refusal = offers.iter().find_map(|offer| match &offer.reply {
+            QuoteReply::Refused(refusal) => Some(refusal.clone()),
+            QuoteReply::Estimate { .. } => None,
+        });
+        self.refused(now, id, refusal.unwrap_or_else(nobody));
+    }
+
+    fn dispatch(&mut self, now: MonoTime, id: usize, engines: &[usize]) {
+        if let [engine] = engines {
+            let at = links::across(now, self.arrivals[id].entry, *engine);
+            self.queue.push(at, Event::Start(id, *engine));
+            return;
+        }
+        let nodes: Vec<NodeId> = engines.iter().map(|&engine| fleet::node(engine)).collect();
+        let deadline = self.deadline(id);
+        let mut group = Group::new(&nodes, self.part(id), PART_TTL, deadline);
+        let steps = group.poll(now);
+        self.pending[id].group = Some(group);
+        self.carry_out(now, id, steps);
+    }
+
+    /// Messages about groups take no time here; their answers come before the next tick.
+    fn carry_out(&mut self, now: MonoTime, id: usize, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Reserve { node, amount, ttl } => self.reserve(now, id, &node, amount, ttl),
+                Step::Release { node } => self.release(now, id, &node),
+                Step::Ready { nodes } => self.start(now, id, fleet::number(&nodes[0])),
+                Step::Failed(refusal) => {
+                    self.pending[id].group = None;
+                    self.refused(now, id, refusal);
+                }
+            }
+        }
+    }
+
+    fn reserve(&mut self, now: MonoTime, id: usize, node: &NodeId, amount: Tokens, ttl: Millis) {
+        let attempt = self.attempt(id);
+        let worker = &mut self.fleet.workers[fleet::number(node)];
+        let held = worker
+            .scheduler
+            .hold(now, attempt, amount, ttl)
+            .and_then(|()| {
+                let part = worker
+                    .core
+                    .reserve_part(now, &attempt.to_string(), amount, ttl);
+                part.map_err(|_| busy())
+            });
+        let Some(mut group) = self.pending[id].group.take() else {
+            return;
+        };
+        let steps = match held {
+            Ok(()) => group.granted(now, node),
+            Err(refusal) => group.refused(now, node, refusal),
+        };
+        self.pending[id].group = Some(group);
+        self.carry_out(now, id, steps);
+    }
+
+    fn release(&mut self, now: MonoTime, id: usize, node: &NodeId) {
+        let attempt = self.attempt(id);
+        let engine = fleet::number(node);
+        let worker = &mut self.fleet.workers[engine];
+        worker.scheduler.cancel(now, attempt);
+        // An unknown part was never granted, or has expired.
+        let _ = worker.core.release_part(now, &attempt.to_string());
+        self.advance(now, engine);
+    }
+
+    fn start(&mut self, now: MonoTime, id: usize, engine: usize) {
+        let arrival = &self.arrivals[id];
+        let job = self.job(now, id, engine);
+        let group = self.pending[id].group.is_some();
+        let group = group.then(|| self.attempt(id).to_string());
+        let blocks: Arc<[u64]> = arrival.blocks.clone();
+        let answer = arrival.answer.get();
+        let prompt = Prompt::synthetic(id as u64, arrival.prompt, blocks, answer);
+        self.outcomes[id].attempts += 1;
+        self.outcomes[id].parts = self.pending[id].parts;
+        let started = self.fleet.workers[engine].start(now, job, prompt, group);
+        match started {
+            Ok(()) => self.advance(now, engine),
+            Err(refusal) => {
+                self.pending[id].tried.push(fleet::node(engine));
+                let back = links::across(now, self.arrivals[id].entry, engine);
+                self.queue.push(back, Event::Refused(id, refusal));
+            }
+        }
+    }
+
+    fn refused(&mut self, now: MonoTime, id: usize, refusal: Refusal) {
+        if let Some(mut group) = self.pending[id].group.take() {
+            let steps = group.cancel();
+            for step in steps {
+                if let Step::Release { node } = step {
+                    self.release(now, id, &node);
+                }
+            }
+        }
+        let attempts = u32::try_from(self.pending[id].attempt).unwrap_or(u32::MAX);
+        let budget = &mut self.budgets[self.arrivals[id].entry];
+        if self.run.policy == Policy::Ours && budget.retry(now, attempts).is_ok() {
+            self.route(now, id);
+            return;
+        }
+        self.outcomes[id].refused = Some((links::to_client(now), refusal.reason));
+        self.open -= 1;
+    }
+
+    fn advance(&mut self, now: MonoTime, engine: usize) {
+        let notices = self.fleet.workers[engine].advance(now);
+        for notice in notices {
+            self.notice(now, engine, &notice);
+        }
+        let next = self.fleet.workers[engine].core.next_event();
+        if next < self.due[engine] {
+            self.due[engine] = next;
+            self.queue.push(next, Event::Step(engine));
+        }
+    }
+
+    fn notice(&mut self, now: MonoTime, engine: usize, notice: &Notice) {
+        let (Notice::First(attempt) | Notice::Done(attempt, _) | Notice::Ended(attempt, _)) =
+            notice;
+        let (id, seen) = self.seen(now, engine, *attempt);
+        if self.outcomes[id].is_over() || *attempt != self.attempt(id) {
+            return;
+        }
+        let outcome = &mut self.outcomes[id];
+        match notice {
+            Notice::First(_) => {
+                outcome.first.get_or_insert(seen);
+                return;
+            }
+            Notice::Done(_, cached) => {
+                outcome.done = Some(seen);
+                outcome.cached = *cached;
+            }
+            Notice::Ended(_, reason) => outcome.refused = Some((seen, *reason)),
+        }
+        self.open -= 1;
+        self.end_group(now, id);
+    }
+
+    fn end_group(&mut self, now: MonoTime, id: usize) {
+        if let Some(mut group) = self.pending[id].group.take() {
+            for step in group.cancel() {
+                if let Step::Release { node } = step {
+                    self.release(now, id, &node);
+                }
+            }
+        }
+    }
+
+    fn seen(&self, now: MonoTime, engine: usize, attempt: AttemptId) -> (usize, MonoTime) {
+        let number = u128::from_str_radix(&attempt.to_string(), 16).unwrap_or(0);
+        let id = usize::try_from(number / ATTEMPTS).unwrap_or(0);
+        let at = links::across(now, self.arrivals[id].entry, engine);
+        (id, links::to_client(at))
+    }
+
+    fn attempt(&self, id: usize) -> AttemptId {
+        AttemptId::from_number(id as u128 * ATTEMPTS + self.pending[id].attempt)
+    }
+
+    fn job(&mut self, now: MonoTime, id: usize, engine: usize) -> Job {
+        let arrival = &self.arrivals[id];
+        let cached = self.fleet.workers[engine].cached(now, &arrival.blocks);
+        Job {
+            attempt: self.attempt(id),
+            org: arrival.org.clone(),
+            class: arrival.class,
+            prompt: arrival.prompt,
+            cached,
+            output: arrival.output,
+            parts: self.pending[id].parts,
+            remaining: self.deadline(id).since(now),
+        }
+    }
+
+    fn part(&self, id: usize) -> Tokens {
+        let arrival = &self.arrivals[id];
+        let whole = arrival.prompt.saturating_add(arrival.output).get();
+        Tokens(whole.div_ceil(self.pending[id].parts))
+    }
+
+    fn deadline(&self, id: usize) -> MonoTime {
+        self.arrivals[id].at.after(self.arrivals[id].allowed)
+    }
+
+    fn slowest(&self, now: MonoTime, id: usize, engines: &[usize]) -> MonoTime {
+        let entry = self.arrivals[id].entry;
+        let times = engines
+            .iter()
+            .map(|&engine| links::across(now, entry, engine));
+        times.max().unwrap_or(now)
+    }
+}
+
+/// A prompt that would not leave the short work's memory free is spread over several engines.
+fn pending(arrival: &Arrival) -> Pending {
+    let whole = arrival.prompt.saturating_add(arrival.output).get();
+    let part = CAPACITY.get() - CAPACITY.get() / 8;
+    Pending {
+        attempt: 0,
+        tried: Vec::new(),
+        parts: whole.div_ceil(part),
+        group: None,
+    }
+}
+
+fn busy() -> Refusal {
+    Refusal {
+        reason: Reason::NoMemory,
+        retry: TICK,
+    }
+}
+
+fn nobody() -> Refusal {
+    Refusal {
+        reason: Reason::NoBackend,
+        retry: TICK,
+    }
+}
--- a/jujubewind/src/scheduler/placement.rs
+++ b/jujubewind/src/scheduler/placement.rs
@@ -1,6 +1,7 @@
 //! Handing work to the engine, and pausing work that is in the way.
 
 use super::Action;
+use super::Order;
 use super::Phase;
 use super::Place;
 use super::rank::Rank;
@@ -45,7 +46,7 @@
         let mut blocked = self.state.wish.is_some();
         for (rank, attempt) in self.queue() {
             let long = self.is_long(attempt);
-            if long && blocked {
+            if blocked && (long || self.is_strict()) {
                 continue;
             }
             match self.try_place(rank, attempt, long) {
@@ -57,6 +58,11 @@
         self.actions
     }
 
+    /// Whether nothing may overtake what came before it.
+    fn is_strict(&self) -> bool {
+        self.state.settings.order == Order::Arrival
+    }
+
     fn queue(&self) -> Vec<(Rank, AttemptId)> {
         let waits = |task: &&Task| matches!(task.phase, Phase::Waiting | Phase::Paused);
         let mut queue: Vec<(Rank, AttemptId)> = self
@@ -71,7 +77,7 @@
     }
 
     fn try_place(&mut self, rank: Rank, attempt: AttemptId, long: bool) -> Outcome {
-        let full = if long {
+        let full = if long && !self.is_strict() {
             Outcome::Blocked
         } else {
             Outcome::Full
--- a/jujubewind/src/scheduler/scheduler.rs
+++ b/jujubewind/src/scheduler/scheduler.rs
@@ -63,7 +63,7 @@
             return refuse(Reason::QueueFull, QUEUE_RETRY);
         }
         let estimate = Forecast::new(&self.state, now).estimate(job);
-        if estimate.total > job.remaining {
+        if settings.admission && estimate.total > job.remaining {
             let over = estimate.total.saturating_sub(job.remaining);
             return refuse(Reason::NoTime, over);
         }
--- a/jujubewind/src/scheduler/settings.rs
+++ b/jujubewind/src/scheduler/settings.rs
@@ -31,6 +31,8 @@
         pub ttl: Millis,
         /// How often one attempt may be paused.
         pub pauses: u32,
+        /// Whether work that is not predicted to end in time is refused.
+        pub admission: bool,
         /// Whether organisations above their share go later.
         pub fair: bool,
     }
@@ -53,6 +55,7 @@
             order: Order::Laxity,
             ttl: Millis(10_000),
             pauses: 3,
+            admission: true,
             fair: true,
         }
     }
