Read and check the operators' catalogue

Entries need an owner, a class, a target and limits, whole or refused. Weighed: keeping keys in a list of organisations apart; left out, since an organisation exists only through its entries. A key opens all entries of its owner, and may not belong to two.

Every fault is told with file, line, key and remedy. Beyond the shape: clashing names, models and keys, limits out of range, limits that do not apply, an organisation nobody could use, entries that differ on whether a method is idempotent, and parts too large for one store value.

Catalogue has a short Debug: with the checks switched off for a trial, a failing test printed gigabytes of nested parts.

--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -6,6 +6,7 @@
 #[macro_use]
 pub mod util;
 
+pub mod catalogue;
 pub mod chart;
 pub mod prefix;
 pub mod refusal;
--- /dev/null
+++ b/jujubewind/tests/catalogue/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the catalogue.
+
+mod examples;
+mod fixture;
+mod lookups;
+mod refusals;
