--- /dev/null
+++ b/emulator/src/cli/run.rs
@@ -0,0 +1,134 @@
+//! Carries out a command.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::time::SystemTime;
+
+use anyhow::Context;
+use compio::runtime::Runtime;
+use jujubewind::wire::platform::Vm;
+use jujubewind::wire::platform::VmList;
+
+use super::Command;
+use super::options::EngineCommand;
+use super::options::LoadCommand;
+use super::options::PlatformCommand;
+use crate::engine::EngineOptions;
+use crate::engine::core::EngineConfig;
+use crate::load::LoadPlan;
+use crate::load::Target;
+use crate::platform::PlatformFaults;
+use crate::platform::PlatformOptions;
+use crate::service::ServiceFaults;
+
+/// Carries out `command`; a stand-in serves until the process is ended.
+///
+/// # Errors
+/// The address cannot be listened on.
+pub fn run(command: Command) -> anyhow::Result<()> {
+    match command {
+        Command::Engine(command) => {
+            let options = engine_options(&command);
+            serve(command.listen, |listener| {
+                crate::engine::serve(listener, options)
+            })
+        }
+        Command::Load(command) => put_load(command),
+        Command::Platform(command) => {
+            let options = platform_options(&command)?;
+            serve(command.listen, |listener| {
+                crate::platform::serve(listener, options)
+            })
+        }
+        Command::Service(command) => {
+            let faults = ServiceFaults {
+                delay_ms: command.delay,
+                ..ServiceFaults::default()
+            };
+            serve(command.listen, |listener| {
+                crate::service::serve(listener, faults)
+            })
+        }
+    }
+}
+
+fn serve<F>(addr: SocketAddr, serve: impl FnOnce(TcpListener) -> F) -> anyhow::Result<()>
+where
+    F: Future<Output = io::Result<()>>,
+{
+    let listener = TcpListener::bind(addr)
+        .with_context(|| format!("cannot listen on {addr}: choose another address"))?;
+    println!("listening addr={}", listener.local_addr()?);
+    let runtime = Runtime::new().context("cannot start the runtime")?;
+    runtime.block_on(serve(listener))?;
+    Ok(())
+}
+
+/// Puts the load on and prints the report; an answer that is cut or wrong is an error.
+fn put_load(command: LoadCommand) -> anyhow::Result<()> {
+    let plan = LoadPlan {
+        count: command.count,
+        seed: command.seed,
+        rate: command.rate,
+        lengths: command.lengths,
+        max_tokens: command.max_tokens,
+    };
+    let target = Target {
+        url: command.target,
+        key: command.key,
+        model: command.model,
+    };
+    let runtime = Runtime::new().context("cannot start the runtime")?;
+    let report = runtime.block_on(crate::load::run(target, plan))?;
+    print!("{report}");
+    let wrong = report.wrong();
+    anyhow::ensure!(
+        wrong == 0,
+        "{wrong} answers were cut or wrong: see the log of the entry"
+    );
+    Ok(())
+}
+
+fn engine_options(command: &EngineCommand) -> EngineOptions {
+    EngineOptions {
+        config: EngineConfig {
+            models: command.model.clone(),
+            capacity: command.capacity,
+            batch: command.batch,
+            restart: command.restart,
+            ..EngineConfig::default()
+        },
+        incarnation: start_number(),
+        speed: command.speed,
+        exit_on_crash: command.exit_on_crash,
+    }
+}
+
+fn platform_options(command: &PlatformCommand) -> anyhow::Result<PlatformOptions> {
+    let vms = command.vms.as_deref().map(read_vms).transpose()?;
+    Ok(PlatformOptions {
+        writes: command.writes,
+        reads: command.reads,
+        vms: vms.unwrap_or_default(),
+        faults: PlatformFaults {
+            vm_lag_ms: command.vm_lag,
+            ..PlatformFaults::default()
+        },
+    })
+}
+
+fn read_vms(path: &Path) -> anyhow::Result<Vec<Vm>> {
+    let text = std::fs::read(path).with_context(|| format!("cannot read {}", path.display()))?;
+    let list: VmList = serde_json::from_slice(&text)
+        .with_context(|| format!("{} is no list of VMs", path.display()))?;
+    Ok(list.vms)
+}
+
+/// A number that rises from start to start: the machine keeps nothing else.
+fn start_number() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(1, |span| u64::try_from(span.as_millis()).unwrap_or(1))
+}
--- /dev/null
+++ b/jujubewind/src/agent/engine_client.rs
@@ -0,0 +1,229 @@
+//! The agent's side of the engine's HTTP interface.
+
+use std::net::SocketAddr;
+
+use cyper::Client;
+use cyper::Response;
+use flume::Sender;
+use futures::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::EngineEvent;
+use super::error::Error;
+use super::error::Result;
+use super::message::Message;
+use crate::http::EventParser;
+use crate::rpc::message::Finish;
+use crate::rpc::message::Start;
+use crate::types::AttemptId;
+use crate::types::Tokens;
+use crate::wire::engine::CacheEvents;
+use crate::wire::engine::CancelRequest;
+use crate::wire::engine::CancelResult;
+use crate::wire::engine::Empty;
+use crate::wire::engine::GenerateEvent;
+use crate::wire::engine::GenerateRequest;
+use crate::wire::engine::KvExport;
+use crate::wire::engine::KvHandle;
+use crate::wire::engine::KvRequest;
+use crate::wire::engine::SequenceList;
+
+/// The event that closes a stream.
+const DONE: &str = "[DONE]";
+
+/// Speaks to one engine; a clone shares its connections.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    http: Client,
+    base: String,
+    messages: Sender<Message>,
+}
+
+impl EngineClient {
+    /// Makes a client of the engine at `addr` that reports to `messages`.
+    ///
+    /// # Errors
+    /// The HTTP client cannot be set up.
+    pub fn new(addr: SocketAddr, messages: Sender<Message>) -> Result<Self> {
+        Ok(Self {
+            http: Client::new()?,
+            base: format!("http://{addr}"),
+            messages,
+        })
+    }
+
+    /// Runs one attempt and reports its tokens and its end.
+    pub async fn generate(self, start: Start, priority: u8) {
+        let attempt = start.quote.envelope.attempt;
+        let ended = match self.stream(&start, priority).await {
+            Ok(ended) => ended,
+            Err(error) => {
+                crate::event!(warn, "engine_failed", attempt = attempt, error = error);
+                false
+            }
+        };
+        if !ended {
+            let died = self.sequences().await.is_err();
+            self.report(attempt, EngineEvent::Failed { died }).await;
+        }
+    }
+
+    /// Asks the engine to stop a sequence; the listing repairs a lost request.
+    pub async fn cancel(self, attempt: AttemptId) {
+        let request = CancelRequest {
+            request_id: attempt.to_string(),
+        };
+        match self.post::<_, CancelResult>("/v1/cancel", &request).await {
+            Ok(_) => self.report(attempt, EngineEvent::Stopped).await,
+            Err(error) => {
+                crate::event!(warn, "cancel_failed", attempt = attempt, error = error);
+            }
+        }
+    }
+
+    /// Exports a sequence's KV cache, which pauses it.
+    pub async fn export(self, attempt: AttemptId) {
+        let request = KvExport {
+            request_id: attempt.to_string(),
+        };
+        match self.post::<_, KvHandle>("/v1/kv/export", &request).await {
+            Ok(export) => {
+                let handle = export.handle;
+                self.report(attempt, EngineEvent::Paused { handle }).await;
+            }
+            Err(error) => self.give_up(attempt, &error).await,
+        }
+    }
+
+    /// Imports a sequence's KV cache, which resumes it.
+    pub async fn import(self, attempt: AttemptId, handle: String) {
+        let request = KvRequest { handle };
+        if let Err(error) = self.post::<_, Empty>("/v1/kv/import", &request).await {
+            self.give_up(attempt, &error).await;
+        }
+    }
+
+    /// Reports what the engine lists as its sequences.
+    pub async fn list(self) {
+        if let Ok(list) = self.sequences().await {
+            let _ = self.messages.send_async(Message::Listed(list)).await;
+        }
+    }
+
+    /// Reports the engine's cache events after `seen`.
+    pub async fn cache_events(self, seen: u64) {
+        let path = format!("/v1/cache/events?after={seen}");
+        if let Ok(events) = self.get::<CacheEvents>(&path).await {
+            let _ = self.messages.send_async(Message::Cached(events)).await;
+        }
+    }
+
+    /// Drops an export that nobody will import.
+    pub async fn drop_handle(self, handle: String) {
+        let request = KvRequest { handle };
+        let _ = self.post::<_, Empty>("/v1/kv/drop", &request).await;
+    }
+
+    /// Ends an attempt whose KV cache could not be moved.
+    async fn give_up(&self, attempt: AttemptId, error: &Error) {
+        crate::event!(warn, "kv_move_failed", attempt = attempt, error = error);
+        self.report(attempt, EngineEvent::Failed { died: false })
+            .await;
+        self.clone().cancel(attempt).await;
+    }
+
+    async fn sequences(&self) -> Result<SequenceList> {
+        self.get("/v1/sequences").await
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let url = format!("{}{path}", self.base);
+        let response = self.http.get(url)?.send().await?;
+        Ok(checked(response)?.json().await?)
+    }
+
+    async fn post<B, T>(&self, path: &str, body: &B) -> Result<T>
+    where
+        B: Serialize,
+        T: DeserializeOwned,
+    {
+        let url = format!("{}{path}", self.base);
+        let response = self.http.post(url)?.json(body)?.send().await?;
+        Ok(checked(response)?.json().await?)
+    }
+
+    async fn stream(&self, start: &Start, priority: u8) -> Result<bool> {
+        let attempt = start.quote.envelope.attempt;
+        let url = format!("{}/v1/completions", self.base);
+        let request = self.http.post(url)?.json(&request(start, priority))?;
+        let response = checked(request.send().await?)?;
+        let mut bytes = response.bytes_stream();
+        let mut parser = EventParser::default();
+        while let Some(part) = bytes.next().await {
+            for data in parser.push(part?.as_ref()) {
+                if data == DONE {
+                    continue;
+                }
+                let Ok(event) = serde_json::from_str::<GenerateEvent>(&data) else {
+                    return Ok(false);
+                };
+                if self.relay(attempt, event).await {
+                    return Ok(true);
+                }
+            }
+        }
+        Ok(false)
+    }
+
+    /// Reports one event of the stream and says whether it was the last.
+    async fn relay(&self, attempt: AttemptId, event: GenerateEvent) -> bool {
+        if event.request_id != attempt.to_string() {
+            return false;
+        }
+        let offset = Tokens(event.offset);
+        let finish = event.finish_reason.as_deref();
+        let finish = finish.and_then(|text| text.parse::<Finish>().ok());
+        let mut count = offset;
+        if !event.text.is_empty() {
+            count = offset.saturating_add(Tokens(1));
+            let text = event.text;
+            self.report(attempt, EngineEvent::Token { offset, text })
+                .await;
+        }
+        let Some(finish) = finish else {
+            return false;
+        };
+        self.report(attempt, EngineEvent::End { finish, count })
+            .await;
+        true
+    }
+
+    async fn report(&self, attempt: AttemptId, event: EngineEvent) {
+        let _ = self
+            .messages
+            .send_async(Message::Engine(attempt, event))
+            .await;
+    }
+}
+
+fn checked(response: Response) -> Result<Response> {
+    if response.status().is_success() {
+        Ok(response)
+    } else {
+        Err(Error::Status(response.status()))
+    }
+}
+
+fn request(start: &Start, priority: u8) -> GenerateRequest {
+    let quote = &start.quote;
+    GenerateRequest {
+        model: quote.model.to_string(),
+        prompt: start.text.clone(),
+        max_tokens: quote.output.get(),
+        priority: i64::from(priority),
+        request_id: quote.envelope.attempt.to_string(),
+        offset: start.offset.get(),
+        group: None,
+    }
+}
--- /dev/null
+++ b/jujubewind/src/agent/mod.rs
@@ -0,0 +1,24 @@
+//! The agent: the one process that speaks to the backend server beside it.
+
+mod admin;
+mod attempt;
+mod cached_blocks;
+mod calls;
+mod command;
+mod core;
+mod daemon;
+mod engine_client;
+mod error;
+mod event;
+mod listing;
+mod message;
+mod server;
+mod service_client;
+
+pub use command::Command;
+pub use core::Core;
+
+pub use attempt::Attempt;
+pub use attempt::Phase;
+pub use daemon::run;
+pub use event::EngineEvent;
