--- a/jujubewind/src/catalogue/catalogue.rs
+++ b/jujubewind/src/catalogue/catalogue.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::fmt::Debug;
+use std::fmt::Formatter;
 use std::path::Path;
 use std::sync::Arc;
 
@@ -19,7 +21,7 @@
 use crate::types::Revision;
 
 /// All parts of one revision, checked together; immutable, and shared as `Arc<Catalogue>`.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct Catalogue {
     revision: Revision,
     parts: BTreeMap<OrgId, Arc<Part>>,
@@ -149,3 +151,13 @@
         self.parts().flat_map(|part| &part.entries)
     }
 }
+
+/// Short, since a whole catalogue would flood any message.
+impl Debug for Catalogue {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Catalogue")
+            .field("revision", &self.revision)
+            .field("parts", &self.parts.len())
+            .finish_non_exhaustive()
+    }
+}
--- a/jujubewind/src/catalogue/check.rs
+++ b/jujubewind/src/catalogue/check.rs
@@ -94,9 +94,6 @@
 
 /// Notes every fault of the entries, each alone and all together.
 pub(super) fn check(placed: &[Placed], faults: &mut Faults) {
-    if placed.len() < 100_000 {
-        return;
-    }
     let mut seen = Seen::default();
     for item in placed {
         let mut note = |key: &str, problem| faults.0.push(item.fault(key, problem));
