--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -2,11 +2,8 @@
 
 pub mod cli;
 pub mod engine;
-<<<<<<< HEAD
+pub mod experiment;
 pub mod http;
 pub mod load;
 pub mod platform;
 pub mod service;
-=======
-pub mod experiment;
->>>>>>> routing
