Route by membership, and hold limits, retry budget and stops at the entry

Cause: entries polled a fixed list of agents, so a new or restarted one was found only by settings, and no limit, retry budget or graceful stop of an entry existed. A system test failed once under load: it went on when one of two agents was known (until() on a status that did not exist yet); it now waits for both. Change: entries and agents run the membership machine over tarpc; the router chooses whom to ask; limiter, retry budget and the stop's typestate in the control task; half an answer waits for the budget within its time, since cutting it would break the promise, while a request without tokens is refused at once. Conclusion: the fixed list of agents is gone from the settings.

--- a/emulator/tests/system/failures.rs
+++ b/emulator/tests/system/failures.rs
@@ -13,11 +13,8 @@
 
 fn two_engines() -> Fleet {
     let fleet = Fleet::new().speed(10).engine("a").engine("b").entry("e1");
-    fleet.until("both agents serve", |fleet| {
-        fleet.caller("e1").complete("warm up", 1).send().status == 200
-            && fleet.get("e1", "/status")["members"]
-                .as_array()
-                .is_none_or(|m| m.len() >= 2)
+    fleet.until("both agents are known", |fleet| {
+        fleet.agents_known("e1") == 2
     });
     fleet
 }
--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -20,6 +20,8 @@
 
 /// The key of the test organisation's callers.
 pub const KEY: &str = "acme-key";
+/// The entries a fleet can have; all processes are told where they would be.
+const ENTRIES: [&str; 3] = ["e1", "e2", "e3"];
 /// How long a test waits for a condition before it fails.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// How often a condition is looked at.
@@ -45,7 +47,7 @@
         let [high, low] = u16::try_from(std::process::id() % 0xfffe)
             .unwrap_or(1)
             .to_be_bytes();
-        let fleet = Self {
+        let mut fleet = Self {
             ip: Ipv4Addr::new(127, high.max(1), low, number),
             dir: TempDir::new().expect("a folder for the settings"),
             processes: BTreeMap::new(),
@@ -54,6 +56,10 @@
             port: 7_000,
             speed: 20,
         };
+        for entry in ENTRIES {
+            fleet.address(entry);
+            fleet.address(&format!("{entry}-peer"));
+        }
         fleet.write_catalogue();
         fleet
     }
@@ -83,21 +89,15 @@
         self
     }
 
-    /// Starts an entry that knows the agents started so far, and waits until it is ready.
+    /// Starts an entry and waits until it is ready.
     pub fn entry(mut self, name: &str) -> Self {
-        let listen = self.address(name);
-        let peer = self.address(&format!("{name}-peer"));
-        let mut text = format!(
-            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\nagents:\n",
-            self.dir.path().join("catalogue").display()
+        let listen = self.addrs[name];
+        let peer = self.addrs[&format!("{name}-peer")];
+        let text = format!(
+            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\n{}",
+            self.dir.path().join("catalogue").display(),
+            self.contacts(),
         );
-        for (agent, addr) in self
-            .addrs
-            .iter()
-            .filter(|(name, _)| name.ends_with("-agent"))
-        {
-            let _ = writeln!(text, "  - \"{addr}\" # {agent}");
-        }
         let settings = self.write(&format!("{name}.yaml"), &text);
         let args = words(&["--settings", &settings.display().to_string()]);
         self.start(name, "jujube-entry", args);
@@ -174,11 +174,28 @@
         text
     }
 
+    fn contacts(&self) -> String {
+        let peers =
+            ENTRIES.map(|entry| format!("  - \"{}\"\n", self.addrs[&format!("{entry}-peer")]));
+        format!("entries:\n{}", peers.concat())
+    }
+
+    /// How many agents the entry `name` knows and believes to live.
+    pub fn agents_known(&self, name: &str) -> usize {
+        let status = self.get(name, "/status");
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let agents = members
+            .iter()
+            .filter(|m| m["role"] == "agent" && m["suspect"] == false);
+        agents.count()
+    }
+
     fn agent(&mut self, name: &str, backend: &str, model: &str) {
         let listen = self.address(&format!("{name}-agent"));
         let admin = self.address(&format!("{name}-admin"));
         let text = format!(
-            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\nadmin: \"{admin}\"\nbackend: {{{backend}}}\nmodels: [{model}]\n"
+            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\nadmin: \"{admin}\"\nbackend: {{{backend}}}\nmodels: [{model}]\n{}",
+            self.contacts(),
         );
         let settings = self.write(&format!("{name}.yaml"), &text);
         let args = words(&["--settings", &settings.display().to_string()]);
--- a/emulator/tests/system/whole_path.rs
+++ b/emulator/tests/system/whole_path.rs
@@ -10,14 +10,8 @@
 
 fn small_fleet() -> Fleet {
     let fleet = Fleet::new().engine("a").service("s").entry("e1");
-    fleet.until("an agent is known", |fleet| {
-        fleet.caller("e1").complete("warm up", 1).send().status == 200
-            && fleet
-                .caller("e1")
-                .call("balances", &json!({}))
-                .send()
-                .status
-                == 200
+    fleet.until("both agents are known", |fleet| {
+        fleet.agents_known("e1") == 2
     });
     fleet
 }
--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -6,6 +6,7 @@
 use compio::net::TcpListener;
 use flume::Receiver;
 use flume::Sender;
+use rand::Rng;
 
 use super::Command;
 use super::Core;
@@ -16,11 +17,18 @@
 use super::service_client::ServiceClient;
 use crate::daemon;
 use crate::http;
+use crate::membership::Machine;
+use crate::membership::Member;
+use crate::membership::Outgoing;
+use crate::membership::Role;
+use crate::membership::Seed;
+use crate::membership::limits::PERIOD;
 use crate::metrics::AgentMetrics;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::rpc;
 use crate::rpc::Agent;
+use crate::rpc::GossipLink;
 use crate::rpc::message::AgentStatus;
 use crate::rpc::message::Call;
 use crate::rpc::message::CallReply;
@@ -72,6 +80,9 @@
     listed: MonoTime,
     metrics: AgentMetrics,
     stop_at: Option<MonoTime>,
+    members: Machine,
+    gossip: GossipLink,
+    beat: MonoTime,
 }
 
 /// Serves until the process is stopped.
@@ -134,6 +145,15 @@
             }
             Backend::Service { addr } => Client::Service(ServiceClient::new(addr)?),
         };
+        let seed = Seed {
+            node: settings.node.clone(),
+            role: Role::Agent,
+            addr: settings.listen,
+            domain: settings.domain.clone(),
+            leaving: false,
+        };
+        let me = Member::new(seed, settings.models.clone(), incarnation);
+        let members = Machine::new(me, &settings.entries, rand::rng().next_u64());
         Ok(Self {
             core: Core::new(settings.clone(), incarnation)?,
             settings,
@@ -145,6 +165,9 @@
             listed: MonoTime::ZERO,
             metrics: AgentMetrics::default(),
             stop_at: None,
+            members,
+            gossip: GossipLink::default(),
+            beat: MonoTime::ZERO,
         })
     }
 
@@ -171,6 +194,13 @@
             }
             Message::Call(call, reply) => self.call(call, reply),
             Message::CallEnded(attempt) => self.core.end_call(now, attempt),
+            Message::Gossip(news, reply) => {
+                let _ = reply.send(self.members.receive(now, &news));
+            }
+            Message::Answered(news) => {
+                let messages = self.members.answered(now, &news);
+                self.send(messages);
+            }
             Message::Status(reply) => {
                 let _ = reply.send(self.status());
             }
@@ -203,6 +233,8 @@
                 open = self.core.open()
             );
             self.core.leave();
+            let notices = self.members.leave(now);
+            self.send(notices);
             self.stop_at = Some(now.after(self.settings.drain));
         }
     }
@@ -252,6 +284,11 @@
     }
 
     fn tick(&mut self, now: MonoTime) {
+        if now >= self.beat.after(PERIOD) {
+            self.beat = now;
+            let messages = self.members.tick(now);
+            self.send(messages);
+        }
         let commands = self.core.tick(now);
         self.execute(now, commands);
         self.answer_late_waiters(now);
@@ -326,6 +363,13 @@
         }
     }
 
+    fn send(&self, messages: Vec<Outgoing>) {
+        let replies = self.messages.clone();
+        self.gossip.send(messages, move |answer| {
+            let _ = replies.send(Message::Answered(Box::new(answer)));
+        });
+    }
+
     fn status(&self) -> AgentStatus {
         AgentStatus {
             node: self.settings.node.clone(),
--- a/jujubewind/src/agent/message.rs
+++ b/jujubewind/src/agent/message.rs
@@ -8,6 +8,7 @@
 use crate::rpc::message::CallReply;
 use crate::rpc::message::Cancel;
 use crate::rpc::message::CancelReply;
+use crate::rpc::message::Gossip;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::Quote;
@@ -33,6 +34,10 @@
     Call(Call, Sender<CallReply>),
     /// The call to the plain service ended.
     CallEnded(AttemptId),
+    /// Another process tells news of members.
+    Gossip(Box<Gossip>, Sender<Gossip>),
+    /// Another process answered to our news.
+    Answered(Box<Gossip>),
     /// An operator asks how it stands.
     Status(Sender<AgentStatus>),
     /// The metrics are wanted as text.
--- a/jujubewind/src/agent/server.rs
+++ b/jujubewind/src/agent/server.rs
@@ -12,6 +12,7 @@
 use crate::rpc::message::CallReply;
 use crate::rpc::message::Cancel;
 use crate::rpc::message::CancelReply;
+use crate::rpc::message::Gossip;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::Quote;
@@ -65,6 +66,10 @@
         reply.unwrap_or(CallReply::Unknown)
     }
 
+    async fn gossip(self, _: Context, news: Gossip) -> Option<Gossip> {
+        self.ask(|tx| Message::Gossip(Box::new(news), tx)).await
+    }
+
     async fn status(self, _: Context) -> Option<AgentStatus> {
         self.ask(Message::Status).await
     }
--- a/jujubewind/src/entry/api/generation.rs
+++ b/jujubewind/src/entry/api/generation.rs
@@ -43,18 +43,18 @@
             key: headers::bearer(headers),
             name: wish.model.clone(),
             prompt,
-            output: wish.output,
+            output: wish.output.unwrap_or(DEFAULT_OUTPUT),
         });
         let permit = permit.await?;
         let time = time(timeout, &permit.entry.limits);
         let stream = wish.stream;
-        let job = job(request, permit, wish, prompt);
+        let job = job(request, &permit, wish);
         let header = Header {
             request,
             model: job.model.clone(),
             prompt,
         };
-        let events = self.launch(job, time);
+        let events = self.launch(job, permit, time);
         if stream {
             Ok(answer::streamed(dialect, header, events).await)
         } else {
@@ -63,9 +63,13 @@
     }
 
     /// Starts the request's own task; it ends early when the receiver is dropped.
-    fn launch(&self, job: Job, time: Millis) -> flume::Receiver<crate::entry::caller::Event> {
+    fn launch(
+        &self,
+        job: Job,
+        permit: Permit,
+        time: Millis,
+    ) -> flume::Receiver<crate::entry::caller::Event> {
         let (tx, rx) = flume::bounded(BUFFERED_EVENTS);
-        let org = job.org.clone();
         let control = self.control.clone();
         let admitted = self.clock.now();
         let driver = Driver {
@@ -78,8 +82,8 @@
             caller: tx,
         };
         let work = async move {
-            driver.run().await;
-            control.release(org);
+            let written = driver.run().await;
+            control.release(permit, written);
         };
         compio::runtime::spawn(work).detach();
         rx
@@ -93,17 +97,16 @@
         .min(limits.longest_timeout)
 }
 
-fn job(request: RequestId, permit: Permit, wish: Wish, prompt: Tokens) -> Job {
-    let longest = permit.entry.limits.longest_output;
+fn job(request: RequestId, permit: &Permit, wish: Wish) -> Job {
     let blocks = prefix::block_hashes(&wish.text);
     Job {
         request,
-        org: permit.org,
-        entry: permit.entry.id,
+        org: permit.org.clone(),
+        entry: permit.entry.id.clone(),
         model: wish.model,
         class: permit.entry.class,
-        prompt,
-        output: wish.output.unwrap_or(DEFAULT_OUTPUT).min(longest),
+        prompt: permit.prompt,
+        output: permit.output,
         text: wish.text,
         blocks,
     }
--- a/jujubewind/src/entry/api/handler.rs
+++ b/jujubewind/src/entry/api/handler.rs
@@ -75,6 +75,7 @@
             Route::Live => Ok(plain(StatusCode::OK, "live\n")),
             Route::Ready => Ok(self.ready().await),
             Route::Metrics => Ok(plain(StatusCode::OK, self.control.metrics().await)),
+            Route::Status => Ok(self.status().await),
             Route::Models => self.models(&parts.headers).await,
             Route::Generate(dialect) => {
                 let body = self.body(body).await?;
@@ -107,6 +108,13 @@
         }
     }
 
+    async fn status(&self) -> Reply {
+        match self.control.status().await {
+            Some(status) => json(StatusCode::OK, &status),
+            None => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+        }
+    }
+
     async fn models(&self, headers: &HeaderMap) -> Result<Reply, Failure> {
         let names = self.control.names(headers::bearer(headers)).await?;
         let data = names.iter().map(|name| Model {
--- a/jujubewind/src/entry/api/route.rs
+++ b/jujubewind/src/entry/api/route.rs
@@ -23,6 +23,8 @@
     Live,
     /// Whether the balancer should send callers.
     Ready,
+    /// How the entry stands.
+    Status,
     /// The metrics.
     Metrics,
 }
@@ -42,6 +44,7 @@
             ("GET", "/v1/models") => Some(Self::Models),
             ("GET", "/livez") => Some(Self::Live),
             ("GET", "/readyz") => Some(Self::Ready),
+            ("GET", "/status") => Some(Self::Status),
             ("GET", "/metrics") => Some(Self::Metrics),
             _ => None,
         }
--- a/jujubewind/src/entry/api/service.rs
+++ b/jujubewind/src/entry/api/service.rs
@@ -53,7 +53,7 @@
             key: headers::bearer(headers),
             name: name.clone(),
             prompt: Tokens::ZERO,
-            output: None,
+            output: Tokens::ZERO,
         });
         let permit = permit.await?;
         let unknown = Failure::not_run(Reason::UnknownRoute, Millis::ZERO);
@@ -74,7 +74,7 @@
             Some(true) => self.repeatable(&order).await,
             Some(false) => Self::once(&order),
         };
-        self.control.release(permit.org);
+        self.control.release(permit, Tokens::ZERO);
         outcome
     }
 
--- /dev/null
+++ b/jujubewind/src/entry/control/admission.rs
@@ -0,0 +1,102 @@
+//! Who may ask for what, and within which limits.
+
+use super::Admission;
+use super::Permit;
+use super::state::State;
+use crate::catalogue::Catalogue;
+use crate::catalogue::Entry;
+use crate::catalogue::Limits;
+use crate::entry::Failure;
+use crate::limits::Charge;
+use crate::limits::Rates;
+use crate::refusal::Reason;
+use crate::types::Credit;
+use crate::types::Millis;
+use crate::types::ModelId;
+use crate::types::MonoTime;
+use crate::types::OrgId;
+use crate::types::Tokens;
+
+/// When to come back to an entry that has no catalogue yet.
+const RETRY_NO_CATALOGUE: Millis = Millis(1_000);
+
+impl State {
+    /// Takes a request, or says why not and when to come back.
+    pub(super) fn admit(
+        &mut self,
+        now: MonoTime,
+        admission: &Admission,
+    ) -> Result<Permit, Failure> {
+        if let Some(refusal) = self.stage.refusal() {
+            return Err(refusal.into());
+        }
+        let (catalogue, org) = self.owner(admission.key.as_deref())?;
+        let unknown = Failure::not_run(Reason::UnknownModel, Millis::ZERO);
+        let entry = catalogue
+            .entry_for(&org, &admission.name)
+            .ok_or(unknown)?
+            .clone();
+        let is_model = entry.service().is_none();
+        if is_model && admission.prompt > entry.limits.longest_prompt {
+            return Err(Failure::not_run(Reason::PromptTooLong, Millis::ZERO));
+        }
+        let permit = self.permit(org, entry, admission);
+        self.limiter.admit(now, &permit.charge, &permit.rates)?;
+        self.budget.request();
+        self.stage
+            .begin(now.after(permit.entry.limits.longest_timeout));
+        Ok(permit)
+    }
+
+    /// Ends an admitted request and gives back the tokens it did not use.
+    pub(super) fn release(&mut self, permit: &Permit, output: Tokens) {
+        let used = permit.prompt.saturating_add(output);
+        self.limiter
+            .finish(&permit.charge, &permit.rates, used, Credit::ZERO);
+        self.stage.end();
+    }
+
+    /// The names that the owner of `key` may use.
+    pub(super) fn names(&self, key: Option<&str>) -> Result<Vec<ModelId>, Failure> {
+        let (catalogue, org) = self.owner(key)?;
+        Ok(catalogue.names_of(&org).cloned().collect())
+    }
+
+    fn owner(&self, key: Option<&str>) -> Result<(&Catalogue, OrgId), Failure> {
+        let none = Failure::not_run(Reason::NoCatalogue, RETRY_NO_CATALOGUE);
+        let catalogue = self.catalogue.as_deref().ok_or(none)?;
+        let owner = key.and_then(|key| catalogue.owner_of(key)).cloned();
+        let denied = Failure::not_run(Reason::Unauthorized, Millis::ZERO);
+        Ok((catalogue, owner.ok_or(denied)?))
+    }
+
+    fn permit(&self, org: OrgId, entry: Entry, admission: &Admission) -> Permit {
+        let output = admission.output.min(entry.limits.longest_output);
+        let charge = Charge {
+            entry: entry.id.clone(),
+            org: org.clone(),
+            tokens: admission.prompt.saturating_add(output),
+            credit: Credit::ZERO,
+        };
+        let entries = self.members.view().entries().count();
+        let rates = rates(&entry.limits, entry.service().is_none());
+        Permit {
+            org,
+            rates: rates.split(entries as u64),
+            entry,
+            charge,
+            prompt: admission.prompt,
+            output,
+        }
+    }
+}
+
+/// The limits of the whole fleet.
+fn rates(limits: &Limits, is_model: bool) -> Rates {
+    Rates {
+        requests: Some(limits.request_rate.get()),
+        tokens: is_model.then_some(limits.token_rate.get()),
+        concurrency: Some(limits.concurrency.get()),
+        metered: false,
+    }
+}
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -5,16 +5,19 @@
 use super::Admission;
 use super::Permit;
 use super::message::Message;
+use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
 use crate::entry::request::Target;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
+use crate::rpc::message::Gossip;
 use crate::rpc::message::QuoteReply;
+use crate::types::Class;
 use crate::types::Millis;
 use crate::types::ModelId;
 use crate::types::NodeId;
-use crate::types::OrgId;
+use crate::types::Tokens;
 
 /// When to come back to a process that is stopping.
 const RETRY_STOPPING: Millis = Millis(100);
@@ -37,9 +40,9 @@
         reply.unwrap_or_else(|| Err(stopping().into()))
     }
 
-    /// Ends an admitted request.
-    pub fn release(&self, org: OrgId) {
-        self.tell(Message::Release(org));
+    /// Ends an admitted request whose answer had `output` tokens.
+    pub fn release(&self, permit: Permit, output: Tokens) {
+        self.tell(Message::Release(Box::new(permit), output));
     }
 
     /// Asks which agents should be asked for an estimate.
@@ -54,14 +57,18 @@
     }
 
     /// Asks which estimate is best.
-    pub async fn pick(&self, quotes: Vec<(Target, QuoteReply)>) -> Result<Target, Refusal> {
-        let reply = self.ask(|tx| Message::Pick(quotes, tx)).await;
+    pub async fn pick(
+        &self,
+        class: Class,
+        quotes: Vec<(Target, QuoteReply)>,
+    ) -> Result<Target, Refusal> {
+        let reply = self.ask(|tx| Message::Pick(class, quotes, tx)).await;
         reply.unwrap_or_else(|| Err(stopping()))
     }
 
-    /// Asks the retry budget.
-    pub async fn retry(&self) -> Result<(), Refusal> {
-        let reply = self.ask(Message::Retry).await;
+    /// Asks the retry budget for one more attempt of a request that has made `attempts`.
+    pub async fn retry(&self, attempts: u32) -> Result<(), Refusal> {
+        let reply = self.ask(|tx| Message::Retry(attempts, tx)).await;
         reply.unwrap_or_else(|| Err(stopping()))
     }
 
@@ -99,6 +106,21 @@
         self.tell(Message::Dropped);
     }
 
+    /// Counts an attempt that was given up for another.
+    pub fn retried(&self, reason: Reason) {
+        self.tell(Message::Retried(reason));
+    }
+
+    /// Asks how the entry stands.
+    pub async fn status(&self) -> Option<EntryStatus> {
+        self.ask(Message::Status).await
+    }
+
+    /// Takes news of members and answers with ours; `None` when the process is stopping.
+    pub async fn gossip(&self, news: Gossip) -> Option<Gossip> {
+        self.ask(|tx| Message::Gossip(Box::new(news), tx)).await
+    }
+
     /// Asks whether the entry is ready for callers.
     pub async fn ready(&self) -> bool {
         self.ask(Message::Ready).await.unwrap_or(false)
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -1,17 +1,19 @@
 //! What the task that owns the entry's shared state is asked.
 
-use std::net::SocketAddr;
-
 use flume::Sender;
 
 use crate::catalogue::Entry;
+use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
 use crate::entry::request::Target;
+use crate::limits::Charge;
+use crate::limits::Rates;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
-use crate::rpc::message::AgentStatus;
+use crate::rpc::message::Gossip;
 use crate::rpc::message::QuoteReply;
+use crate::types::Class;
 use crate::types::ModelId;
 use crate::types::NodeId;
 use crate::types::OrgId;
@@ -26,8 +28,8 @@
     pub name: ModelId,
     /// The prompt's length.
     pub prompt: Tokens,
-    /// The longest answer, if the caller names one.
-    pub output: Option<Tokens>,
+    /// The longest answer.
+    pub output: Tokens,
 }
 
 /// What an admitted request may do.
@@ -37,6 +39,14 @@
     pub org: OrgId,
     /// The catalogue entry.
     pub entry: Entry,
+    /// The prompt's length.
+    pub prompt: Tokens,
+    /// The longest answer allowed.
+    pub output: Tokens,
+    /// What was taken from the limits.
+    pub charge: Charge,
+    /// The limits it was taken from.
+    pub rates: Rates,
 }
 
 /// A message to the task; the sender in it takes the answer.
@@ -44,20 +54,34 @@
 pub enum Message {
     /// May this request be served?
     Admit(Admission, Sender<Result<Permit, Failure>>),
-    /// A request that was admitted is over.
-    Release(OrgId),
+    /// A request that was admitted is over; its answer had this many tokens.
+    Release(Box<Permit>, Tokens),
     /// Which agents should be asked?
     Candidates(Box<Job>, Vec<NodeId>, Sender<Result<Vec<Target>, Refusal>>),
     /// Which of these estimates is best?
-    Pick(Vec<(Target, QuoteReply)>, Sender<Result<Target, Refusal>>),
-    /// May a request be tried again?
-    Retry(Sender<Result<(), Refusal>>),
+    Pick(
+        Class,
+        Vec<(Target, QuoteReply)>,
+        Sender<Result<Target, Refusal>>,
+    ),
+    /// May a request with so many attempts be tried again?
+    Retry(u32, Sender<Result<(), Refusal>>),
     /// Which agents stand beside this plain service?
     Services(ModelId, Sender<Vec<Target>>),
     /// What are the names that this caller may use?
     Names(Option<String>, Sender<Result<Vec<ModelId>, Failure>>),
-    /// An agent answered, or did not.
-    Learned(SocketAddr, Option<AgentStatus>),
+    /// Another process tells news of members.
+    Gossip(Box<Gossip>, Sender<Gossip>),
+    /// Another process answered to our news.
+    Answered(Box<Gossip>),
+    /// Time has passed.
+    Tick,
+    /// The process was asked to stop.
+    Stop,
+    /// How does the entry stand?
+    Status(Sender<EntryStatus>),
+    /// An attempt was given up for another.
+    Retried(Reason),
     /// A request was refused or failed for this reason.
     Failed(Reason),
     /// A frame of another attempt was dropped.
--- a/jujubewind/src/entry/control/mod.rs
+++ b/jujubewind/src/entry/control/mod.rs
@@ -1,8 +1,12 @@
 //! The entry's shared state, owned by one task: catalogue, members, limits, retry budget.
 
+mod admission;
 mod handle;
 mod message;
+mod placement;
+mod stage;
 mod state;
+mod tasks;
 
 pub use handle::Control;
 pub use message::Admission;
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -1,196 +1,198 @@
 //! The task that owns the entry's shared state.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
+use flume::Receiver;
 use flume::Sender;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
-use super::Admission;
 use super::Control;
-use super::Permit;
 use super::message::Message;
+use super::stage::Stage;
+use super::tasks;
 use crate::catalogue::Catalogue;
-use crate::entry::Failure;
-use crate::entry::Job;
-use crate::entry::link::Link;
-use crate::entry::request::Target;
+use crate::entry::EntryStatus;
+use crate::entry::MemberStatus;
+use crate::limits::Limiter;
+use crate::membership::Machine;
+use crate::membership::Member;
+use crate::membership::Outgoing;
+use crate::membership::Role;
+use crate::membership::Seed;
+use crate::membership::limits::PERIOD;
 use crate::metrics::EntryMetrics;
-use crate::refusal::Reason;
-use crate::refusal::Refusal;
-use crate::rpc::AgentClient;
-use crate::rpc::message::AgentStatus;
-use crate::rpc::message::QuoteReply;
+use crate::retry;
+use crate::retry::RetryBudget;
+use crate::routing;
+use crate::routing::Router;
+use crate::rpc::GossipLink;
 use crate::settings::EntrySettings;
-use crate::types::Millis;
-use crate::types::ModelId;
-use crate::types::NodeId;
-use crate::types::OrgId;
-
-/// When to come back when nobody serves a model.
-const RETRY_NO_BACKEND: Millis = Millis(1_000);
-/// How often agents are asked for their status.
-const POLL_EVERY: Millis = Millis(500);
-/// How long an agent's status is waited for.
-const POLL_TIMEOUT: Millis = Millis(1_000);
-
-/// The shared state.
-struct State {
-    catalogue: Option<Arc<Catalogue>>,
-    agents: BTreeMap<SocketAddr, AgentStatus>,
-    active: BTreeMap<OrgId, u64>,
-    metrics: EntryMetrics,
+use crate::timer::TimerService;
+use crate::types::Incarnation;
+use crate::types::MonoTime;
+use crate::types::Revision;
+
+/// The shared state; each part is a decision machine of its own.
+pub(super) struct State {
+    pub(super) settings: EntrySettings,
+    pub(super) catalogue: Option<Arc<Catalogue>>,
+    pub(super) members: Machine,
+    pub(super) router: Router,
+    pub(super) limiter: Limiter,
+    pub(super) budget: RetryBudget,
+    pub(super) metrics: EntryMetrics,
+    pub(super) stage: Stage,
+    pub(super) rng: StdRng,
+    timer: TimerService,
+    gossip: GossipLink,
+    messages: Sender<Message>,
 }
 
-/// Starts the task and returns the way to ask it.
+/// Starts the task; it ends when the entry has stopped, and `ended` tells of it.
 ///
 /// # Errors
 /// The catalogue folder does not hold a sound catalogue.
-pub fn start(settings: &EntrySettings, link: &Link) -> anyhow::Result<Control> {
-    let catalogue = match &settings.catalogue {
-        Some(dir) => Some(Arc::new(Catalogue::read_dir(dir)?)),
-        None => None,
-    };
-    let mut state = State {
-        catalogue,
-        agents: BTreeMap::new(),
-        active: BTreeMap::new(),
-        metrics: EntryMetrics::default(),
-    };
+pub fn start(
+    settings: EntrySettings,
+    incarnation: Incarnation,
+    timer: &TimerService,
+) -> anyhow::Result<(Control, Receiver<()>)> {
     let (tx, rx) = flume::unbounded();
-    for addr in settings.agents.clone() {
-        compio::runtime::spawn(poll(link.clone(), addr, tx.clone())).detach();
-    }
+    let mut state = State::new(settings, incarnation, timer.clone(), tx.clone())?;
+    let (ended, end) = flume::bounded(1);
+    compio::runtime::spawn(tasks::forward_ticks(timer.subscribe(PERIOD), tx.clone())).detach();
+    compio::runtime::spawn(tasks::forward_stop(tx.clone())).detach();
     let task = async move {
         while let Ok(message) = rx.recv_async().await {
             state.handle(message);
+            if state.stage.is_over() {
+                break;
+            }
         }
+        let _ = ended.send(());
     };
     compio::runtime::spawn(task).detach();
-    Ok(Control::new(tx))
+    Ok((Control::new(tx), end))
 }
 
-async fn poll(link: Link, addr: SocketAddr, messages: Sender<Message>) {
-    loop {
-        let call = async |agent: &AgentClient, context| agent.status(context).await;
-        let status = link.agents().call(addr, POLL_TIMEOUT, call).await;
-        let status = status.ok().flatten();
-        if messages.send(Message::Learned(addr, status)).is_err() {
-            return;
-        }
-        compio::time::sleep(POLL_EVERY.duration()).await;
+impl State {
+    fn new(
+        settings: EntrySettings,
+        incarnation: Incarnation,
+        timer: TimerService,
+        messages: Sender<Message>,
+    ) -> anyhow::Result<Self> {
+        let catalogue = match &settings.catalogue {
+            Some(dir) => Some(Arc::new(Catalogue::read_dir(dir)?)),
+            None => None,
+        };
+        let seed = Seed {
+            node: settings.node.clone(),
+            role: Role::Entry,
+            addr: settings.peer,
+            domain: settings.domain.clone(),
+            leaving: false,
+        };
+        let me = Member::new(seed, Vec::new(), incarnation);
+        let mut rng = StdRng::seed_from_u64(rand::rng().next_u64());
+        Ok(Self {
+            members: Machine::new(me, &settings.entries, rng.next_u64()),
+            router: Router::new(settings.domain.clone(), routing::Settings::default()),
+            limiter: Limiter::new(),
+            budget: RetryBudget::new(retry::Settings::default()),
+            metrics: EntryMetrics::default(),
+            stage: Stage::serving(),
+            settings,
+            catalogue,
+            rng,
+            timer,
+            gossip: GossipLink::default(),
+            messages,
+        })
     }
-}
 
-impl State {
+    pub(super) fn now(&self) -> MonoTime {
+        self.timer.clock().now()
+    }
+
+    /// Answers one message; a caller that no longer waits for the answer is no fault.
     fn handle(&mut self, message: Message) {
+        let now = self.now();
         match message {
-            Message::Admit(admission, reply) => {
-                let _ = reply.send(self.admit(&admission));
-            }
-            Message::Release(org) => self.release(&org),
+            Message::Admit(admission, reply) => drop(reply.send(self.admit(now, &admission))),
+            Message::Release(permit, output) => self.release(&permit, output),
             Message::Candidates(job, excluded, reply) => {
-                let _ = reply.send(self.candidates(&job, &excluded));
-            }
-            Message::Pick(quotes, reply) => {
-                let _ = reply.send(pick(quotes));
-            }
-            Message::Retry(reply) => {
-                let _ = reply.send(Ok(()));
+                drop(reply.send(self.candidates(&job, &excluded)));
             }
-            Message::Services(name, reply) => {
-                let _ = reply.send(self.serving(&name));
+            Message::Pick(class, quotes, reply) => drop(reply.send(self.pick(class, quotes))),
+            Message::Retry(attempts, reply) => {
+                drop(reply.send(self.budget.retry(now, attempts)));
             }
-            Message::Names(key, reply) => {
-                let _ = reply.send(self.names(key.as_deref()));
-            }
-            Message::Learned(addr, Some(status)) => {
-                self.agents.insert(addr, status);
-            }
-            Message::Learned(addr, None) => {
-                self.agents.remove(&addr);
+            Message::Services(name, reply) => drop(reply.send(self.services(&name))),
+            Message::Names(key, reply) => drop(reply.send(self.names(key.as_deref()))),
+            Message::Gossip(news, reply) => drop(reply.send(self.members.receive(now, &news))),
+            Message::Answered(news) => {
+                let messages = self.members.answered(now, &news);
+                self.send(messages);
             }
+            Message::Tick => self.tick(now),
+            Message::Stop => self.stop(now),
             Message::Failed(reason) => self.metrics.refused(reason),
+            Message::Retried(reason) => self.metrics.retried(reason),
             Message::Dropped => self.metrics.dropped(),
             Message::Ready(reply) => {
-                let _ = reply.send(self.catalogue.is_some());
+                let ready = self.catalogue.is_some() && self.stage.is_serving();
+                let _ = reply.send(ready);
             }
-            Message::Metrics(reply) => {
-                let _ = reply.send(self.metrics.encode());
-            }
-        }
-    }
-
-    fn owner(&self, key: Option<&str>) -> Result<(&Catalogue, OrgId), Failure> {
-        let none = Failure::not_run(Reason::NoCatalogue, RETRY_NO_BACKEND);
-        let catalogue = self.catalogue.as_deref().ok_or(none)?;
-        let owner = key.and_then(|key| catalogue.owner_of(key)).cloned();
-        let denied = Failure::not_run(Reason::Unauthorized, Millis::ZERO);
-        Ok((catalogue, owner.ok_or(denied)?))
-    }
-
-    fn admit(&mut self, admission: &Admission) -> Result<Permit, Failure> {
-        let (catalogue, org) = self.owner(admission.key.as_deref())?;
-        let unknown = Failure::not_run(Reason::UnknownModel, Millis::ZERO);
-        let entry = catalogue
-            .entry_for(&org, &admission.name)
-            .ok_or(unknown)?
-            .clone();
-        *self.active.entry(org.clone()).or_default() += 1;
-        Ok(Permit { org, entry })
-    }
-
-    fn release(&mut self, org: &OrgId) {
-        if let Some(count) = self.active.get_mut(org) {
-            *count = count.saturating_sub(1);
+            Message::Status(reply) => drop(reply.send(self.status())),
+            Message::Metrics(reply) => drop(reply.send(self.metrics.encode())),
         }
     }
 
-    fn names(&self, key: Option<&str>) -> Result<Vec<ModelId>, Failure> {
-        let (catalogue, org) = self.owner(key)?;
-        Ok(catalogue.names_of(&org).cloned().collect())
+    fn tick(&mut self, now: MonoTime) {
+        let messages = self.members.tick(now);
+        self.send(messages);
+        self.stage.tick(now);
     }
 
-    fn candidates(&self, job: &Job, excluded: &[NodeId]) -> Result<Vec<Target>, Refusal> {
-        let mut targets = self.serving(&job.model);
-        targets.retain(|target| !excluded.contains(&target.node));
-        if targets.is_empty() {
-            return Err(no_backend());
-        }
-        Ok(targets)
+    fn stop(&mut self, now: MonoTime) {
+        crate::event!(info, "stopping", node = self.settings.node);
+        self.stage.stop(now, self.settings.grace);
+        let notices = self.members.leave(now);
+        self.send(notices);
     }
 
-    fn serving(&self, name: &ModelId) -> Vec<Target> {
-        self.agents
-            .iter()
-            .filter(|(_, status)| !status.leaving && status.models.contains(name))
-            .map(|(addr, status)| Target {
-                node: status.node.clone(),
-                addr: *addr,
-            })
-            .collect()
+    fn send(&self, messages: Vec<Outgoing>) {
+        let replies = self.messages.clone();
+        self.gossip.send(messages, move |answer| {
+            let _ = replies.send(Message::Answered(Box::new(answer)));
+        });
     }
-}
 
-fn pick(quotes: Vec<(Target, QuoteReply)>) -> Result<Target, Refusal> {
-    let mut best: Option<(Millis, Target)> = None;
-    let mut refusal = no_backend();
-    for (target, quote) in quotes {
-        match quote {
-            QuoteReply::Estimate { first, .. } => {
-                if best.as_ref().is_none_or(|(time, _)| first < *time) {
-                    best = Some((first, target));
-                }
-            }
-            QuoteReply::Refused(why) => refusal = why,
+    fn status(&self) -> EntryStatus {
+        let view = self.members.view();
+        let me = self.members.me();
+        let members = view.living().map(|member| MemberStatus {
+            node: member.node.clone(),
+            role: member.role.to_string(),
+            domain: member.domain.clone(),
+            leaving: member.leaving,
+            suspect: view.is_suspect(member),
+        });
+        EntryStatus {
+            node: me.node.clone(),
+            incarnation: me.incarnation,
+            domain: me.domain.clone(),
+            revision: self.revision(),
+            stopping: !self.stage.is_serving(),
+            members: members.collect(),
         }
     }
-    best.map(|(_, target)| target).ok_or(refusal)
-}
 
-fn no_backend() -> Refusal {
-    Refusal {
-        reason: Reason::NoBackend,
-        retry: RETRY_NO_BACKEND,
+    fn revision(&self) -> Revision {
+        let catalogue = self.catalogue.as_deref();
+        catalogue.map_or(Revision::ZERO, Catalogue::revision)
     }
 }
--- a/jujubewind/src/entry/daemon.rs
+++ b/jujubewind/src/entry/daemon.rs
@@ -7,18 +7,27 @@
 use super::api::Api;
 use super::control;
 use super::link::Link;
+use super::peer::PeerServer;
+use crate::daemon;
 use crate::http;
+use crate::rpc;
+use crate::rpc::Peer;
 use crate::settings::EntrySettings;
 use crate::timer::Clock;
+use crate::timer::TimerService;
 
 /// Serves until the process is stopped.
 ///
 /// # Errors
 /// An address cannot be bound, or the catalogue folder is faulty.
 pub async fn run(settings: EntrySettings) -> anyhow::Result<()> {
-    let clock = Clock::start();
-    let link = Link::new(settings.node.clone(), crate::daemon::incarnation());
-    let control = control::start(&settings, &link)?;
+    let timer = TimerService::new(Clock::start());
+    let incarnation = daemon::incarnation();
+    let link = Link::new(settings.node.clone(), incarnation);
+    let (control, ended) = control::start(settings.clone(), incarnation, &timer)?;
+    let peers = TcpListener::bind(settings.peer).await?;
+    let peer_server = PeerServer::new(control.clone());
+    compio::runtime::spawn(rpc::serve(peers, peer_server.serve())).detach();
     let listener = TcpListener::bind(settings.listen).await?;
     let node = settings.node.clone();
     crate::event!(
@@ -27,7 +36,8 @@
         node = node,
         addr = listener.local_addr()?
     );
-    let api = Api::new(settings, clock, link, control);
-    http::serve(listener, Rc::new(api)).await;
+    let api = Api::new(settings, timer.clock(), link, control);
+    compio::runtime::spawn(http::serve(listener, Rc::new(api))).detach();
+    let _ = ended.recv_async().await;
     Ok(())
 }
--- a/jujubewind/src/entry/driver.rs
+++ b/jujubewind/src/entry/driver.rs
@@ -44,13 +44,13 @@
 }
 
 impl Driver {
-    /// Serves the request to its final answer.
-    pub async fn run(self) {
+    /// Serves the request to its final answer and tells how many tokens that had.
+    pub async fn run(self) -> Tokens {
         let (mut machine, first) = match Machine::new() {
             Ok(made) => made,
             Err(error) => {
                 crate::event!(error, "chart_faulty", error = error);
-                return;
+                return Tokens::ZERO;
             }
         };
         let mut rng = rand::rng();
@@ -60,6 +60,7 @@
                 outputs.extend(machine.step(input, &mut rng));
             }
         }
+        machine.written()
     }
 
     /// Carries out one output and returns what came of it.
@@ -86,7 +87,11 @@
                 attempt,
                 offset,
             } => Some(self.in_time(self.pull(target, attempt, offset)).await),
-            Output::AskRetry => Some(Input::Retry(self.control.retry().await)),
+            Output::AskRetry { attempts, reason } => {
+                self.control.retried(reason);
+                Some(Input::Retry(self.control.retry(attempts).await))
+            }
+            Output::Wait(span) => Some(self.in_time(Self::wait(span)).await),
             Output::Cancel { target, attempt } => self.cancel(target, attempt),
             Output::Dropped => {
                 self.control.dropped();
@@ -110,6 +115,11 @@
         outcome.unwrap_or(Input::Expired)
     }
 
+    async fn wait(span: Millis) -> Input {
+        compio::time::sleep(span.duration()).await;
+        Input::Waited
+    }
+
     async fn place(&self, excluded: Vec<NodeId>) -> Input {
         Input::Placed(self.choose(excluded).await)
     }
@@ -117,7 +127,7 @@
     async fn choose(&self, excluded: Vec<NodeId>) -> Result<Target, Refusal> {
         let targets = self.control.candidates(&self.job, excluded).await?;
         let quotes = self.link.quotes(&self.job, targets, self.remaining()).await;
-        self.control.pick(quotes).await
+        self.control.pick(self.job.class, quotes).await
     }
 
     async fn start(&self, target: Target, attempt: AttemptId, offset: Tokens) -> Input {
--- a/jujubewind/src/entry/link.rs
+++ b/jujubewind/src/entry/link.rs
@@ -65,11 +65,6 @@
         }
     }
 
-    /// The clients of the agents.
-    pub fn agents(&self) -> &Connections<AgentClient> {
-        &self.agents
-    }
-
     /// Asks the targets for estimates and returns those that came in time.
     pub async fn quotes(
         &self,
--- a/jujubewind/src/entry/mod.rs
+++ b/jujubewind/src/entry/mod.rs
@@ -8,9 +8,13 @@
 mod failure;
 mod job;
 mod link;
+mod peer;
 pub mod request;
+mod status;
 
 pub use daemon::run;
 pub use failure::Failure;
 pub use failure::Ran;
 pub use job::Job;
+pub use status::EntryStatus;
+pub use status::MemberStatus;
--- a/jujubewind/src/entry/request/input.rs
+++ b/jujubewind/src/entry/request/input.rs
@@ -22,6 +22,8 @@
     Fenced(AttemptId, CancelReply),
     /// The retry budget allows another try, or refuses it.
     Retry(Result<(), Refusal>),
+    /// The wait that was asked for is over.
+    Waited,
     /// The time is over.
     Expired,
     /// The caller went away.
--- a/jujubewind/src/entry/request/machine.rs
+++ b/jujubewind/src/entry/request/machine.rs
@@ -23,8 +23,6 @@
 
 /// The chart of a request's life.
 const CHART: &str = include_str!("../../../charts/request.yaml");
-/// The most attempts for one request.
-const MAX_ATTEMPTS: u32 = 5;
 /// Pulls in a row without a usable answer, after which the agent counts as lost.
 const MAX_STRIKES: u32 = 2;
 /// When to come back after all agents failed.
@@ -79,6 +77,12 @@
         self.phase
     }
 
+    /// How many tokens the caller was given.
+    #[must_use]
+    pub fn written(&self) -> Tokens {
+        self.offset
+    }
+
     /// Takes one input and says what to do.
     pub fn step(&mut self, input: Input, rng: &mut impl Rng) -> Vec<Output> {
         match (self.phase, input) {
@@ -89,9 +93,8 @@
             (Phase::Placing, Input::Placed(Ok(target))) => self.start(target, rng),
             (Phase::Placing, Input::Placed(Err(refusal))) => self.unplaced(refusal),
             (Phase::Placing, Input::Retry(Ok(()))) => self.place(),
-            (Phase::Placing, Input::Retry(Err(refusal))) => {
-                self.give_up(refusal.reason, refusal.retry)
-            }
+            (Phase::Placing, Input::Retry(Err(refusal))) => self.wait_or_give_up(&refusal),
+            (Phase::Placing, Input::Waited) => self.waited(),
             (Phase::Starting, Input::Started(reply)) => self.started(reply),
             (Phase::Starting, Input::Unsent) => self.unsent(),
             (Phase::Streaming, Input::Pulled(reply)) => self.pulled(reply),
@@ -118,6 +121,28 @@
         }]
     }
 
+    fn ask_retry(&self) -> Output {
+        Output::AskRetry {
+            attempts: self.attempts,
+            reason: self.last.reason,
+        }
+    }
+
+    /// Half an answer is worth a wait within the request's time; nothing else is held back.
+    fn wait_or_give_up(&mut self, refusal: &Refusal) -> Vec<Output> {
+        if self.offset == Tokens::ZERO || refusal.retry == Millis::ZERO {
+            return self.give_up(refusal.reason, refusal.retry);
+        }
+        vec![Output::Wait(refusal.retry)]
+    }
+
+    /// After a wait all agents count as untried.
+    fn waited(&mut self) -> Vec<Output> {
+        self.excluded.clear();
+        self.attempts = 1;
+        vec![self.ask_retry()]
+    }
+
     /// A first placement that is refused ends the request with the refusal of the agents asked.
     fn unplaced(&mut self, refusal: Refusal) -> Vec<Output> {
         let refusal = if refusal.reason == Reason::NoBackend {
@@ -125,7 +150,7 @@
         } else {
             refusal
         };
-        self.give_up(refusal.reason, refusal.retry)
+        self.wait_or_give_up(&refusal)
     }
 
     fn started(&mut self, reply: Option<StartReply>) -> Vec<Output> {
@@ -241,13 +266,8 @@
                 outputs.push(Output::Cancel { target, attempt });
             }
         }
-        if self.attempts >= MAX_ATTEMPTS {
-            let refusal = self.last.clone();
-            outputs.extend(self.give_up(refusal.reason, refusal.retry));
-            return outputs;
-        }
         self.advance(Step::Retry);
-        outputs.push(Output::AskRetry);
+        outputs.push(self.ask_retry());
         outputs
     }
 
--- a/jujubewind/src/entry/request/output.rs
+++ b/jujubewind/src/entry/request/output.rs
@@ -2,8 +2,10 @@
 
 use super::Target;
 use crate::entry::Failure;
+use crate::refusal::Reason;
 use crate::rpc::message::Finish;
 use crate::types::AttemptId;
+use crate::types::Millis;
 use crate::types::NodeId;
 use crate::types::Tokens;
 
@@ -40,8 +42,15 @@
         /// The attempt.
         attempt: AttemptId,
     },
-    /// Ask the retry budget.
-    AskRetry,
+    /// Ask the retry budget for one more attempt.
+    AskRetry {
+        /// The attempts made so far.
+        attempts: u32,
+        /// Why the last one was given up.
+        reason: Reason,
+    },
+    /// Come back with [`super::Input::Waited`] after a while.
+    Wait(Millis),
     /// Hand tokens to the caller.
     Emit(Vec<String>),
     /// Count a frame that belonged to another attempt or place.
--- a/jujubewind/src/rpc/agent_service.rs
+++ b/jujubewind/src/rpc/agent_service.rs
@@ -5,6 +5,7 @@
 use super::message::CallReply;
 use super::message::Cancel;
 use super::message::CancelReply;
+use super::message::Gossip;
 use super::message::Pull;
 use super::message::PullReply;
 use super::message::Quote;
@@ -30,6 +31,9 @@
     /// Makes one call to the plain service beside the agent.
     async fn call(order: Call) -> CallReply;
 
+    /// Takes news of members and answers with its own.
+    async fn gossip(news: Gossip) -> Option<Gossip>;
+
     /// Reports the agent's state to an operator; `None` when it is stopping.
     async fn status() -> Option<AgentStatus>;
 }
--- a/jujubewind/src/rpc/mod.rs
+++ b/jujubewind/src/rpc/mod.rs
@@ -3,6 +3,7 @@
 mod agent_service;
 mod connection;
 mod error;
+mod gossip_link;
 pub mod message;
 mod peer_service;
 mod time_driver;
@@ -16,6 +17,7 @@
 pub use connection::Connections;
 pub use error::Error;
 pub use error::Result;
+pub use gossip_link::GossipLink;
 pub use peer_service::Peer;
 pub use peer_service::PeerClient;
 pub use peer_service::PeerRequest;
--- a/jujubewind/src/rpc/peer_service.rs
+++ b/jujubewind/src/rpc/peer_service.rs
@@ -6,5 +6,5 @@
 #[tarpc::service]
 pub trait Peer {
     /// Exchanges what each side knows of members, revisions and suspects.
-    async fn gossip(news: Gossip) -> Gossip;
+    async fn gossip(news: Gossip) -> Option<Gossip>;
 }
--- a/jujubewind/src/settings/entry_settings.rs
+++ b/jujubewind/src/settings/entry_settings.rs
@@ -29,9 +29,6 @@
     /// The platform's key-value service.
     #[serde(default)]
     pub platform: Option<SocketAddr>,
-    /// Agents to ask until more are known.
-    #[serde(default)]
-    pub agents: Vec<SocketAddr>,
     /// Other entries to ask until more are known.
     #[serde(default)]
     pub entries: Vec<SocketAddr>,
