Record the load generator's times in bounds that hold them

Against the real entry every quantile was 0.0 ms: the histogram began with the smallest bounds, and a saturating record holds a value at the bound. Lengths are drawn up to a fifth above those named, so that "1000" does not fall into the decade below.

--- a/emulator/src/load/length_mix.rs
+++ b/emulator/src/load/length_mix.rs
@@ -16,7 +16,7 @@
 }
 
 impl LengthMix {
-    /// Draws a length: one of the mix, or up to a fifth shorter, so that no two batches are alike.
+    /// Draws a length: one of the mix, or up to a fifth more, so that lengths differ within a decade.
     pub fn draw(&self, rng: &mut impl Rng) -> Tokens {
         let total: u32 = self.lengths.iter().map(|(_, weight)| weight).sum();
         let mut place = rng.random_range(0..total);
@@ -28,8 +28,8 @@
             }
             place -= weight;
         }
-        let less = rng.random_range(0..=drawn.get() / 5);
-        drawn.saturating_sub(Tokens(less))
+        let more = rng.random_range(0..=drawn.get() / 5);
+        drawn.saturating_add(Tokens(more))
     }
 }
 
--- a/emulator/src/load/report.rs
+++ b/emulator/src/load/report.rs
@@ -12,6 +12,8 @@
 
 /// Significant digits of the times.
 const DIGITS: u8 = 3;
+/// The longest time that is told apart, in microseconds.
+const MAX_MICROS: u64 = 3_600_000_000;
 
 /// What the load has shown.
 #[derive(Clone, Debug, Default)]
@@ -100,8 +102,8 @@
 }
 
 fn histogram() -> Histogram<u64> {
-    // The constant is within the library's bounds, so this cannot fail.
-    Histogram::new(DIGITS).expect("the number of digits is valid")
+    // The constants are within the library's bounds, so this cannot fail.
+    Histogram::new_with_max(MAX_MICROS, DIGITS).expect("the bounds are valid")
 }
 
 fn millis(micros: u64) -> String {
--- a/emulator/tests/load.rs
+++ b/emulator/tests/load.rs
@@ -18,8 +18,10 @@
 use jujube_emulator::http::stream;
 use jujube_emulator::load::LengthMix;
 use jujube_emulator::load::LoadPlan;
+use jujube_emulator::load::Outcome;
 use jujube_emulator::load::Report;
 use jujube_emulator::load::Target;
+use jujubewind::types::Tokens;
 use jujubewind::wire::openai::CompletionRequest;
 use serde_json::json;
 
@@ -107,6 +109,29 @@
     assert!(report.first_token(5, 0.5).is_none());
 }
 
+#[test]
+fn quantiles_are_those_of_the_times_in_a_decade() {
+    let mut report = Report::default();
+    let outcome = |length, micros| Outcome {
+        length: Tokens(length),
+        first_token: Some(micros),
+        total: 2 * micros,
+        failure: None,
+    };
+
+    for number in 1..=100 {
+        report.add(&outcome(1_000, number * 1_000));
+        report.add(&outcome(100_000, number * 100_000));
+    }
+
+    insta::assert_snapshot!(report, @r"
+          prompt tokens  answers     p50 ms     p95 ms     p99 ms
+            1000..10000      100       50.0       95.0       99.0
+        100000..1000000      100     5001.2     9502.7     9904.1
+    served 200 failed 0
+    ");
+}
+
 #[test]
 fn bad_answers_are_counted_by_kind() {
     let gap = run(Behaviour::Gap);
