Publish a change by one compare-and-swap of a head record

A change must be accepted or refused whole, racing operators must learn of each other, and a lost answer of the store must be settled.

The publisher archives the head it replaces before the swap, so a change that landed is found in the head or in the history even when another came on top. A repeated swap carries the same version and cannot land twice.

Ruled out: writing history after the swap, since a crash in between leaves a gap that hides a landed change.

--- a/jujubewind/src/catalogue/part.rs
+++ b/jujubewind/src/catalogue/part.rs
@@ -1,7 +1,7 @@
 //! The unit in which a catalogue is stored and sent: all entries of one organisation.
 
+use super::ContentHash;
 use super::Entry;
-use super::PartHash;
 use crate::types::OrgId;
 
 crate::data! {
@@ -40,7 +40,7 @@
 
     /// The address of the part.
     #[must_use]
-    pub fn hash(&self) -> PartHash {
-        PartHash::of(&self.encode())
+    pub fn hash(&self) -> ContentHash {
+        ContentHash::of(&self.encode())
     }
 }
--- /dev/null
+++ b/jujubewind/src/catalogue/publish/mod.rs
@@ -0,0 +1,14 @@
+//! How an operator's change reaches the platform's store, whole or not at all.
+
+mod message;
+mod publisher;
+
+pub use message::Base;
+pub use message::Change;
+pub use message::Conflict;
+pub use message::HeadVersion;
+pub use message::Output;
+pub use message::Reply;
+pub use message::Request;
+pub use message::Verdict;
+pub use publisher::Publisher;
--- a/jujubewind/src/types/parse_error.rs
+++ b/jujubewind/src/types/parse_error.rs
@@ -35,7 +35,7 @@
             "write 1 to 128 letters, digits or -_.:/"
         }
         "RequestId" | "AttemptId" | "ChangeId" => "write 32 hexadecimal digits",
-        "KeyHash" | "PartHash" => "write the 64 hexadecimal digits of a SHA-256 digest",
+        "KeyHash" | "ContentHash" => "write the 64 hexadecimal digits of a SHA-256 digest",
         "Tokens" | "Bytes" | "Millis" | "Revision" | "Fence" | "Incarnation" | "Credit" => {
             "write a whole number"
         }
--- a/jujubewind/tests/catalogue/main.rs
+++ b/jujubewind/tests/catalogue/main.rs
@@ -3,4 +3,6 @@
 mod examples;
 mod fixture;
 mod lookups;
+mod publishing;
 mod refusals;
+mod store;
--- /dev/null
+++ b/jujubewind/tests/catalogue/publishing.rs
@@ -0,0 +1,207 @@
+//! A change is accepted or refused whole, whatever the store loses and whoever else edits.
+
+use std::collections::HashSet;
+
+use jujubewind::catalogue::Catalogue;
+use jujubewind::catalogue::ContentHash;
+use jujubewind::catalogue::Page;
+use jujubewind::catalogue::Tree;
+use jujubewind::catalogue::UnixTime;
+use jujubewind::catalogue::publish::Base;
+use jujubewind::catalogue::publish::Change;
+use jujubewind::catalogue::publish::Output;
+use jujubewind::catalogue::publish::Publisher;
+use jujubewind::catalogue::publish::Reply;
+use jujubewind::catalogue::publish::Verdict;
+use jujubewind::types::ChangeId;
+use jujubewind::types::Revision;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::fixture::model_entry;
+use crate::fixture::read;
+use crate::store::Store;
+
+const SEEDS: u64 = 2_000;
+
+fn catalogue(model: &str) -> Catalogue {
+    read(&[
+        model_entry("a1", "office-a", "summary"),
+        model_entry("b1", "office-b", model),
+    ])
+    .expect("valid")
+}
+
+fn publisher(number: u128, base: Base, model: &str) -> Publisher {
+    let change = Change {
+        id: ChangeId::from_number(number),
+        author: format!("operator-{number}"),
+        time: UnixTime(1),
+        base,
+    };
+    Publisher::new(change, Tree::of(&catalogue(model)), HashSet::new())
+}
+
+fn publish(store: &mut Store, mut publisher: Publisher) -> Verdict {
+    let mut output = publisher.begin();
+    loop {
+        match output {
+            Output::Ask(request) => output = publisher.handle(store.call(request)),
+            Output::Done(verdict) => return verdict,
+        }
+    }
+}
+
+/// Runs operators whose calls interleave at random.
+fn race(store: &mut Store, seed: u64, publishers: Vec<Publisher>) -> Vec<Verdict> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut running: Vec<(Publisher, Output)> = publishers
+        .into_iter()
+        .map(|publisher| {
+            let output = publisher.begin();
+            (publisher, output)
+        })
+        .collect();
+    loop {
+        let open: Vec<usize> = (0..running.len())
+            .filter(|&index| matches!(running[index].1, Output::Ask(_)))
+            .collect();
+        if open.is_empty() {
+            break;
+        }
+        let (publisher, output) = &mut running[open[rng.random_range(0..open.len())]];
+        if let Output::Ask(request) = output.clone() {
+            *output = publisher.handle(store.call(request));
+        }
+    }
+    running
+        .into_iter()
+        .map(|(_, output)| verdict(output))
+        .collect()
+}
+
+fn verdict(output: Output) -> Verdict {
+    match output {
+        Output::Done(verdict) => verdict,
+        Output::Ask(request) => panic!("still asks {request:?}"),
+    }
+}
+
+/// Whether every page and part under the head in force is stored.
+fn is_whole(store: &Store) -> bool {
+    let Some((_, head)) = &store.head else {
+        return true;
+    };
+    let text = |hash: &ContentHash| store.texts.get(hash);
+    head.pages.values().all(|hash| {
+        let page = text(hash).and_then(|text| Page::decode(text));
+        page.is_some_and(|page| page.parts.values().all(|part| text(part).is_some()))
+    })
+}
+
+#[test]
+fn the_first_change_makes_revision_one() {
+    let mut store = Store::new(0, false);
+
+    let verdict = publish(&mut store, publisher(1, Base::Latest, "m"));
+
+    assert_eq!(verdict, Verdict::Accepted(Revision(1)));
+    assert!(is_whole(&store));
+}
+
+#[test]
+fn the_same_catalogue_makes_no_revision() {
+    let mut store = Store::new(0, false);
+    publish(&mut store, publisher(1, Base::Latest, "m"));
+
+    let verdict = publish(&mut store, publisher(2, Base::Latest, "m"));
+
+    assert_eq!(verdict, Verdict::Unchanged(Revision(1)));
+}
+
+#[test]
+fn a_change_against_an_old_revision_is_told_what_changed() {
+    let mut store = Store::new(0, false);
+    publish(&mut store, publisher(1, Base::Latest, "m"));
+    publish(&mut store, publisher(2, Base::Latest, "n"));
+
+    let verdict = publish(&mut store, publisher(3, Base::Exactly(Revision(1)), "o"));
+
+    let Verdict::Conflict(conflict) = verdict else {
+        panic!("{verdict:?}");
+    };
+    let current = conflict.current.expect("a head");
+    assert_eq!(conflict.base, Revision(1));
+    assert_eq!(
+        (current.revision, current.author.as_str()),
+        (Revision(2), "operator-2")
+    );
+}
+
+#[test]
+fn a_lost_answer_is_settled_after_another_change_came_on_top() {
+    let mut store = Store::new(0, false);
+    publish(&mut store, publisher(1, Base::Latest, "m"));
+    let mut first = publisher(2, Base::Latest, "n");
+    let mut output = first.begin();
+    while let Output::Ask(request) = output {
+        let is_swap = matches!(
+            request,
+            jujubewind::catalogue::publish::Request::SwapHead(..)
+        );
+        let reply = store.call(request);
+        output = first.handle(if is_swap { Reply::Unknown } else { reply });
+        if is_swap {
+            break;
+        }
+    }
+
+    publish(&mut store, publisher(3, Base::Latest, "o"));
+    while let Output::Ask(request) = output {
+        output = first.handle(store.call(request));
+    }
+
+    assert_eq!(verdict(output), Verdict::Accepted(Revision(2)));
+}
+
+#[test]
+fn racing_operators_on_a_faulty_store_learn_the_truth() {
+    let mut settled = 0;
+    for seed in 0..SEEDS {
+        let mut store = Store::new(seed, true);
+        let models = ["m", "n", "o"];
+        let publishers = (1..=3).map(|n| publisher(n, Base::Latest, models[n as usize - 1]));
+
+        let verdicts = race(&mut store, seed, publishers.collect());
+        store.flush();
+
+        assert!(is_whole(&store), "seed {seed}");
+        for (index, verdict) in verdicts.iter().enumerate() {
+            let id = ChangeId::from_number(index as u128 + 1);
+            let landed = store.accepted.iter().find(|head| head.change == id);
+            match verdict {
+                Verdict::Accepted(revision) => {
+                    assert_eq!(
+                        landed.map(|head| head.revision),
+                        Some(*revision),
+                        "seed {seed}"
+                    );
+                    settled += 1;
+                }
+                Verdict::Unknown(_) => {}
+                _ => assert!(landed.is_none(), "seed {seed}: {verdict:?} yet in force"),
+            }
+        }
+        let revisions: Vec<u64> = store
+            .accepted
+            .iter()
+            .map(|head| head.revision.get())
+            .collect();
+        assert!(
+            revisions.iter().copied().eq(1..=revisions.len() as u64),
+            "seed {seed}"
+        );
+    }
+    assert!(settled > SEEDS, "most changes are settled: {settled}");
+}
