Let quotes know how long parts of groups will last

Cause: a quote took memory held by a group's part as soon free, so long prompts went to engines where a group sat and missed their deadlines; a paused group leader gave back memory that its part still held.

Change: hold() takes the predicted span, forecasts count it; groups are asked for at three agents a part and are never paused; a part that ends is released at the engine by Action::Release.

--- a/emulator/src/experiment/worker.rs
+++ b/emulator/src/experiment/worker.rs
@@ -181,6 +181,10 @@
                 self.prompts.remove(&attempt);
                 notices.push(Notice::Ended(attempt, refusal.reason));
             }
+            Action::Release { attempt } => {
+                // The engine has dropped a part that a sequence ran in.
+                let _ = self.core.release_part(now, &attempt.to_string());
+            }
             Action::Lost { .. } => {}
         }
     }
--- a/jujubewind/src/routing/group.rs
+++ b/jujubewind/src/routing/group.rs
@@ -2,6 +2,7 @@
 
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
+use crate::scheduler::PART_TTL;
 use crate::types::Millis;
 use crate::types::MonoTime;
 use crate::types::NodeId;
@@ -16,8 +17,8 @@
         node: NodeId,
         /// The part's memory.
         amount: Tokens,
-        /// How long it holds without being renewed.
-        ttl: Millis,
+        /// How long the group is predicted to last.
+        span: Millis,
     },
     /// Tell the agent to let go of the part, whether or not it granted it.
     Release {
@@ -43,6 +44,7 @@
     nodes: Vec<NodeId>,
     amount: Tokens,
     ttl: Millis,
+    span: Millis,
     deadline: MonoTime,
     held: usize,
     next: MonoTime,
@@ -51,16 +53,17 @@
 }
 
 impl Group {
-    /// Starts reserving `amount` at each of `nodes`; gives up at `deadline`.
+    /// Starts reserving `amount` at each of `nodes` for about `span`; gives up at `deadline`.
     #[must_use]
-    pub fn new(nodes: &[NodeId], amount: Tokens, ttl: Millis, deadline: MonoTime) -> Self {
+    pub fn new(nodes: &[NodeId], amount: Tokens, span: Millis, deadline: MonoTime) -> Self {
         let mut nodes = nodes.to_vec();
         nodes.sort();
         nodes.dedup();
         Self {
             nodes,
             amount,
-            ttl,
+            ttl: PART_TTL,
+            span,
             deadline,
             held: 0,
             next: MonoTime::ZERO,
@@ -156,7 +159,7 @@
         Step::Reserve {
             node: self.nodes[part].clone(),
             amount: self.amount,
-            ttl: self.ttl,
+            span: self.span,
         }
     }
 
--- a/jujubewind/src/routing/request.rs
+++ b/jujubewind/src/routing/request.rs
@@ -16,6 +16,8 @@
     pub class: Class,
     /// The length of the prompt.
     pub prompt: Tokens,
+    /// Engines needed at once; more than one for a group.
+    pub parts: usize,
     /// Hashes of the prompt's leading blocks.
     pub blocks: &'a [u64],
 }
--- a/jujubewind/src/routing/router.rs
+++ b/jujubewind/src/routing/router.rs
@@ -13,6 +13,9 @@
 use crate::types::DomainId;
 use crate::types::NodeId;
 
+/// Agents asked for each part of a group.
+const CHOICE: usize = 3;
+
 /// Chooses backend servers for one entry.
 #[derive(Clone, Debug)]
 pub struct Router {
@@ -78,7 +81,9 @@
     }
 
     fn count(&self, request: &Request<'_>) -> usize {
-        if request.prompt >= self.settings.long {
+        if request.parts > 1 {
+            self.settings.longs.max(CHOICE * request.parts)
+        } else if request.prompt >= self.settings.long {
             self.settings.longs
         } else {
             self.settings.asks
--- a/jujubewind/src/scheduler/action.rs
+++ b/jujubewind/src/scheduler/action.rs
@@ -30,6 +30,11 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// Give the memory of a group's part back to the engine.
+    Release {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Tell the entry that the attempt was not run and never will be; it is forgotten here.
     Expire {
         /// The attempt.
--- a/jujubewind/src/scheduler/forecast.rs
+++ b/jujubewind/src/scheduler/forecast.rs
@@ -63,8 +63,11 @@
         let mut ends: Vec<(Work, Tokens)> = self
             .state
             .running()
+            .filter(|other| !self.state.parts.contains_key(&other.job.attempt))
             .map(|other| (self.leaves_in(other, rank), other.job.memory()))
             .collect();
+        let parts = self.state.parts.values();
+        ends.extend(parts.map(|part| (Work::between(self.now, part.end), part.amount)));
         ends.sort_unstable();
         let mut wait = Work::ZERO;
         for (end, amount) in ends {
--- a/jujubewind/src/scheduler/mod.rs
+++ b/jujubewind/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 pub use listed::Listed;
 pub use order::Order;
 pub use phase::Phase;
+pub use scheduler::PART_TTL;
 pub use scheduler::Scheduler;
 pub use settings::Settings;
 pub use work::Work;
--- a/jujubewind/src/scheduler/scheduler.rs
+++ b/jujubewind/src/scheduler/scheduler.rs
@@ -13,6 +13,7 @@
 use super::Work;
 use super::forecast::Forecast;
 use super::placement::Placement;
+use super::state::Part;
 use super::state::State;
 use super::state::Wish;
 use super::task::Task;
@@ -27,6 +28,9 @@
 /// When to ask again for the part of a group that waits for memory.
 const PART_RETRY: Millis = Millis(50);
 
+/// How long a part of a group holds without being renewed; three renewals are sent in that time.
+pub const PART_TTL: Millis = Millis(3_000);
+
 /// When a full queue may have room.
 const QUEUE_RETRY: Millis = Millis(1_000);
 
@@ -94,7 +98,7 @@
         Ok(())
     }
 
-    /// Holds memory for a part of a group; asking again renews it.
+    /// Holds memory for a part of a group that is predicted to last `span`; asking again renews it.
     ///
     /// # Errors
     /// There is no room yet: long work is kept back and paused until there is. Or the attempt is
@@ -104,12 +108,12 @@
         now: MonoTime,
         attempt: AttemptId,
         amount: Tokens,
-        ttl: Millis,
+        span: Millis,
     ) -> Result<()> {
         if self.state.past.ran(attempt).is_some() {
             return refuse(Reason::Cancelled, Millis::ZERO);
         }
-        let until = now.after(ttl);
+        let until = now.after(PART_TTL);
         let placed = self.state.ledger.place(attempt);
         if placed.is_none() {
             self.state.ledger.promise(attempt, amount, true, until)?;
@@ -117,6 +121,11 @@
         self.state.ledger.renew(attempt, until);
         if self.state.ledger.take(attempt, Place::Aside) {
             self.state.wish.take_if(|wish| wish.attempt == attempt);
+            let end = now.after(span);
+            self.state
+                .parts
+                .entry(attempt)
+                .or_insert(Part { amount, end });
             return Ok(());
         }
         let wish = Wish {
--- a/jujubewind/src/scheduler/state.rs
+++ b/jujubewind/src/scheduler/state.rs
@@ -29,6 +29,15 @@
     pub until: MonoTime,
 }
 
+/// Memory that a part of a group holds while another engine reads the prompt.
+#[derive(Clone, Copy, Debug)]
+pub struct Part {
+    /// The part's memory.
+    pub amount: Tokens,
+    /// When the group is predicted to end.
+    pub end: MonoTime,
+}
+
 /// The tasks, and what is shared between them.
 #[derive(Clone, Debug)]
 pub struct State {
@@ -44,6 +53,8 @@
     pub tasks: BTreeMap<AttemptId, Task>,
     /// The group that waits for memory here.
     pub wish: Option<Wish>,
+    /// The parts of groups held here.
+    pub parts: BTreeMap<AttemptId, Part>,
     /// The attempts that are over.
     pub past: Past,
     /// Up to when engine time is counted.
@@ -64,6 +75,7 @@
             shares: Shares::default(),
             tasks: BTreeMap::new(),
             wish: None,
+            parts: BTreeMap::new(),
             past: Past::default(),
             counted: MonoTime::ZERO,
             actions: Vec::new(),
@@ -122,6 +134,9 @@
 
     /// Drops an attempt with its reservation, and remembers whether it reached the engine.
     pub fn forget(&mut self, now: MonoTime, attempt: AttemptId) {
+        if self.parts.remove(&attempt).is_some() {
+            self.actions.push(Action::Release { attempt });
+        }
         let task = self.tasks.remove(&attempt);
         let ran = task.as_ref().is_some_and(|one| one.phase != Phase::Waiting);
         let deadline = task.map_or(now, |one| one.deadline);
@@ -129,7 +144,8 @@
         self.ledger.release(attempt);
     }
 
-    /// Only long work is paused, never while somebody reads its answer, and not for ever.
+    /// Only long work is paused, never while somebody reads its answer, and not for ever; nor a
+    /// group, whose other engines would stand still.
     #[must_use]
     pub fn may_pause(&self, task: &Task) -> bool {
         let idle = match task.phase {
@@ -137,7 +153,8 @@
             Phase::Decode => task.job.class == Class::Batch,
             _ => false,
         };
-        idle && self.is_long(task) && task.pauses < self.settings.pauses
+        let alone = task.job.parts == 1;
+        idle && alone && self.is_long(task) && task.pauses < self.settings.pauses
     }
 
     /// Attempts that wait for the engine.
