Keep short prompts in their failure domain and count the step under way

Cause: for a prompt of 1,000 tokens, 60 ms alone, the way across domains and the rest of a step are the greater part of its slowdown.

--- a/jujubewind/src/routing/router.rs
+++ b/jujubewind/src/routing/router.rs
@@ -41,7 +41,7 @@
         excluded: &[NodeId],
         rng: &mut impl Rng,
     ) -> Vec<NodeId> {
-        let open = open_members(members, request, excluded);
+        let open = self.reach(open_members(members, request, excluded), request);
         let count = self.count(request).min(open.len());
         let mut chosen = affine(&open, request, count);
         self.fill(&open, &mut chosen, count, rng);
@@ -80,6 +80,17 @@
         (places.len() == count).then_some(places)
     }
 
+    /// Short prompts stay in the own failure domain while it has enough agents: the way across
+    /// takes as long as reading them.
+    fn reach<'a>(&self, open: Vec<&'a Candidate>, request: &Request<'_>) -> Vec<&'a Candidate> {
+        let near = |one: &&Candidate| one.domain == self.home;
+        let short = request.prompt < self.settings.short;
+        if short && open.iter().copied().filter(near).count() >= self.settings.asks {
+            return open.into_iter().filter(near).collect();
+        }
+        open
+    }
+
     fn count(&self, request: &Request<'_>) -> usize {
         if request.parts > 1 {
             self.settings.longs.max(CHOICE * request.parts)
--- a/jujubewind/src/routing/settings.rs
+++ b/jujubewind/src/routing/settings.rs
@@ -10,6 +10,8 @@
         pub asks: usize,
         /// Agents asked for a long prompt, which can pay for more.
         pub longs: usize,
+        /// The length below which a prompt stays in its failure domain.
+        pub short: Tokens,
         /// The length from which a prompt is long.
         pub long: Tokens,
         /// What crossing to another failure domain must gain.
@@ -24,6 +26,7 @@
         Self {
             asks: 3,
             longs: 5,
+            short: Tokens(10_000),
             long: Tokens(32_768),
             penalty: Millis(10),
             tie: Millis(2),
--- a/jujubewind/src/scheduler/forecast.rs
+++ b/jujubewind/src/scheduler/forecast.rs
@@ -11,6 +11,9 @@
 use crate::types::MonoTime;
 use crate::types::Tokens;
 
+/// The length of a step that reads no prompt, in thousandths of the mean step.
+const DECODE_PART: u64 = 500;
+
 /// A look at the scheduler's state at one time.
 #[derive(Debug)]
 pub struct Forecast<'a> {
@@ -32,6 +35,7 @@
         let rank = self.state.rank(self.now, &task);
         let wait = self.work_before(rank).max(self.memory_wait(&task, rank));
         let first = wait
+            .saturating_add(self.step_left())
             .saturating_add(task.prefill(&self.state.cost))
             .saturating_add(Work(self.state.cost.step));
         let total = first.saturating_add(self.state.cost.decode(job.output));
@@ -42,6 +46,20 @@
         }
     }
 
+    /// What is left of the engine's step on average: prompts make it long.
+    fn step_left(&self) -> Work {
+        let step = Work(self.state.cost.step / 2);
+        let mut running = self.state.running().peekable();
+        if running.peek().is_none() {
+            return Work::ZERO;
+        }
+        if running.any(|task| task.phase == Phase::Prefill) {
+            step
+        } else {
+            step.scaled(DECODE_PART)
+        }
+    }
+
     /// Prefill that goes first.
     fn work_before(&self, rank: Rank) -> Work {
         self.state
