Serve prompts beyond one engine from a group of engines, all or nothing

Cause: a prompt longer than one engine's memory was refused, though together the engines can hold it. Ruled out: telling every entry each engine's memory through membership (1,300 records more to keep fresh); the agent answers a quote with its ceiling and the entry then asks again with the number of parts. Change: agents hold parts at scheduler and engine, renewed by a task of the request and let go when it ends or its entry dies; the leader is the first agent by name, the order in which all groups reserve.

--- a/emulator/src/experiment/simulation.rs
+++ b/emulator/src/experiment/simulation.rs
@@ -240,7 +240,7 @@
         }
         let refusal = offers.iter().find_map(|offer| match &offer.reply {
             QuoteReply::Refused(refusal) => Some(refusal.clone()),
-            QuoteReply::Estimate { .. } => None,
+            QuoteReply::Estimate { .. } | QuoteReply::TooLong { .. } => None,
         });
         self.refused(now, id, refusal.unwrap_or_else(nobody));
     }
@@ -453,7 +453,7 @@
 fn span(offer: &Offer) -> Millis {
     match &offer.reply {
         QuoteReply::Estimate { total, .. } => *total,
-        QuoteReply::Refused(_) => Millis::ZERO,
+        QuoteReply::Refused(_) | QuoteReply::TooLong { .. } => Millis::ZERO,
     }
 }
 
--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -38,6 +38,7 @@
     addrs: BTreeMap<String, SocketAddr>,
     port: u16,
     speed: u32,
+    memory: u64,
 }
 
 impl Fleet {
@@ -55,6 +56,7 @@
             addrs: BTreeMap::new(),
             port: 7_000,
             speed: 20,
+            memory: 400_000,
         };
         for entry in ENTRIES {
             fleet.address(entry);
@@ -70,11 +72,18 @@
         self
     }
 
+    /// Sets the KV memory in tokens of engines that are started from now on.
+    pub fn memory(mut self, tokens: u64) -> Self {
+        self.memory = tokens;
+        self
+    }
+
     /// Starts an engine and its agent.
     pub fn engine(mut self, name: &str) -> Self {
         let addr = self.address(&format!("{name}-engine"));
         let mut args = words(&["engine", "--listen", &addr.to_string(), "--model", "m1"]);
         args.extend(words(&["--speed", &self.speed.to_string()]));
+        args.extend(words(&["--capacity", &self.memory.to_string()]));
         self.start(&format!("{name}-engine"), "jujube-emulator", args);
         self.agent(name, &format!("kind: engine, addr: \"{addr}\""), "m1");
         self
@@ -194,7 +203,8 @@
         let listen = self.address(&format!("{name}-agent"));
         let admin = self.address(&format!("{name}-admin"));
         let text = format!(
-            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\nadmin: \"{admin}\"\nbackend: {{{backend}}}\nmodels: [{model}]\n{}",
+            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\nadmin: \"{admin}\"\nbackend: {{{backend}}}\nmodels: [{model}]\nmemory: {}\n{}",
+            self.memory,
             self.contacts(),
         );
         let settings = self.write(&format!("{name}.yaml"), &text);
--- /dev/null
+++ b/emulator/tests/system/groups.rs
@@ -0,0 +1,104 @@
+//! Prompts that need several engines at once.
+
+use std::thread;
+
+use jujube_emulator::engine::core::answer::expected;
+
+use crate::fleet::Fleet;
+
+/// KV memory of each engine in tokens.
+const MEMORY: u64 = 20_000;
+const ENGINES: [&str; 3] = ["a", "b", "c"];
+
+fn small_engines() -> Fleet {
+    let fleet = Fleet::new().speed(50).memory(MEMORY);
+    let fleet = fleet.engine("a").engine("b").engine("c").entry("e1");
+    fleet.until("all agents are known", |fleet| {
+        fleet.agents_known("e1") == 3
+    });
+    fleet
+}
+
+/// A prompt of more than twice one engine's memory.
+fn case_file(number: u64) -> String {
+    let text = format!("case file {number} of the district registrar, ");
+    text.repeat(45_000 * 4 / text.len())
+}
+
+fn all_free(fleet: &Fleet) -> bool {
+    ENGINES.iter().all(|name| fleet.free_memory(name) == MEMORY)
+}
+
+#[test]
+fn a_prompt_beyond_two_engines_is_answered_whole() {
+    let fleet = small_engines();
+
+    let answer = fleet.caller("e1").complete(&case_file(1), 20).send();
+
+    assert_eq!(answer.status, 200, "{}\n{}", answer.body, fleet.logs());
+    assert_eq!(answer.text(), expected(&case_file(1), 20));
+    fleet.until("no memory is lost", all_free);
+}
+
+#[test]
+fn two_such_prompts_and_short_ones_all_end() {
+    let fleet = small_engines();
+    let long = |number| {
+        let caller = fleet.caller("e1").complete(&case_file(number), 20);
+        thread::spawn(move || caller.send())
+    };
+    let longs = [long(1), long(2)];
+
+    let shorts: Vec<_> = (0..10)
+        .map(|_| fleet.caller("e1").complete("lookup", 5).send())
+        .collect();
+
+    for answer in shorts {
+        assert_eq!(
+            answer.text(),
+            expected("lookup", 5),
+            "{}\n{}",
+            answer.body,
+            fleet.logs()
+        );
+    }
+    for (number, answer) in (1..).zip(longs) {
+        let answer = answer.join().expect("the caller ends");
+        assert_eq!(
+            answer.text(),
+            expected(&case_file(number), 20),
+            "{}",
+            answer.body
+        );
+    }
+    fleet.until("no memory is lost", all_free);
+}
+
+#[test]
+fn no_part_stays_behind_when_the_entry_dies() {
+    let mut fleet = small_engines();
+    let caller = fleet.caller("e1").complete(&case_file(1), 1_000);
+    let answer = thread::spawn(move || caller.send());
+    fleet.until("the parts are held", |fleet| !all_free(fleet));
+
+    fleet.kill("e1");
+
+    assert!(!answer.join().expect("the caller ends").is_whole());
+    fleet.until("no memory is lost", all_free);
+}
+
+#[test]
+fn a_prompt_beyond_all_engines_is_refused_at_once() {
+    let fleet = small_engines();
+    let prompt = "x".repeat(60_000 * 4);
+
+    let answer = fleet.caller("e1").complete(&prompt, 5).send();
+
+    assert_eq!(
+        (answer.status, answer.kind().as_str()),
+        (413, "prompt_too_long"),
+        "{}",
+        answer.body
+    );
+    assert!(all_free(&fleet));
+}
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -4,5 +4,6 @@
 mod caller;
 mod failures;
 mod fleet;
+mod groups;
 mod process;
 mod whole_path;
--- a/jujubewind/src/agent/command.rs
+++ b/jujubewind/src/agent/command.rs
@@ -16,6 +16,8 @@
     Drop(String),
     /// Take the attempt from the engine.
     Stop(AttemptId),
+    /// Give a part of a group back to the engine.
+    Release(AttemptId),
     /// Answer whoever waits for the attempt's tokens.
     Wake(AttemptId),
 }
--- a/jujubewind/src/agent/core.rs
+++ b/jujubewind/src/agent/core.rs
@@ -18,6 +18,7 @@
 use crate::rpc::message::Cancel;
 use crate::rpc::message::CancelReply;
 use crate::rpc::message::Finish;
+use crate::rpc::message::Hold;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::Quote;
@@ -133,10 +134,34 @@
                 total: estimate.total,
                 cached: estimate.cached,
             },
+            Err(refusal) if refusal.reason == Reason::PromptTooLong => QuoteReply::TooLong {
+                ceiling: self.scheduler.ledger().ceiling(true),
+            },
             Err(refusal) => QuoteReply::Refused(refusal),
         }
     }
 
+    /// Holds memory for a part of a group, or says why not; the engine must then be asked too.
+    pub fn hold(&mut self, now: MonoTime, ask: &Hold) -> Option<Refusal> {
+        let id = ask.envelope.attempt;
+        if self.leaving && !self.scheduler.holds(id) {
+            return Some(refusal(Reason::Leaving, RETRY_LEAVING));
+        }
+        if !self.settings.models.contains(&ask.model) {
+            return Some(refusal(Reason::UnknownModel, Millis::ZERO));
+        }
+        if self.fenced.contains_key(&id) {
+            return Some(refusal(Reason::Cancelled, Millis::ZERO));
+        }
+        self.scheduler.hold(now, id, ask.amount, ask.span).err()
+    }
+
+    /// Lets go of a part that the engine would not hold.
+    pub fn unhold(&mut self, now: MonoTime, id: AttemptId) -> Vec<Command> {
+        self.scheduler.cancel(now, id);
+        self.schedule(now)
+    }
+
     /// Takes or refuses a request; the same attempt again gets the same answer.
     pub fn start(&mut self, now: MonoTime, start: Start) -> (StartReply, Vec<Command>) {
         let id = start.quote.envelope.attempt;
@@ -191,7 +216,7 @@
             } else {
                 CancelReply::Unknown
             };
-            return (reply, Vec::new());
+            return (reply, self.unhold(now, id));
         };
         let waiting = attempt.phase == Phase::Waiting;
         let unrun = self.scheduler.cancel(now, id) || waiting;
@@ -374,6 +399,7 @@
                 commands.push(Command::Stop(attempt));
                 commands
             }
+            Action::Release { attempt } => vec![Command::Release(attempt)],
             Action::Expire { attempt, refusal } => {
                 self.finish(now, attempt, Step::Refuse, Ending::Refused(refusal))
             }
@@ -423,7 +449,7 @@
             prompt: ask.prompt,
             cached: self.cached.prefix(&ask.blocks),
             output: ask.output,
-            parts: 1,
+            parts: ask.parts,
             remaining: ask.envelope.remaining,
         }
     }
--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -33,6 +33,8 @@
 use crate::rpc::message::Call;
 use crate::rpc::message::CallReply;
 use crate::rpc::message::Chunk;
+use crate::rpc::message::Hold;
+use crate::rpc::message::HoldReply;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::StartReply;
@@ -55,6 +57,9 @@
 /// What the last replies are given to leave the process.
 const FLUSH: Millis = Millis(300);
 
+/// When to ask again for a part that the engine has no room for yet.
+const HOLD_RETRY: Millis = Millis(50);
+
 /// An entry that waits for tokens.
 struct Waiter {
     pull: Pull,
@@ -177,6 +182,11 @@
             Message::Quote(ask, reply) => {
                 let _ = reply.send(self.core.quote(now, &ask));
             }
+            Message::Hold(ask, reply) => self.hold(now, &ask, reply),
+            Message::Unheld(attempt) => {
+                let commands = self.core.unhold(now, attempt);
+                self.execute(now, commands);
+            }
             Message::Start(start, reply) => {
                 let (answer, commands) = self.core.start(now, *start);
                 if let StartReply::Refused(refusal) = &answer {
@@ -258,13 +268,37 @@
         self.waiters.insert(waiter.pull.envelope.attempt, waiter);
     }
 
+    /// Holds a part at the scheduler, then at the engine; both must agree.
+    fn hold(&mut self, now: MonoTime, ask: &Hold, reply: Sender<HoldReply>) {
+        let Client::Engine(client) = &self.client else {
+            let _ = reply.send(HoldReply::Refused(no_engine()));
+            return;
+        };
+        if let Some(refusal) = self.core.hold(now, ask) {
+            self.metrics.refused(refusal.reason);
+            let _ = reply.send(HoldReply::Refused(refusal));
+            return;
+        }
+        let client = client.clone();
+        let messages = self.messages.clone();
+        let (attempt, amount) = (ask.envelope.attempt, ask.amount);
+        let work = async move {
+            if client.hold(attempt, amount).await {
+                let _ = reply.send(HoldReply::Held);
+                return;
+            }
+            let _ = messages.send(Message::Unheld(attempt));
+            let _ = reply.send(HoldReply::Refused(Refusal {
+                reason: Reason::NoMemory,
+                retry: HOLD_RETRY,
+            }));
+        };
+        compio::runtime::spawn(work).detach();
+    }
+
     fn call(&mut self, call: Call, reply: Sender<CallReply>) {
         let Client::Service(client) = &self.client else {
-            let refusal = Refusal {
-                reason: Reason::UnknownModel,
-                retry: Millis::ZERO,
-            };
-            let _ = reply.send(CallReply::Refused(refusal));
+            let _ = reply.send(CallReply::Refused(no_engine()));
             return;
         };
         if let Some(refusal) = self.core.begin_call(&call) {
@@ -348,6 +382,7 @@
                 Command::Import(attempt, handle) => client.import(attempt, handle).await,
                 Command::Drop(handle) => client.drop_handle(handle).await,
                 Command::Stop(attempt) => client.cancel(attempt).await,
+                Command::Release(attempt) => client.release(attempt).await,
                 Command::Wake(_) => {}
             }
         };
@@ -383,3 +418,11 @@
         }
     }
 }
+
+/// What is asked of the backend server is not what it does.
+fn no_engine() -> Refusal {
+    Refusal {
+        reason: Reason::UnknownModel,
+        retry: Millis::ZERO,
+    }
+}
--- a/jujubewind/src/agent/engine_client.rs
+++ b/jujubewind/src/agent/engine_client.rs
@@ -16,6 +16,7 @@
 use crate::http::EventParser;
 use crate::rpc::message::Finish;
 use crate::rpc::message::Start;
+use crate::scheduler::PART_TTL;
 use crate::types::AttemptId;
 use crate::types::Tokens;
 use crate::wire::engine::CacheEvents;
@@ -27,6 +28,9 @@
 use crate::wire::engine::KvExport;
 use crate::wire::engine::KvHandle;
 use crate::wire::engine::KvRequest;
+use crate::wire::engine::PartRelease;
+use crate::wire::engine::PartRequest;
+use crate::wire::engine::PartResult;
 use crate::wire::engine::SequenceList;
 
 /// The event that closes a stream.
@@ -104,6 +108,25 @@
         }
     }
 
+    /// Holds memory for a part of a group; tells whether the engine does.
+    pub async fn hold(&self, attempt: AttemptId, amount: Tokens) -> bool {
+        let request = PartRequest {
+            group: attempt.to_string(),
+            tokens: amount.get(),
+            ttl_ms: PART_TTL.get(),
+        };
+        let outcome = self.post::<_, PartResult>("/v1/parts", &request).await;
+        outcome.is_ok()
+    }
+
+    /// Gives a part of a group back; the engine lets go by itself when this is lost.
+    pub async fn release(self, attempt: AttemptId) {
+        let request = PartRelease {
+            group: attempt.to_string(),
+        };
+        let _ = self.post::<_, Empty>("/v1/parts/release", &request).await;
+    }
+
     /// Reports what the engine lists as its sequences.
     pub async fn list(self) {
         if let Ok(list) = self.sequences().await {
@@ -224,6 +247,6 @@
         priority: i64::from(priority),
         request_id: quote.envelope.attempt.to_string(),
         offset: start.offset.get(),
-        group: None,
+        group: (quote.parts > 1).then(|| quote.envelope.attempt.to_string()),
     }
 }
--- a/jujubewind/src/agent/message.rs
+++ b/jujubewind/src/agent/message.rs
@@ -9,6 +9,8 @@
 use crate::rpc::message::Cancel;
 use crate::rpc::message::CancelReply;
 use crate::rpc::message::Gossip;
+use crate::rpc::message::Hold;
+use crate::rpc::message::HoldReply;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::Quote;
@@ -24,6 +26,10 @@
 pub enum Message {
     /// An entry asks for an estimate.
     Quote(Quote, Sender<QuoteReply>),
+    /// An entry wants memory held for a part of a group.
+    Hold(Hold, Sender<HoldReply>),
+    /// The engine would not hold a part.
+    Unheld(AttemptId),
     /// An entry hands over a request.
     Start(Box<Start>, Sender<StartReply>),
     /// An entry asks for tokens.
--- a/jujubewind/src/agent/server.rs
+++ b/jujubewind/src/agent/server.rs
@@ -13,6 +13,8 @@
 use crate::rpc::message::Cancel;
 use crate::rpc::message::CancelReply;
 use crate::rpc::message::Gossip;
+use crate::rpc::message::Hold;
+use crate::rpc::message::HoldReply;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::Quote;
@@ -46,6 +48,11 @@
         reply.unwrap_or_else(|| QuoteReply::Refused(stopping()))
     }
 
+    async fn hold(self, _: Context, ask: Hold) -> HoldReply {
+        let reply = self.ask(|tx| Message::Hold(ask, tx)).await;
+        reply.unwrap_or_else(|| HoldReply::Refused(stopping()))
+    }
+
     async fn start(self, _: Context, order: Start) -> StartReply {
         let reply = self.ask(|tx| Message::Start(Box::new(order), tx)).await;
         reply.unwrap_or_else(|| StartReply::Refused(stopping()))
--- a/jujubewind/src/entry/api/generation.rs
+++ b/jujubewind/src/entry/api/generation.rs
@@ -1,5 +1,7 @@
 //! From a caller's wish to a request on its way.
 
+use std::cell::RefCell;
+
 use hyper::HeaderMap;
 
 use super::answer;
@@ -80,6 +82,7 @@
             link: self.link.clone(),
             control: control.clone(),
             caller: tx,
+            group: RefCell::default(),
         };
         let work = async move {
             let written = driver.run().await;
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -3,6 +3,7 @@
 use flume::Sender;
 
 use super::Admission;
+use super::Choice;
 use super::Permit;
 use super::message::Message;
 use crate::entry::EntryStatus;
@@ -13,7 +14,6 @@
 use crate::refusal::Refusal;
 use crate::rpc::message::Gossip;
 use crate::rpc::message::QuoteReply;
-use crate::types::Class;
 use crate::types::Millis;
 use crate::types::ModelId;
 use crate::types::NodeId;
@@ -49,20 +49,25 @@
     pub async fn candidates(
         &self,
         job: &Job,
+        parts: u64,
         excluded: Vec<NodeId>,
     ) -> Result<Vec<Target>, Refusal> {
-        let job = Box::new(job.clone());
-        let reply = self.ask(|tx| Message::Candidates(job, excluded, tx)).await;
+        let job = Box::new(job.shape());
+        let reply = self
+            .ask(|tx| Message::Candidates(job, parts, excluded, tx))
+            .await;
         reply.unwrap_or_else(|| Err(stopping()))
     }
 
     /// Asks which estimate is best.
     pub async fn pick(
         &self,
-        class: Class,
+        job: &Job,
+        parts: u64,
         quotes: Vec<(Target, QuoteReply)>,
-    ) -> Result<Target, Refusal> {
-        let reply = self.ask(|tx| Message::Pick(class, quotes, tx)).await;
+    ) -> Result<Choice, Refusal> {
+        let job = Box::new(job.shape());
+        let reply = self.ask(|tx| Message::Pick(job, parts, quotes, tx)).await;
         reply.unwrap_or_else(|| Err(stopping()))
     }
 
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -13,7 +13,6 @@
 use crate::refusal::Refusal;
 use crate::rpc::message::Gossip;
 use crate::rpc::message::QuoteReply;
-use crate::types::Class;
 use crate::types::ModelId;
 use crate::types::NodeId;
 use crate::types::OrgId;
@@ -49,6 +48,15 @@
     pub rates: Rates,
 }
 
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// To this agent.
+    Target(Target),
+    /// Nowhere yet: it needs this many engines, which must be asked first.
+    Split(u64),
+}
+
 /// A message to the task; the sender in it takes the answer.
 #[derive(Debug)]
 pub enum Message {
@@ -57,12 +65,18 @@
     /// A request that was admitted is over; its answer had this many tokens.
     Release(Box<Permit>, Tokens),
     /// Which agents should be asked?
-    Candidates(Box<Job>, Vec<NodeId>, Sender<Result<Vec<Target>, Refusal>>),
+    Candidates(
+        Box<Job>,
+        u64,
+        Vec<NodeId>,
+        Sender<Result<Vec<Target>, Refusal>>,
+    ),
     /// Which of these estimates is best?
     Pick(
-        Class,
+        Box<Job>,
+        u64,
         Vec<(Target, QuoteReply)>,
-        Sender<Result<Target, Refusal>>,
+        Sender<Result<Choice, Refusal>>,
     ),
     /// May a request with so many attempts be tried again?
     Retry(u32, Sender<Result<(), Refusal>>),
--- a/jujubewind/src/entry/control/mod.rs
+++ b/jujubewind/src/entry/control/mod.rs
@@ -10,5 +10,6 @@
 
 pub use handle::Control;
 pub use message::Admission;
+pub use message::Choice;
 pub use message::Permit;
 pub use state::start;
--- a/jujubewind/src/entry/control/placement.rs
+++ b/jujubewind/src/entry/control/placement.rs
@@ -1,7 +1,9 @@
 //! Where requests go.
 
+use super::Choice;
 use super::state::State;
 use crate::entry::Job;
+use crate::entry::request::Helpers;
 use crate::entry::request::Target;
 use crate::membership;
 use crate::refusal::Reason;
@@ -10,11 +12,11 @@
 use crate::routing::Offer;
 use crate::routing::Request;
 use crate::rpc::message::QuoteReply;
-use crate::types::Class;
 use crate::types::DomainId;
 use crate::types::Millis;
 use crate::types::ModelId;
 use crate::types::NodeId;
+use crate::types::Tokens;
 
 /// When to come back when nobody serves a model.
 const RETRY_NO_BACKEND: Millis = Millis(1_000);
@@ -24,6 +26,7 @@
     pub(super) fn candidates(
         &mut self,
         job: &Job,
+        parts: u64,
         excluded: &[NodeId],
     ) -> Result<Vec<Target>, Refusal> {
         let members = self.serving(&job.model);
@@ -32,6 +35,7 @@
             model: &job.model,
             class: job.class,
             prompt: job.prompt,
+            parts: usize::try_from(parts).unwrap_or(usize::MAX),
             blocks: &job.blocks,
         };
         let nodes = self
@@ -46,20 +50,71 @@
     /// The best of the estimates; if all refused, the refusal that ends soonest.
     pub(super) fn pick(
         &mut self,
-        class: Class,
-        quotes: Vec<(Target, QuoteReply)>,
-    ) -> Result<Target, Refusal> {
-        let offers: Vec<Offer> = quotes
+        job: &Job,
+        parts: u64,
+        quotes: &[(Target, QuoteReply)],
+    ) -> Result<Choice, Refusal> {
+        let offers: Vec<Offer> = quotes.iter().map(|quote| self.offer(quote)).collect();
+        if parts > 1 {
+            return self.pick_group(job, parts, quotes, &offers);
+        }
+        match self.router.pick(job.class, &offers, &mut self.rng) {
+            Some(place) => Ok(Choice::Target(quotes[place].0.clone())),
+            None => self.split(job, quotes),
+        }
+    }
+
+    /// The number of engines that a prompt needs which no single one takes.
+    fn split(&self, job: &Job, quotes: &[(Target, QuoteReply)]) -> Result<Choice, Refusal> {
+        let ceilings = quotes.iter().filter_map(|(_, reply)| match reply {
+            QuoteReply::TooLong { ceiling } if *ceiling > Tokens::ZERO => Some(ceiling.get()),
+            _ => None,
+        });
+        let Some(ceiling) = ceilings.min() else {
+            return Err(soonest(quotes));
+        };
+        let parts = job.memory().get().div_ceil(ceiling);
+        let serving = self.members.view().candidates(&job.model).count();
+        if parts > serving as u64 {
+            return Err(too_long());
+        }
+        Ok(Choice::Split(parts))
+    }
+
+    /// The leader is the first by name, since groups are reserved in that order.
+    fn pick_group(
+        &self,
+        job: &Job,
+        parts: u64,
+        quotes: &[(Target, QuoteReply)],
+        offers: &[Offer],
+    ) -> Result<Choice, Refusal> {
+        let count = usize::try_from(parts).unwrap_or(usize::MAX);
+        let Some(places) = self.router.pick_group(job.class, offers, count) else {
+            return Err(soonest(quotes));
+        };
+        let mut targets: Vec<Target> = places
             .iter()
-            .map(|(target, reply)| Offer {
-                node: target.node.clone(),
-                domain: self.domain(&target.node),
-                reply: reply.clone(),
-            })
+            .map(|place| quotes[*place].0.clone())
             .collect();
-        match self.router.pick(class, &offers, &mut self.rng) {
-            Some(place) => Ok(quotes[place].0.clone()),
-            None => Err(soonest(quotes)),
+        targets.sort_by(|a, b| a.node.cmp(&b.node));
+        let mut leader = targets.remove(0);
+        let spans = places
+            .iter()
+            .filter_map(|place| match &offers[*place].reply {
+                QuoteReply::Estimate { total, .. } => Some(*total),
+                _ => None,
+            });
+        let span = spans.max().unwrap_or(Millis::ZERO);
+        leader.group = Some(Box::new(Helpers { targets, span }));
+        Ok(Choice::Target(leader))
+    }
+
+    fn offer(&self, (target, reply): &(Target, QuoteReply)) -> Offer {
+        Offer {
+            node: target.node.clone(),
+            domain: self.domain(&target.node),
+            reply: reply.clone(),
         }
     }
 
@@ -78,10 +133,7 @@
 
     fn target(&self, node: &NodeId) -> Option<Target> {
         let member = self.members.view().get(node)?;
-        Some(Target {
-            node: node.clone(),
-            addr: member.addr,
-        })
+        Some(Target::alone(node.clone(), member.addr))
     }
 
     fn domain(&self, node: &NodeId) -> DomainId {
@@ -101,9 +153,10 @@
 }
 
 /// A refusal with no time to come back says nothing of the others, so it counts last.
-fn soonest(quotes: Vec<(Target, QuoteReply)>) -> Refusal {
-    let refusals = quotes.into_iter().filter_map(|(_, reply)| match reply {
-        QuoteReply::Refused(refusal) => Some(refusal),
+fn soonest(quotes: &[(Target, QuoteReply)]) -> Refusal {
+    let refusals = quotes.iter().filter_map(|(_, reply)| match reply {
+        QuoteReply::Refused(refusal) => Some(refusal.clone()),
+        QuoteReply::TooLong { .. } => Some(too_long()),
         QuoteReply::Estimate { .. } => None,
     });
     let never = |refusal: &Refusal| refusal.retry == Millis::ZERO;
@@ -111,6 +164,13 @@
     soonest.unwrap_or_else(no_backend)
 }
 
+fn too_long() -> Refusal {
+    Refusal {
+        reason: Reason::PromptTooLong,
+        retry: Millis::ZERO,
+    }
+}
+
 fn no_backend() -> Refusal {
     Refusal {
         reason: Reason::NoBackend,
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -123,10 +123,12 @@
         match message {
             Message::Admit(admission, reply) => drop(reply.send(self.admit(now, &admission))),
             Message::Release(permit, output) => self.release(&permit, output),
-            Message::Candidates(job, excluded, reply) => {
-                drop(reply.send(self.candidates(&job, &excluded)));
+            Message::Candidates(job, parts, excluded, reply) => {
+                drop(reply.send(self.candidates(&job, parts, &excluded)));
+            }
+            Message::Pick(job, parts, quotes, reply) => {
+                drop(reply.send(self.pick(&job, parts, &quotes)));
             }
-            Message::Pick(class, quotes, reply) => drop(reply.send(self.pick(class, quotes))),
             Message::Retry(attempts, reply) => {
                 drop(reply.send(self.budget.retry(now, attempts)));
             }
--- a/jujubewind/src/entry/driver.rs
+++ b/jujubewind/src/entry/driver.rs
@@ -1,20 +1,25 @@
 //! Carries out what a request's machine decides.
 
+use std::cell::RefCell;
 use std::collections::VecDeque;
 
 use flume::Sender;
 
 use super::Job;
 use super::caller::Event;
+use super::control::Choice;
 use super::control::Control;
 use super::link::Link;
 use super::request::Input;
 use super::request::Machine;
 use super::request::Output;
 use super::request::Target;
+use super::reservation::Reservation;
 use crate::refusal::Refusal;
 use crate::rpc::Error;
 use crate::rpc::message::CancelReply;
+use crate::rpc::message::PullReply;
+use crate::rpc::message::StartReply;
 use crate::timer::Clock;
 use crate::types::AttemptId;
 use crate::types::Millis;
@@ -41,6 +46,8 @@
     pub control: Control,
     /// Where the answer goes.
     pub caller: Sender<Event>,
+    /// The engines held for a prompt beyond one engine.
+    pub group: RefCell<Option<Reservation>>,
 }
 
 impl Driver {
@@ -125,12 +132,27 @@
     }
 
     async fn choose(&self, excluded: Vec<NodeId>) -> Result<Target, Refusal> {
-        let targets = self.control.candidates(&self.job, excluded).await?;
-        let quotes = self.link.quotes(&self.job, targets, self.remaining()).await;
-        self.control.pick(self.job.class, quotes).await
+        let mut parts = 1;
+        loop {
+            let targets = self.control.candidates(&self.job, parts, excluded.clone());
+            let quotes = self
+                .link
+                .quotes(&self.job, parts, targets.await?, self.remaining());
+            match self.control.pick(&self.job, parts, quotes.await).await? {
+                Choice::Target(target) => return Ok(target),
+                Choice::Split(more) => parts = more,
+            }
+        }
     }
 
     async fn start(&self, target: Target, attempt: AttemptId, offset: Tokens) -> Input {
+        if let Some(helpers) = &target.group {
+            let reserved = Reservation::make(self, &target, helpers, attempt).await;
+            match reserved {
+                Ok(reservation) => *self.group.borrow_mut() = Some(reservation),
+                Err(refusal) => return Input::Started(Some(StartReply::Refused(refusal))),
+            }
+        }
         let remaining = self.remaining();
         match self
             .link
@@ -144,6 +166,14 @@
     }
 
     async fn pull(&self, target: Target, attempt: AttemptId, offset: Tokens) -> Input {
+        if self
+            .group
+            .borrow()
+            .as_ref()
+            .is_some_and(Reservation::is_lost)
+        {
+            return Input::Pulled(Some(PullReply::EngineFailed { died: false }));
+        }
         Input::Pulled(
             self.link
                 .pull(&target, attempt, offset, self.remaining())
@@ -153,6 +183,7 @@
 
     /// Sends a fence without waiting for its answer.
     fn cancel(&self, target: Target, attempt: AttemptId) -> Option<Input> {
+        self.group.borrow_mut().take();
         let link = self.link.clone();
         let remaining = self.remaining().max(FENCE_TIME);
         // The attempt is not older than its request.
@@ -177,7 +208,8 @@
         sent.is_err().then_some(Input::Abandoned)
     }
 
-    fn remaining(&self) -> Millis {
+    /// The time left to the request.
+    pub fn remaining(&self) -> Millis {
         self.deadline.since(self.clock.now())
     }
 }
--- a/jujubewind/src/entry/job.rs
+++ b/jujubewind/src/entry/job.rs
@@ -33,9 +33,31 @@
 }
 
 impl Job {
-    /// The shape of the request for an agent; an answer resumed at `offset` needs less.
+    /// The request without its prompt's text, which only agents need.
     #[must_use]
-    pub fn quote(&self, envelope: Envelope) -> Quote {
+    pub fn shape(&self) -> Self {
+        Self {
+            request: self.request,
+            org: self.org.clone(),
+            entry: self.entry.clone(),
+            model: self.model.clone(),
+            class: self.class,
+            text: String::new(),
+            prompt: self.prompt,
+            output: self.output,
+            blocks: self.blocks.clone(),
+        }
+    }
+
+    /// The KV cache that the request needs at its end.
+    #[must_use]
+    pub fn memory(&self) -> Tokens {
+        self.prompt.saturating_add(self.output)
+    }
+
+    /// The shape of the request for an agent, one of `parts` that share it.
+    #[must_use]
+    pub fn quote(&self, envelope: Envelope, parts: u64) -> Quote {
         Quote {
             envelope,
             model: self.model.clone(),
@@ -43,6 +65,7 @@
             class: self.class,
             prompt: self.prompt,
             output: self.output,
+            parts,
             blocks: self.blocks.clone(),
         }
     }
--- a/jujubewind/src/entry/link.rs
+++ b/jujubewind/src/entry/link.rs
@@ -5,6 +5,8 @@
 
 use super::Job;
 use super::request::Target;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
 use crate::rpc::AgentClient;
 use crate::rpc::Connections;
 use crate::rpc::Error;
@@ -13,6 +15,8 @@
 use crate::rpc::message::Cancel;
 use crate::rpc::message::CancelReply;
 use crate::rpc::message::Envelope;
+use crate::rpc::message::Hold;
+use crate::rpc::message::HoldReply;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::QuoteReply;
@@ -30,6 +34,8 @@
 const QUOTE_TIMEOUT: Millis = Millis(1_000);
 /// The longest wait for a start's answer.
 const START_TIMEOUT: Millis = Millis(3_000);
+/// The longest wait for the answer to a hold.
+const HOLD_TIMEOUT: Millis = Millis(800);
 /// The longest wait of a pull at the agent.
 const PULL_WAIT: Millis = Millis(1_000);
 /// What the network may add to a pull's wait.
@@ -69,12 +75,13 @@
     pub async fn quotes(
         &self,
         job: &Job,
+        parts: u64,
         targets: Vec<Target>,
         remaining: Millis,
     ) -> Vec<(Target, QuoteReply)> {
         let asks: FuturesUnordered<_> = targets
             .into_iter()
-            .map(|target| self.quote(job, target, remaining))
+            .map(|target| self.quote(job, parts, target, remaining))
             .collect();
         let mut asks = asks.filter_map(std::future::ready).boxed_local();
         let mut replies = Vec::new();
@@ -91,17 +98,28 @@
     async fn quote(
         &self,
         job: &Job,
+        parts: u64,
         target: Target,
         remaining: Millis,
     ) -> Option<(Target, QuoteReply)> {
         let nobody = AttemptId::from_number(0);
-        let ask = job.quote(self.envelope(nobody, remaining));
+        let ask = job.quote(self.envelope(nobody, remaining), parts);
         let timeout = remaining.min(QUOTE_TIMEOUT);
         let call = async |agent: &AgentClient, context| agent.quote(context, ask).await;
         let reply = self.agents.call(target.addr, timeout, call).await.ok()?;
         Some((target, reply))
     }
 
+    /// Asks an agent to hold, or to go on holding, a part of a group.
+    pub async fn hold(&self, target: &Target, ask: Hold) -> HoldReply {
+        let call = async |agent: &AgentClient, context| agent.hold(context, ask).await;
+        let outcome = self.agents.call(target.addr, HOLD_TIMEOUT, call).await;
+        outcome.unwrap_or(HoldReply::Refused(Refusal {
+            reason: Reason::BackendDown,
+            retry: HOLD_TIMEOUT,
+        }))
+    }
+
     /// Hands a request to an agent.
     pub async fn start(
         &self,
@@ -112,7 +130,7 @@
         remaining: Millis,
     ) -> Result<StartReply, Error> {
         let order = Start {
-            quote: job.quote(self.envelope(attempt, remaining)),
+            quote: job.quote(self.envelope(attempt, remaining), target.parts()),
             text: job.text.clone(),
             offset,
         };
--- a/jujubewind/src/entry/mod.rs
+++ b/jujubewind/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod link;
 mod peer;
 pub mod request;
+mod reservation;
 mod status;
 
 pub use daemon::run;
--- a/jujubewind/src/entry/request/mod.rs
+++ b/jujubewind/src/entry/request/mod.rs
@@ -11,4 +11,5 @@
 pub use output::Output;
 pub use phase::Phase;
 pub use phase::Step;
+pub use target::Helpers;
 pub use target::Target;
--- a/jujubewind/src/entry/request/target.rs
+++ b/jujubewind/src/entry/request/target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::types::Millis;
 use crate::types::NodeId;
 
 /// Where an attempt goes.
@@ -11,4 +12,34 @@
     pub node: NodeId,
     /// Its address.
     pub addr: SocketAddr,
+    /// The group it leads, if the prompt needs several engines.
+    pub group: Option<Box<Helpers>>,
+}
+
+/// The engines that share a prompt with their leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Helpers {
+    /// The other agents.
+    pub targets: Vec<Target>,
+    /// How long the group is predicted to last.
+    pub span: Millis,
+}
+
+impl Target {
+    /// An agent alone.
+    #[must_use]
+    pub fn alone(node: NodeId, addr: SocketAddr) -> Self {
+        Self {
+            node,
+            addr,
+            group: None,
+        }
+    }
+
+    /// How many engines share the prompt.
+    #[must_use]
+    pub fn parts(&self) -> u64 {
+        let helpers = self.group.as_ref().map_or(0, |group| group.targets.len());
+        helpers as u64 + 1
+    }
 }
--- /dev/null
+++ b/jujubewind/src/entry/reservation.rs
@@ -0,0 +1,189 @@
+//! The engines held for a prompt that exceeds one engine's memory.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use flume::Receiver;
+use flume::Sender;
+use flume::TryRecvError;
+
+use super::driver::Driver;
+use super::link::Link;
+use super::request::Helpers;
+use super::request::Target;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::routing::Group;
+use crate::routing::Step;
+use crate::rpc::message::Hold;
+use crate::rpc::message::HoldReply;
+use crate::timer::Clock;
+use crate::types::AttemptId;
+use crate::types::Millis;
+use crate::types::ModelId;
+use crate::types::MonoTime;
+use crate::types::NodeId;
+use crate::types::Tokens;
+
+/// How often a group looks at the time.
+const TICK: Millis = Millis(50);
+
+/// A reserved group; dropping it lets go of all its parts.
+#[derive(Debug)]
+pub struct Reservation {
+    lost: Rc<Cell<bool>>,
+    _owner: Sender<()>,
+}
+
+/// The task that reserves, renews and releases the parts of one group.
+struct Keeper {
+    group: Group,
+    targets: Vec<Target>,
+    attempt: AttemptId,
+    model: ModelId,
+    deadline: MonoTime,
+    clock: Clock,
+    link: Link,
+    lost: Rc<Cell<bool>>,
+}
+
+impl Reservation {
+    /// Reserves all engines of a group or none.
+    ///
+    /// # Errors
+    /// An agent refuses for good, or the request's time is over.
+    pub async fn make(
+        driver: &Driver,
+        leader: &Target,
+        helpers: &Helpers,
+        attempt: AttemptId,
+    ) -> Result<Self, Refusal> {
+        let (ready, outcome) = flume::bounded(1);
+        let (owner, alive) = flume::bounded(1);
+        let lost = Rc::new(Cell::new(false));
+        let keeper = Keeper::new(driver, leader, helpers, attempt, lost.clone());
+        compio::runtime::spawn(keeper.run(ready, alive)).detach();
+        let reservation = Self {
+            lost,
+            _owner: owner,
+        };
+        match outcome.recv_async().await {
+            Ok(Ok(())) => Ok(reservation),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(cancelled()),
+        }
+    }
+
+    /// Whether a part was lost after all were held.
+    pub fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+}
+
+impl Keeper {
+    fn new(
+        driver: &Driver,
+        leader: &Target,
+        helpers: &Helpers,
+        attempt: AttemptId,
+        lost: Rc<Cell<bool>>,
+    ) -> Self {
+        let mut targets = vec![leader.clone()];
+        targets.extend(helpers.targets.iter().cloned());
+        let nodes: Vec<NodeId> = targets.iter().map(|target| target.node.clone()).collect();
+        let amount = Tokens(driver.job.memory().get().div_ceil(leader.parts()));
+        Self {
+            group: Group::new(&nodes, amount, helpers.span, driver.deadline),
+            targets,
+            attempt,
+            model: driver.job.model.clone(),
+            deadline: driver.deadline,
+            clock: driver.clock,
+            link: driver.link.clone(),
+            lost,
+        }
+    }
+
+    /// Works until the group failed or nobody holds it any longer.
+    async fn run(mut self, ready: Sender<Result<(), Refusal>>, owner: Receiver<()>) {
+        let mut steps = self.group.poll(self.clock.now());
+        loop {
+            while let Some(step) = steps.pop() {
+                steps.extend(self.carry_out(step, &ready).await);
+            }
+            if self.group.is_over() {
+                return;
+            }
+            if owner.try_recv() == Err(TryRecvError::Disconnected) {
+                steps = self.group.cancel();
+                continue;
+            }
+            compio::time::sleep(TICK.duration()).await;
+            steps = self.group.poll(self.clock.now());
+        }
+    }
+
+    async fn carry_out(&mut self, step: Step, ready: &Sender<Result<(), Refusal>>) -> Vec<Step> {
+        match step {
+            Step::Reserve { node, amount, span } => self.reserve(node, amount, span).await,
+            Step::Release { node } => {
+                self.release(&node);
+                Vec::new()
+            }
+            Step::Ready { .. } => {
+                let _ = ready.try_send(Ok(()));
+                Vec::new()
+            }
+            Step::Failed(refusal) => {
+                self.lost.set(true);
+                let _ = ready.try_send(Err(refusal));
+                Vec::new()
+            }
+        }
+    }
+
+    async fn reserve(&mut self, node: NodeId, amount: Tokens, span: Millis) -> Vec<Step> {
+        let Some(target) = self.target(&node) else {
+            return Vec::new();
+        };
+        let ask = Hold {
+            envelope: self.link.envelope(self.attempt, self.remaining()),
+            model: self.model.clone(),
+            amount,
+            span,
+        };
+        let reply = self.link.hold(&target, ask).await;
+        let now = self.clock.now();
+        match reply {
+            HoldReply::Held => self.group.granted(now, &node),
+            HoldReply::Refused(refusal) => self.group.refused(now, &node, refusal),
+        }
+    }
+
+    fn release(&self, node: &NodeId) {
+        let Some(target) = self.target(node) else {
+            return;
+        };
+        let (link, attempt, remaining) = (self.link.clone(), self.attempt, self.remaining());
+        let work = async move {
+            link.cancel(&target, attempt, Millis::ZERO, remaining).await;
+        };
+        compio::runtime::spawn(work).detach();
+    }
+
+    fn target(&self, node: &NodeId) -> Option<Target> {
+        let found = self.targets.iter().find(|target| target.node == *node);
+        found.cloned()
+    }
+
+    fn remaining(&self) -> Millis {
+        self.deadline.since(self.clock.now())
+    }
+}
+
+fn cancelled() -> Refusal {
+    Refusal {
+        reason: Reason::Cancelled,
+        retry: Millis::ZERO,
+    }
+}
--- a/jujubewind/src/rpc/agent_service.rs
+++ b/jujubewind/src/rpc/agent_service.rs
@@ -6,6 +6,8 @@
 use super::message::Cancel;
 use super::message::CancelReply;
 use super::message::Gossip;
+use super::message::Hold;
+use super::message::HoldReply;
 use super::message::Pull;
 use super::message::PullReply;
 use super::message::Quote;
@@ -19,6 +21,9 @@
     /// Estimates when a request would get its first token; reserves nothing.
     async fn quote(ask: Quote) -> QuoteReply;
 
+    /// Holds memory for a part of a group; a cancel lets go of it.
+    async fn hold(ask: Hold) -> HoldReply;
+
     /// Takes a request with a reservation, or refuses it with a reason.
     async fn start(order: Start) -> StartReply;
 
--- a/jujubewind/src/rpc/message/quote.rs
+++ b/jujubewind/src/rpc/message/quote.rs
@@ -23,6 +23,8 @@
         pub prompt: Tokens,
         /// The longest answer allowed.
         pub output: Tokens,
+        /// The engines that share the prompt; more than one for a group.
+        pub parts: u64,
         /// Hashes of the prompt's leading blocks, by which a cache hit is known.
         pub blocks: Vec<u64>,
     }
@@ -38,6 +40,11 @@
             /// How much of the prompt is cached here.
             cached: Tokens,
         },
+        /// The request needs more memory than one engine can give it.
+        TooLong {
+            /// The most that one request can have here.
+            ceiling: Tokens,
+        },
         /// The request would be refused.
         Refused(Refusal),
     }
--- a/jujubewind/src/scheduler/scheduler.rs
+++ b/jujubewind/src/scheduler/scheduler.rs
@@ -137,6 +137,12 @@
         refuse(Reason::NoMemory, PART_RETRY)
     }
 
+    /// Whether a part of the group `attempt` is held here.
+    #[must_use]
+    pub fn holds(&self, attempt: AttemptId) -> bool {
+        self.state.parts.contains_key(&attempt)
+    }
+
     /// Keeps an attempt alive; `false` if it is unknown here.
     pub fn renew(&mut self, now: MonoTime, attempt: AttemptId) -> bool {
         let until = now.after(self.state.settings.ttl);
