Measure time to first token by length decade and class

Cause: the entry had counters of refusals only. Ruled out: labels by organisation, 3,100 of them would make as many series. Change: histograms by decade and class, counters of answers and tokens, gauges of revision and members, and one log line for each served request. Conclusion: none.

--- a/jujubewind/src/entry/api/generation.rs
+++ b/jujubewind/src/entry/api/generation.rs
@@ -1,5 +1,6 @@
 //! From a caller's wish to a request on its way.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 
 use hyper::HeaderMap;
@@ -82,6 +83,7 @@
             link: self.link.clone(),
             control: control.clone(),
             caller: tx,
+            begun: Cell::default(),
             group: RefCell::default(),
         };
         let work = async move {
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -106,6 +106,25 @@
         self.tell(Message::Failed(reason));
     }
 
+    /// Counts a whole answer.
+    pub fn served(&self, job: &Job, tokens: Tokens) {
+        crate::event!(
+            info,
+            "request_served",
+            request = job.request,
+            org = job.org,
+            entry = job.entry,
+            prompt = job.prompt,
+            output = tokens,
+        );
+        self.tell(Message::Served(tokens));
+    }
+
+    /// Notes the time to an answer's first token.
+    pub fn first_token(&self, job: &Job, span: Millis) {
+        self.tell(Message::FirstToken(job.prompt, job.class, span));
+    }
+
     /// Counts a frame of another attempt.
     pub fn dropped(&self) {
         self.tell(Message::Dropped);
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -13,6 +13,8 @@
 use crate::refusal::Refusal;
 use crate::rpc::message::Gossip;
 use crate::rpc::message::QuoteReply;
+use crate::types::Class;
+use crate::types::Millis;
 use crate::types::ModelId;
 use crate::types::NodeId;
 use crate::types::OrgId;
@@ -98,6 +100,10 @@
     Retried(Reason),
     /// A request was refused or failed for this reason.
     Failed(Reason),
+    /// An answer with so many tokens came to its end.
+    Served(Tokens),
+    /// A prompt's first token came after this time.
+    FirstToken(Tokens, Class, Millis),
     /// A frame of another attempt was dropped.
     Dropped,
     /// Is the entry ready for callers?
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -143,13 +143,17 @@
             Message::Stop => self.stop(now),
             Message::Failed(reason) => self.metrics.refused(reason),
             Message::Retried(reason) => self.metrics.retried(reason),
+            Message::Served(tokens) => self.metrics.served(tokens),
+            Message::FirstToken(prompt, class, span) => {
+                self.metrics.first_token(prompt, class, span);
+            }
             Message::Dropped => self.metrics.dropped(),
             Message::Ready(reply) => {
                 let ready = self.catalogue.is_some() && self.stage.is_serving();
                 let _ = reply.send(ready);
             }
             Message::Status(reply) => drop(reply.send(self.status())),
-            Message::Metrics(reply) => drop(reply.send(self.metrics.encode())),
+            Message::Metrics(reply) => drop(reply.send(self.metrics_text())),
         }
     }
 
@@ -193,6 +197,11 @@
         }
     }
 
+    fn metrics_text(&self) -> String {
+        let members = self.members.view().living().count();
+        self.metrics.encode(self.revision(), members)
+    }
+
     fn revision(&self) -> Revision {
         let catalogue = self.catalogue.as_deref();
         catalogue.map_or(Revision::ZERO, Catalogue::revision)
--- a/jujubewind/src/entry/driver.rs
+++ b/jujubewind/src/entry/driver.rs
@@ -1,5 +1,6 @@
 //! Carries out what a request's machine decides.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 
@@ -46,6 +47,8 @@
     pub control: Control,
     /// Where the answer goes.
     pub caller: Sender<Event>,
+    /// Whether the caller has its first token.
+    pub begun: Cell<bool>,
     /// The engines held for a prompt beyond one engine.
     pub group: RefCell<Option<Reservation>>,
 }
@@ -104,8 +107,14 @@
                 self.control.dropped();
                 None
             }
-            Output::Emit(tokens) => self.emit(Event::Tokens(tokens)).await,
-            Output::Finish(finish, count) => self.emit(Event::End(finish, count)).await,
+            Output::Emit(tokens) => {
+                self.note_first_token();
+                self.emit(Event::Tokens(tokens)).await
+            }
+            Output::Finish(finish, count) => {
+                self.control.served(&self.job, count);
+                self.emit(Event::End(finish, count)).await
+            }
             Output::Fail(failure) => {
                 self.control.failed(&self.job, &failure);
                 self.emit(Event::Failed(failure)).await
@@ -113,6 +122,13 @@
         }
     }
 
+    fn note_first_token(&self) {
+        if !self.begun.replace(true) {
+            let span = self.clock.now().since(self.admitted);
+            self.control.first_token(&self.job, span);
+        }
+    }
+
     async fn in_time(&self, work: impl Future<Output = Input>) -> Input {
         let remaining = self.remaining();
         if remaining == Millis::ZERO {
--- a/jujubewind/src/metrics/entry_metrics.rs
+++ b/jujubewind/src/metrics/entry_metrics.rs
@@ -2,10 +2,16 @@
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use super::first_token::FirstToken;
 use super::reason_counter::ReasonCounter;
 use crate::refusal::Reason;
+use crate::types::Class;
+use crate::types::Millis;
+use crate::types::Revision;
+use crate::types::Tokens;
 
 /// Counters of an entry.
 #[derive(Debug)]
@@ -14,6 +20,11 @@
     refusals: ReasonCounter,
     retries: ReasonCounter,
     dropped: Counter,
+    served: Counter,
+    tokens: Counter,
+    first: FirstToken,
+    revision: Gauge,
+    members: Gauge,
 }
 
 impl Default for EntryMetrics {
@@ -22,6 +33,11 @@
         let refusals = ReasonCounter::default();
         let retries = ReasonCounter::default();
         let dropped = Counter::default();
+        let served = Counter::default();
+        let tokens = Counter::default();
+        let first = FirstToken::default();
+        let revision = Gauge::default();
+        let members = Gauge::default();
         registry.register(
             "refusals",
             "Requests refused or failed, by reason",
@@ -37,11 +53,21 @@
             "Frames of another attempt",
             dropped.clone(),
         );
+        registry.register("served", "Answers that came to their end", served.clone());
+        registry.register("tokens", "Tokens handed to callers", tokens.clone());
+        registry.register("first_token_seconds", "Time to first token", first.family());
+        registry.register("revision", "Catalogue revision in force", revision.clone());
+        registry.register("members", "Members believed to live", members.clone());
         Self {
             registry,
             refusals,
             retries,
             dropped,
+            served,
+            tokens,
+            first,
+            revision,
+            members,
         }
     }
 }
@@ -62,9 +88,23 @@
         self.dropped.inc();
     }
 
-    /// All metrics as text.
+    /// Counts a whole answer.
+    pub fn served(&self, tokens: Tokens) {
+        self.served.inc();
+        self.tokens.inc_by(tokens.get());
+    }
+
+    /// Notes the time to an answer's first token.
+    pub fn first_token(&self, prompt: Tokens, class: Class, span: Millis) {
+        self.first.observe(prompt, class, span);
+    }
+
+    /// Sets the gauges and gives all metrics as text.
     #[must_use]
-    pub fn encode(&self) -> String {
+    pub fn encode(&self, revision: Revision, members: usize) -> String {
+        self.revision
+            .set(i64::try_from(revision.get()).unwrap_or(i64::MAX));
+        self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
         let mut text = String::new();
         let _ = encode(&mut text, &self.registry);
         text
--- a/jujubewind/src/metrics/mod.rs
+++ b/jujubewind/src/metrics/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent_metrics;
 mod entry_metrics;
+mod first_token;
 mod reason_counter;
 
 pub use agent_metrics::AgentMetrics;
