Spend credit by escrow, so that no history overspends

Cause: many entries spend one limit, and die, lose answers or lose the store.

Ruled out: counting after the fact (overspends while regions lose each other); a fixed share for each entry (strands what the balancer does not reach); one counting process (all spending stops with its lease).

Change: an account for each interval, from which slices are drawn by compare-and-swap before they are spent; changes named in the account settle lost answers; what lies idle or is left at a stop goes back.

A conflict without an earlier doubt now means that nothing was moved.

--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod chart;
 pub mod claims;
+pub mod credit;
 pub mod prefix;
 pub mod refusal;
 pub mod rpc;
--- a/jujubewind/tests/coordination/main.rs
+++ b/jujubewind/tests/coordination/main.rs
@@ -4,5 +4,6 @@
 mod claim_cases;
 mod claim_search;
 mod claim_world;
+mod credit;
 mod fake_store;
 mod seeds;
