Hold leases with fencing numbers and let old orders have no effect

Cause: a lease lapses under a paused holder, which wakes and gives orders; some engines refuse old numbers and some do not.

Ruled out: the store's own leases (the holder would have to guess how much of an answer's delay to take off); a floor kept for each backend server (a write for each leader and server, and an old leader passes until the new one speaks).

Change: a lease is a record renewed by compare-and-swap; the holder counts from the send, the successor from first sight; each write has a number of its own.

--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod chart;
 pub mod claims;
 pub mod credit;
+pub mod fencing;
+pub mod lease;
 pub mod prefix;
 pub mod refusal;
 pub mod rpc;
--- a/jujubewind/tests/coordination/main.rs
+++ b/jujubewind/tests/coordination/main.rs
@@ -6,4 +6,6 @@
 mod claim_world;
 mod credit;
 mod fake_store;
+mod fencing;
+mod lease;
 mod seeds;
