--- /dev/null
+++ b/jujubewind/src/entry/mod.rs
@@ -0,0 +1,20 @@
+//! The entry: it owns a caller's request from arrival to the final answer.
+
+mod api;
+mod caller;
+mod control;
+mod daemon;
+mod driver;
+mod failure;
+mod job;
+mod link;
+mod peer;
+pub mod request;
+mod status;
+
+pub use daemon::run;
+pub use failure::Failure;
+pub use failure::Ran;
+pub use job::Job;
+pub use status::EntryStatus;
+pub use status::MemberStatus;
