Make groups wait for long work that cannot afford to stand still

Cause: a part of a group was granted while long prompts waited behind it that then missed their deadlines.

Change: a wish pauses and holds back only work that would still be in time after the group; quotes count a waiting group.

--- a/emulator/benches/routing.rs
+++ b/emulator/benches/routing.rs
@@ -38,7 +38,9 @@
 fn main() {
     let only: Vec<String> = std::env::args().skip(1).collect();
     for &site in Site::ALL {
-        if only.iter().any(|arg| arg == "rb") && site == Site::Lublin {
+        if only.iter().any(|arg| arg == "rb") && site == Site::Lublin
+            || only.iter().any(|arg| arg == "lu") && site == Site::RaviBagh
+        {
             continue;
         }
 
@@ -47,7 +49,7 @@
             Mix::capacity(site, &CostModel::default())
         );
         for load in LOADS {
-            if only.iter().any(|arg| arg == "0.8") && (load - 0.8).abs() > 0.01 {
+            if only.iter().any(|arg| arg == "0.8") && (load - 0.8).abs() > 0.31 {
                 continue;
             }
 
--- a/jujubewind/src/scheduler/forecast.rs
+++ b/jujubewind/src/scheduler/forecast.rs
@@ -84,6 +84,10 @@
             .filter(|other| !self.state.parts.contains_key(&other.job.attempt))
             .map(|other| (self.leaves_in(other, rank), other.job.memory()))
             .collect();
+        if let Some(wish) = self.state.wish.filter(|_| long) {
+            room = room.saturating_sub(wish.amount);
+            ends.push((Work(wish.span.get().saturating_mul(1_000)), wish.amount));
+        }
         let parts = self.state.parts.values();
         ends.extend(parts.map(|part| (Work::between(self.now, part.end), part.amount)));
         ends.sort_unstable();
--- a/jujubewind/src/scheduler/placement.rs
+++ b/jujubewind/src/scheduler/placement.rs
@@ -43,21 +43,31 @@
     #[must_use]
     pub fn run(mut self) -> Vec<Action> {
         self.make_room_for_wish();
-        let mut blocked = self.state.wish.is_some();
+        let mut held_up = false;
         for (rank, attempt) in self.queue() {
             let long = self.is_long(attempt);
+            let blocked = held_up || self.gives_way(attempt, long);
             if blocked && (long || self.is_strict()) {
                 continue;
             }
             match self.try_place(rank, attempt, long) {
                 Outcome::Placed => {}
-                Outcome::Blocked => blocked = true,
+                Outcome::Blocked => held_up = true,
                 Outcome::Full => break,
             }
         }
         self.actions
     }
 
+    /// Whether the attempt lets a waiting group go first.
+    fn gives_way(&self, attempt: AttemptId, long: bool) -> bool {
+        let task = &self.state.tasks[&attempt];
+        let wish = self.state.wish.filter(|wish| wish.attempt != attempt);
+        wish.is_some_and(|wish| {
+            self.is_strict() || (long && self.state.can_wait(self.now, task, wish.span))
+        })
+    }
+
     /// Whether nothing may overtake what came before it.
     fn is_strict(&self) -> bool {
         self.state.settings.order == Order::Arrival
@@ -190,6 +200,7 @@
             .state
             .running()
             .filter(|task| self.state.may_pause(task))
+            .filter(|task| self.state.can_wait(self.now, task, wish.span))
             .map(|task| (task.job.attempt, task.job.memory()))
             .collect();
         for (attempt, freed) in victims {
--- a/jujubewind/src/scheduler/scheduler.rs
+++ b/jujubewind/src/scheduler/scheduler.rs
@@ -119,7 +119,9 @@
             self.state.ledger.promise(attempt, amount, true, until)?;
         }
         self.state.ledger.renew(attempt, until);
-        if self.state.ledger.take(attempt, Place::Aside) {
+        let held = placed.is_some_and(|place| place != Place::Promised);
+        let free = held || !self.state.has_hurry(now, span);
+        if free && self.state.ledger.take(attempt, Place::Aside) {
             self.state.wish.take_if(|wish| wish.attempt == attempt);
             let end = now.after(span);
             self.state
@@ -131,9 +133,13 @@
         let wish = Wish {
             attempt,
             amount,
+            span,
             until,
         };
-        self.state.wish.get_or_insert(wish);
+        let stands = self.state.wish.get_or_insert(wish);
+        if stands.attempt == attempt {
+            stands.until = until;
+        }
         refuse(Reason::NoMemory, PART_RETRY)
     }
 
--- a/jujubewind/src/scheduler/state.rs
+++ b/jujubewind/src/scheduler/state.rs
@@ -14,6 +14,7 @@
 use super::task::Task;
 use crate::types::AttemptId;
 use crate::types::Class;
+use crate::types::Millis;
 use crate::types::MonoTime;
 use crate::types::OrgId;
 use crate::types::Tokens;
@@ -25,6 +26,8 @@
     pub attempt: AttemptId,
     /// The part's memory.
     pub amount: Tokens,
+    /// How long the group is predicted to last.
+    pub span: Millis,
     /// When the wish is forgotten.
     pub until: MonoTime,
 }
@@ -157,6 +160,23 @@
         idle && alone && self.is_long(task) && task.pauses < self.settings.pauses
     }
 
+    /// Whether `task` would still be in time if it stood still for `span`.
+    #[must_use]
+    pub fn can_wait(&self, now: MonoTime, task: &Task, span: Millis) -> bool {
+        let need = task.need(&self.cost);
+        let end = MonoTime::from_micros(now.after(span).micros().saturating_add(need.get()));
+        end <= task.deadline
+    }
+
+    /// Whether long work waits here that a group of `span` would make late.
+    #[must_use]
+    pub fn has_hurry(&self, now: MonoTime, span: Millis) -> bool {
+        self.tasks.values().any(|task| {
+            let waits = matches!(task.phase, Phase::Waiting | Phase::Paused);
+            waits && self.is_long(task) && !self.can_wait(now, task, span)
+        })
+    }
+
     /// Attempts that wait for the engine.
     #[must_use]
     pub fn waiting(&self) -> usize {
