Let a part that the engine would not hold be asked for again

Cause: two groups at once sometimes ended in 'cancelled': when the engine refused a part that the scheduler had granted, the agent cancelled the attempt at the scheduler, which fences it for good. Change: Scheduler::unhold, with its own test. Conclusion: not yet mended; under work.

--- a/jujubewind/src/agent/core.rs
+++ b/jujubewind/src/agent/core.rs
@@ -156,9 +156,9 @@
         self.scheduler.hold(now, id, ask.amount, ask.span).err()
     }
 
-    /// Lets go of a part that the engine would not hold.
+    /// Notes that the engine would not hold a part, which may be asked for again.
     pub fn unhold(&mut self, now: MonoTime, id: AttemptId) -> Vec<Command> {
-        self.scheduler.cancel(now, id);
+        self.scheduler.unhold(id);
         self.schedule(now)
     }
 
@@ -216,7 +216,8 @@
             } else {
                 CancelReply::Unknown
             };
-            return (reply, self.unhold(now, id));
+            self.scheduler.cancel(now, id);
+            return (reply, self.schedule(now));
         };
         let waiting = attempt.phase == Phase::Waiting;
         let unrun = self.scheduler.cancel(now, id) || waiting;
--- a/jujubewind/src/scheduler/scheduler.rs
+++ b/jujubewind/src/scheduler/scheduler.rs
@@ -143,6 +143,12 @@
         refuse(Reason::NoMemory, PART_RETRY)
     }
 
+    /// Gives back a part that the engine would not hold; unlike a cancel, it may be held later.
+    pub fn unhold(&mut self, attempt: AttemptId) {
+        self.state.parts.remove(&attempt);
+        self.state.ledger.release(attempt);
+    }
+
     /// Whether a part of the group `attempt` is held here.
     #[must_use]
     pub fn holds(&self, attempt: AttemptId) -> bool {
--- a/jujubewind/tests/scheduler.rs
+++ b/jujubewind/tests/scheduler.rs
@@ -228,6 +228,21 @@
 }
 
 /// Carries out the actions as an engine would, one prompt after the other.
+#[test]
+fn a_part_that_the_engine_would_not_hold_may_be_asked_for_again() {
+    let mut scheduler = scheduler();
+    let (part, amount, span) = (attempt(1), Tokens(1_000), Millis(1_000));
+    let now = MonoTime::from_millis(1);
+    scheduler
+        .hold(now, part, amount, span)
+        .expect("there is room");
+
+    scheduler.unhold(part);
+
+    assert_eq!(scheduler.ledger().used(), Tokens::ZERO);
+    assert!(scheduler.hold(now, part, amount, span).is_ok());
+}
+
 fn drain(scheduler: &mut Scheduler, mut now: MonoTime) -> Vec<AttemptId> {
     let mut running: Vec<(u8, AttemptId)> = Vec::new();
     let mut ended = Vec::new();
