Follow the catalogue from the store and from peers

A change must be in force everywhere within 4 s and never revert, and a watch for each daemon would use up the store's rate.

One reader for each failure domain watches the head; the change spreads from it along a tree of fan-out four, and whoever hears of a higher revision in gossip asks that peer. At boot the store and several peers are asked, and the highest head wins.

410 members in 7 failure domains in virtual time, 4 seeds for each history: a fifth of messages lost, two readers dead, ten changes in quick succession, half of the fleet restarted in an outage of the store: all within 4 s, none back.

--- /dev/null
+++ b/jujubewind/src/catalogue/follow/follower.rs
@@ -0,0 +1,187 @@
+//! One process's view of the catalogue.
+
+use std::sync::Arc;
+
+use super::Answer;
+use super::Ask;
+use super::Assembly;
+use super::Output;
+use super::Source;
+use super::Update;
+use crate::catalogue::Head;
+use crate::types::Millis;
+use crate::types::MonoTime;
+use crate::types::NodeId;
+use crate::types::Revision;
+
+/// The longest wait for an answer before another source is asked.
+const ANSWER_TIMEOUT: Millis = Millis(250);
+
+/// The most texts asked for at once, so that an answer stays well below a message's limit.
+const TEXTS_AT_ONCE: usize = 128;
+
+/// Takes only higher revisions, each whole or not at all, whoever offers them.
+#[derive(Clone, Debug, Default)]
+pub struct Follower {
+    current: Option<Assembly>,
+    coming: Option<Assembly>,
+    refused: Option<Head>,
+    root: Option<NodeId>,
+    best: Option<(NodeId, Revision)>,
+    deadline: Option<MonoTime>,
+    store_next: bool,
+}
+
+impl Follower {
+    /// The revision in force; zero if there is none.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        let head = self.current.as_ref().map(Assembly::head);
+        head.map_or(Revision::ZERO, |head| head.revision)
+    }
+
+    /// Asks the store and several peers for their heads; the highest is taken.
+    pub fn boot(&mut self, now: MonoTime, peers: &[NodeId]) -> Vec<Output> {
+        self.deadline = Some(now.after(ANSWER_TIMEOUT));
+        let peers = peers.iter().cloned().map(Source::Peer);
+        let sources = std::iter::once(Source::Store).chain(peers);
+        sources
+            .map(|source| Output::Ask(source, Ask::Head))
+            .collect()
+    }
+
+    /// Notes the revision that a peer says it has, and asks for it if it is higher.
+    pub fn heard(&mut self, now: MonoTime, peer: &NodeId, revision: Revision) -> Vec<Output> {
+        if self.best.as_ref().is_none_or(|(_, best)| revision >= *best) {
+            self.best = Some((peer.clone(), revision));
+        }
+        if revision <= self.revision() || self.deadline.is_some() {
+            return Vec::new();
+        }
+        self.deadline = Some(now.after(ANSWER_TIMEOUT));
+        vec![Output::Ask(Source::Peer(peer.clone()), Ask::Head)]
+    }
+
+    /// Takes what a watch of the store or a peer passes on unasked.
+    pub fn offered(&mut self, now: MonoTime, source: &Source, update: Update) -> Vec<Output> {
+        if !self.aim(update.head) {
+            return Vec::new();
+        }
+        self.root = Some(update.root);
+        self.gather(now, source, update.texts)
+    }
+
+    /// Takes the answer to a question.
+    pub fn answered(&mut self, now: MonoTime, source: &Source, answer: Answer) -> Vec<Output> {
+        match answer {
+            Answer::Head(Some(head)) if self.aim(head.clone()) => {
+                self.gather(now, source, Vec::new())
+            }
+            Answer::Texts(texts) if !texts.is_empty() => self.gather(now, source, texts),
+            Answer::Head(_) | Answer::Texts(_) | Answer::Silence => Vec::new(),
+        }
+    }
+
+    /// Asks another source when answers stay away; call it a few times a second.
+    pub fn tick(&mut self, now: MonoTime) -> Vec<Output> {
+        if self.deadline.is_none_or(|deadline| now < deadline) {
+            return Vec::new();
+        }
+        let behind = self
+            .best
+            .as_ref()
+            .is_some_and(|(_, best)| *best > self.revision());
+        if self.current.is_some() && self.coming.is_none() && !behind {
+            self.deadline = None;
+            return Vec::new();
+        }
+        self.deadline = Some(now.after(ANSWER_TIMEOUT));
+        self.store_next = !self.store_next;
+        let source = match &self.best {
+            Some((peer, _)) if !self.store_next => Source::Peer(peer.clone()),
+            _ => Source::Store,
+        };
+        vec![Output::Ask(source, Ask::Head)]
+    }
+
+    /// Answers a peer.
+    #[must_use]
+    pub fn answer(&self, ask: &Ask) -> Answer {
+        let current = self.current.as_ref();
+        match ask {
+            Ask::Head => Answer::Head(current.map(|current| current.head().clone())),
+            Ask::Texts(hashes) => {
+                let texts = hashes.iter().filter_map(|hash| current?.text(*hash));
+                Answer::Texts(texts.map(ToString::to_string).collect())
+            }
+        }
+    }
+
+    /// Begins or goes on with `head`, if it is newer than all before.
+    fn aim(&mut self, head: Head) -> bool {
+        let coming = self.coming.as_ref().map(Assembly::head);
+        let is_older = coming.is_some_and(|coming| coming.revision > head.revision);
+        let is_refused = self.refused.as_ref() == Some(&head);
+        if head.revision <= self.revision() || is_older || is_refused {
+            return false;
+        }
+        if let Some(coming) = &mut self.coming {
+            coming.retarget(head);
+        } else {
+            let known = self.current.as_ref().map(Assembly::texts);
+            self.coming = Some(Assembly::new(head, known.cloned().unwrap_or_default()));
+        }
+        true
+    }
+
+    fn gather(&mut self, now: MonoTime, source: &Source, texts: Vec<String>) -> Vec<Output> {
+        if let Some(coming) = &mut self.coming {
+            coming.add(texts);
+        }
+        self.advance(now, source)
+    }
+
+    fn advance(&mut self, now: MonoTime, source: &Source) -> Vec<Output> {
+        let Some(coming) = &self.coming else {
+            return Vec::new();
+        };
+        let mut missing = coming.missing();
+        if missing.is_empty() {
+            return self.install(source);
+        }
+        missing.truncate(TEXTS_AT_ONCE);
+        self.deadline = Some(now.after(ANSWER_TIMEOUT));
+        vec![Output::Ask(source.clone(), Ask::Texts(missing))]
+    }
+
+    fn install(&mut self, source: &Source) -> Vec<Output> {
+        let Some(mut whole) = self.coming.take() else {
+            return Vec::new();
+        };
+        self.deadline = None;
+        match whole.finish() {
+            Ok(catalogue) => {
+                whole.tidy();
+                let mut outputs = vec![Output::Install(Arc::new(catalogue))];
+                outputs.extend(self.relay(&whole));
+                self.current = Some(whole);
+                outputs
+            }
+            Err(error) => {
+                self.refused = Some(whole.head().clone());
+                vec![Output::Refuse(source.clone(), error.to_string())]
+            }
+        }
+    }
+
+    /// Passes on what was passed on to this process; what it asked for itself stays here.
+    fn relay(&mut self, whole: &Assembly) -> Option<Output> {
+        let root = self.root.take()?;
+        let mut texts = whole.fresh();
+        if texts.len() > TEXTS_AT_ONCE {
+            texts.clear();
+        }
+        let head = whole.head().clone();
+        Some(Output::Relay(Update { head, texts, root }))
+    }
+}
--- a/jujubewind/src/catalogue/mod.rs
+++ b/jujubewind/src/catalogue/mod.rs
@@ -13,6 +13,7 @@
 mod entry;
 mod error;
 mod fault;
+pub mod follow;
 mod head;
 mod key_hash;
 mod limits;
--- /dev/null
+++ b/jujubewind/tests/catalogue/fleet.rs
@@ -0,0 +1,288 @@
+//! Many followers on a network that delays and loses, in virtual time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use jujubewind::catalogue::Catalogue;
+use jujubewind::catalogue::ContentHash;
+use jujubewind::catalogue::Head;
+use jujubewind::catalogue::follow::Answer;
+use jujubewind::catalogue::follow::Ask;
+use jujubewind::catalogue::follow::Follower;
+use jujubewind::catalogue::follow::Output;
+use jujubewind::catalogue::follow::Source;
+use jujubewind::catalogue::follow::Update;
+use jujubewind::catalogue::follow::children;
+use jujubewind::types::MonoTime;
+use jujubewind::types::NodeId;
+use jujubewind::types::Revision;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+/// The failure domains; their first members watch the store.
+pub const DOMAINS: usize = 7;
+
+/// How often a member gossips and looks after its questions.
+const TICK_MILLIS: u64 = 250;
+
+/// Ticks between two gossip rounds.
+const GOSSIP_TICKS: u64 = 4;
+
+enum Event {
+    Tick,
+    Gossip(usize, Revision),
+    Echo(usize, Revision),
+    Question(usize, Ask),
+    Answer(Source, Answer),
+    Offer(Source, Update),
+}
+
+/// One process: its follower and the revisions it had in force.
+pub struct Member {
+    /// Whether it runs.
+    pub up: bool,
+    /// Every catalogue it put in force, since it last started.
+    pub installed: Vec<Arc<Catalogue>>,
+    follower: Follower,
+    ticks: u64,
+}
+
+/// The members, the store they read and the messages on their way.
+pub struct Fleet {
+    /// The members; member `n` is in the failure domain `n % DOMAINS`.
+    pub members: Vec<Member>,
+    /// What the store holds.
+    pub head: Option<Head>,
+    /// Pages and parts of the store.
+    pub texts: BTreeMap<ContentHash, Arc<str>>,
+    /// Whether the store answers.
+    pub store_up: bool,
+    /// The share of messages between processes that are lost.
+    pub loss: f64,
+    /// Whether members tell each other their revisions.
+    pub gossip: bool,
+    /// Calls that the store got, watches left out.
+    pub store_calls: u64,
+    rng: SmallRng,
+    now: u64,
+    number: u64,
+    queue: BTreeMap<(u64, u64), (usize, Event)>,
+}
+
+fn node(index: usize) -> NodeId {
+    format!("n{index:04}").parse().expect("a name")
+}
+
+fn index(node: &NodeId) -> usize {
+    node.as_str()[1..].parse().expect("a number")
+}
+
+impl Fleet {
+    /// A fleet of `size` members that boot within the first second.
+    pub fn new(size: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            members: Vec::new(),
+            head: None,
+            texts: BTreeMap::new(),
+            store_up: true,
+            loss: 0.0,
+            gossip: true,
+            store_calls: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            now: 0,
+            number: 0,
+            queue: BTreeMap::new(),
+        };
+        for member in 0..size {
+            fleet.members.push(Member {
+                up: true,
+                installed: Vec::new(),
+                follower: Follower::default(),
+                ticks: 0,
+            });
+            let delay = fleet.rng.random_range(0..1_000);
+            fleet.send_after(delay, member, Event::Tick);
+        }
+        fleet
+    }
+
+    /// Stops a member; it forgets everything.
+    pub fn stop(&mut self, member: usize) {
+        self.members[member].up = false;
+    }
+
+    /// Starts a member without any memory.
+    pub fn start(&mut self, member: usize) {
+        let fresh = &mut self.members[member];
+        fresh.up = true;
+        fresh.follower = Follower::default();
+        fresh.installed.clear();
+        fresh.ticks = 0;
+    }
+
+    /// Puts a revision into the store, and tells the watches of it.
+    pub fn publish(&mut self, head: Head, texts: BTreeMap<ContentHash, Arc<str>>) {
+        self.texts.extend(texts);
+        self.head = Some(head);
+        for reader in 0..DOMAINS {
+            self.watch(reader);
+        }
+    }
+
+    /// Lets virtual time pass.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while let Some((&(time, _), _)) = self.queue.first_key_value() {
+            if time > end {
+                break;
+            }
+            let ((time, _), (member, event)) = self.queue.pop_first().expect("an event");
+            self.now = time;
+            self.handle(member, event);
+        }
+        self.now = end;
+    }
+
+    /// The lowest revision that a running member has in force.
+    pub fn lowest(&self) -> Revision {
+        let up = self.members.iter().filter(|member| member.up);
+        let revisions = up.map(|member| member.follower.revision());
+        revisions.min().unwrap_or_default()
+    }
+
+    /// The seconds until all have `revision`, at the most 60.
+    pub fn seconds_until(&mut self, revision: Revision) -> f64 {
+        let begin = self.now;
+        while self.lowest() < revision && self.now < begin + 60_000 {
+            self.run(10);
+        }
+        f64::from(u32::try_from(self.now - begin).expect("short")) / 1_000.0
+    }
+
+    fn watch(&mut self, reader: usize) {
+        let Some(head) = self.head.clone() else {
+            return;
+        };
+        if self.store_up {
+            let texts = Vec::new();
+            let root = node(reader);
+            let update = Update { head, texts, root };
+            self.send_after(5, reader, Event::Offer(Source::Store, update));
+        }
+    }
+
+    fn now(&self) -> MonoTime {
+        MonoTime::from_millis(self.now)
+    }
+
+    fn send_after(&mut self, delay: u64, member: usize, event: Event) {
+        self.number += 1;
+        let place = (self.now + delay, self.number);
+        self.queue.insert(place, (member, event));
+    }
+
+    fn send(&mut self, member: usize, event: Event) {
+        if self.rng.random_bool(self.loss) {
+            return;
+        }
+        let delay = self.rng.random_range(2..40);
+        self.send_after(delay, member, event);
+    }
+
+    fn handle(&mut self, member: usize, event: Event) {
+        if let Event::Tick = event {
+            return self.tick(member);
+        }
+        if !self.members[member].up {
+            return;
+        }
+        let now = self.now();
+        let follower = &mut self.members[member].follower;
+        let outputs = match event {
+            Event::Tick => Vec::new(),
+            Event::Gossip(from, revision) => {
+                let own = follower.revision();
+                let outputs = follower.heard(now, &node(from), revision);
+                self.send(from, Event::Echo(member, own));
+                outputs
+            }
+            Event::Echo(from, revision) => follower.heard(now, &node(from), revision),
+            Event::Answer(source, answer) => follower.answered(now, &source, answer),
+            Event::Offer(source, update) => follower.offered(now, &source, update),
+            Event::Question(from, ask) => {
+                let answer = follower.answer(&ask);
+                self.send(from, Event::Answer(Source::Peer(node(member)), answer));
+                Vec::new()
+            }
+        };
+        self.carry_out(member, outputs);
+    }
+
+    fn tick(&mut self, member: usize) {
+        self.send_after(TICK_MILLIS, member, Event::Tick);
+        if !self.members[member].up {
+            return;
+        }
+        let now = self.now();
+        let ticks = self.members[member].ticks;
+        self.members[member].ticks += 1;
+        let outputs = if ticks == 0 {
+            let peers: Vec<NodeId> = (0..3).map(|_| node(self.any())).collect();
+            self.members[member].follower.boot(now, &peers)
+        } else {
+            self.members[member].follower.tick(now)
+        };
+        self.carry_out(member, outputs);
+        if self.gossip && ticks.is_multiple_of(GOSSIP_TICKS) {
+            let revision = self.members[member].follower.revision();
+            for _ in 0..2 {
+                let peer = self.any();
+                self.send(peer, Event::Gossip(member, revision));
+            }
+        }
+    }
+
+    fn any(&mut self) -> usize {
+        self.rng.random_range(0..self.members.len())
+    }
+
+    fn carry_out(&mut self, member: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Ask(Source::Store, ask) => self.ask_store(member, &ask),
+                Output::Ask(Source::Peer(peer), ask) => {
+                    self.send(index(&peer), Event::Question(member, ask));
+                }
+                Output::Install(catalogue) => self.members[member].installed.push(catalogue),
+                Output::Relay(update) => self.relay(member, &update),
+                Output::Refuse(source, error) => panic!("{source:?}: {error}"),
+            }
+        }
+    }
+
+    fn relay(&mut self, member: usize, update: &Update) {
+        let domain = (0..self.members.len()).filter(|other| other % DOMAINS == member % DOMAINS);
+        let domain: Vec<NodeId> = domain.map(node).collect();
+        for child in children(&domain, &update.root, &node(member)) {
+            let offer = Event::Offer(Source::Peer(node(member)), update.clone());
+            self.send(index(&child), offer);
+        }
+    }
+
+    fn ask_store(&mut self, member: usize, ask: &Ask) {
+        if !self.store_up {
+            return;
+        }
+        let texts = |hash: &ContentHash| self.texts.get(hash).map(ToString::to_string);
+        let (calls, answer) = match ask {
+            Ask::Head => (1, Answer::Head(self.head.clone())),
+            Ask::Texts(hashes) => {
+                let found = hashes.iter().filter_map(texts).collect();
+                (hashes.len(), Answer::Texts(found))
+            }
+        };
+        self.store_calls += calls as u64;
+        self.send_after(5, member, Event::Answer(Source::Store, answer));
+    }
+}
--- a/jujubewind/tests/catalogue/main.rs
+++ b/jujubewind/tests/catalogue/main.rs
@@ -2,6 +2,8 @@
 
 mod examples;
 mod fixture;
+mod fleet;
+mod following;
 mod lookups;
 mod publishing;
 mod refusals;
