--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod cli;
 pub mod engine;
+pub mod experiment;
 pub mod http;
 pub mod load;
 pub mod platform;
--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -6,6 +6,7 @@
 use compio::net::TcpListener;
 use flume::Receiver;
 use flume::Sender;
+use rand::Rng;
 
 use super::Command;
 use super::Core;
@@ -16,15 +17,24 @@
 use super::service_client::ServiceClient;
 use crate::daemon;
 use crate::http;
+use crate::membership::Machine;
+use crate::membership::Member;
+use crate::membership::Outgoing;
+use crate::membership::Role;
+use crate::membership::Seed;
+use crate::membership::limits::PERIOD;
 use crate::metrics::AgentMetrics;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::rpc;
 use crate::rpc::Agent;
+use crate::rpc::GossipLink;
 use crate::rpc::message::AgentStatus;
 use crate::rpc::message::Call;
 use crate::rpc::message::CallReply;
 use crate::rpc::message::Chunk;
+use crate::rpc::message::Hold;
+use crate::rpc::message::HoldReply;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::StartReply;
@@ -47,6 +57,9 @@
 /// What the last replies are given to leave the process.
 const FLUSH: Millis = Millis(300);
 
+/// When to ask again for a part that the engine has no room for yet.
+const HOLD_RETRY: Millis = Millis(50);
+
 /// An entry that waits for tokens.
 struct Waiter {
     pull: Pull,
@@ -72,6 +85,9 @@
     listed: MonoTime,
     metrics: AgentMetrics,
     stop_at: Option<MonoTime>,
+    members: Machine,
+    gossip: GossipLink,
+    beat: MonoTime,
 }
 
 /// Serves until the process is stopped.
@@ -134,6 +150,15 @@
             }
             Backend::Service { addr } => Client::Service(ServiceClient::new(addr)?),
         };
+        let seed = Seed {
+            node: settings.node.clone(),
+            role: Role::Agent,
+            addr: settings.listen,
+            domain: settings.domain.clone(),
+            leaving: false,
+        };
+        let me = Member::new(seed, settings.models.clone(), incarnation);
+        let members = Machine::new(me, &settings.entries, rand::rng().next_u64());
         Ok(Self {
             core: Core::new(settings.clone(), incarnation)?,
             settings,
@@ -145,6 +170,9 @@
             listed: MonoTime::ZERO,
             metrics: AgentMetrics::default(),
             stop_at: None,
+            members,
+            gossip: GossipLink::default(),
+            beat: MonoTime::ZERO,
         })
     }
 
@@ -154,6 +182,11 @@
             Message::Quote(ask, reply) => {
                 let _ = reply.send(self.core.quote(now, &ask));
             }
+            Message::Hold(ask, reply) => self.hold(now, &ask, reply),
+            Message::Unheld(attempt) => {
+                let commands = self.core.unhold(now, attempt);
+                self.execute(now, commands);
+            }
             Message::Start(start, reply) => {
                 let (answer, commands) = self.core.start(now, *start);
                 if let StartReply::Refused(refusal) = &answer {
@@ -171,6 +204,13 @@
             }
             Message::Call(call, reply) => self.call(call, reply),
             Message::CallEnded(attempt) => self.core.end_call(now, attempt),
+            Message::Gossip(news, reply) => {
+                let _ = reply.send(self.members.receive(now, &news));
+            }
+            Message::Answered(news) => {
+                let messages = self.members.answered(now, &news);
+                self.send(messages);
+            }
             Message::Status(reply) => {
                 let _ = reply.send(self.status());
             }
@@ -203,6 +243,8 @@
                 open = self.core.open()
             );
             self.core.leave();
+            let notices = self.members.leave(now);
+            self.send(notices);
             self.stop_at = Some(now.after(self.settings.drain));
         }
     }
@@ -226,13 +268,37 @@
         self.waiters.insert(waiter.pull.envelope.attempt, waiter);
     }
 
+    /// Holds a part at the scheduler, then at the engine; both must agree.
+    fn hold(&mut self, now: MonoTime, ask: &Hold, reply: Sender<HoldReply>) {
+        let Client::Engine(client) = &self.client else {
+            let _ = reply.send(HoldReply::Refused(no_engine()));
+            return;
+        };
+        if let Some(refusal) = self.core.hold(now, ask) {
+            self.metrics.refused(refusal.reason);
+            let _ = reply.send(HoldReply::Refused(refusal));
+            return;
+        }
+        let client = client.clone();
+        let messages = self.messages.clone();
+        let (attempt, amount) = (ask.envelope.attempt, ask.amount);
+        let work = async move {
+            if client.hold(attempt, amount).await {
+                let _ = reply.send(HoldReply::Held);
+                return;
+            }
+            let _ = messages.send(Message::Unheld(attempt));
+            let _ = reply.send(HoldReply::Refused(Refusal {
+                reason: Reason::NoMemory,
+                retry: HOLD_RETRY,
+            }));
+        };
+        compio::runtime::spawn(work).detach();
+    }
+
     fn call(&mut self, call: Call, reply: Sender<CallReply>) {
         let Client::Service(client) = &self.client else {
-            let refusal = Refusal {
-                reason: Reason::UnknownModel,
-                retry: Millis::ZERO,
-            };
-            let _ = reply.send(CallReply::Refused(refusal));
+            let _ = reply.send(CallReply::Refused(no_engine()));
             return;
         };
         if let Some(refusal) = self.core.begin_call(&call) {
@@ -252,6 +318,11 @@
     }
 
     fn tick(&mut self, now: MonoTime) {
+        if now >= self.beat.after(PERIOD) {
+            self.beat = now;
+            let messages = self.members.tick(now);
+            self.send(messages);
+        }
         let commands = self.core.tick(now);
         self.execute(now, commands);
         self.answer_late_waiters(now);
@@ -311,6 +382,7 @@
                 Command::Import(attempt, handle) => client.import(attempt, handle).await,
                 Command::Drop(handle) => client.drop_handle(handle).await,
                 Command::Stop(attempt) => client.cancel(attempt).await,
+                Command::Release(attempt) => client.release(attempt).await,
                 Command::Wake(_) => {}
             }
         };
@@ -326,6 +398,13 @@
         }
     }
 
+    fn send(&self, messages: Vec<Outgoing>) {
+        let replies = self.messages.clone();
+        self.gossip.send(messages, move |answer| {
+            let _ = replies.send(Message::Answered(Box::new(answer)));
+        });
+    }
+
     fn status(&self) -> AgentStatus {
         AgentStatus {
             node: self.settings.node.clone(),
@@ -339,3 +418,11 @@
         }
     }
 }
+
+/// What is asked of the backend server is not what it does.
+fn no_engine() -> Refusal {
+    Refusal {
+        reason: Reason::UnknownModel,
+        retry: Millis::ZERO,
+    }
+}
--- a/jujubewind/src/agent/message.rs
+++ b/jujubewind/src/agent/message.rs
@@ -8,6 +8,9 @@
 use crate::rpc::message::CallReply;
 use crate::rpc::message::Cancel;
 use crate::rpc::message::CancelReply;
+use crate::rpc::message::Gossip;
+use crate::rpc::message::Hold;
+use crate::rpc::message::HoldReply;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::Quote;
@@ -23,6 +26,10 @@
 pub enum Message {
     /// An entry asks for an estimate.
     Quote(Quote, Sender<QuoteReply>),
+    /// An entry wants memory held for a part of a group.
+    Hold(Hold, Sender<HoldReply>),
+    /// The engine would not hold a part.
+    Unheld(AttemptId),
     /// An entry hands over a request.
     Start(Box<Start>, Sender<StartReply>),
     /// An entry asks for tokens.
@@ -33,6 +40,10 @@
     Call(Call, Sender<CallReply>),
     /// The call to the plain service ended.
     CallEnded(AttemptId),
+    /// Another process tells news of members.
+    Gossip(Box<Gossip>, Sender<Gossip>),
+    /// Another process answered to our news.
+    Answered(Box<Gossip>),
     /// An operator asks how it stands.
     Status(Sender<AgentStatus>),
     /// The metrics are wanted as text.
--- a/jujubewind/src/entry/driver.rs
+++ b/jujubewind/src/entry/driver.rs
@@ -1,20 +1,26 @@
 //! Carries out what a request's machine decides.
 
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::VecDeque;
 
 use flume::Sender;
 
 use super::Job;
 use super::caller::Event;
+use super::control::Choice;
 use super::control::Control;
 use super::link::Link;
 use super::request::Input;
 use super::request::Machine;
 use super::request::Output;
 use super::request::Target;
+use super::reservation::Reservation;
 use crate::refusal::Refusal;
 use crate::rpc::Error;
 use crate::rpc::message::CancelReply;
+use crate::rpc::message::PullReply;
+use crate::rpc::message::StartReply;
 use crate::timer::Clock;
 use crate::types::AttemptId;
 use crate::types::Millis;
@@ -41,16 +47,20 @@
     pub control: Control,
     /// Where the answer goes.
     pub caller: Sender<Event>,
+    /// Whether the caller has its first token.
+    pub begun: Cell<bool>,
+    /// The engines held for a prompt beyond one engine.
+    pub group: RefCell<Option<Reservation>>,
 }
 
 impl Driver {
-    /// Serves the request to its final answer.
-    pub async fn run(self) {
+    /// Serves the request to its final answer and tells how many tokens that had.
+    pub async fn run(self) -> Tokens {
         let (mut machine, first) = match Machine::new() {
             Ok(made) => made,
             Err(error) => {
                 crate::event!(error, "chart_faulty", error = error);
-                return;
+                return Tokens::ZERO;
             }
         };
         let mut rng = rand::rng();
@@ -60,6 +70,7 @@
                 outputs.extend(machine.step(input, &mut rng));
             }
         }
+        machine.written()
     }
 
     /// Carries out one output and returns what came of it.
@@ -86,14 +97,24 @@
                 attempt,
                 offset,
             } => Some(self.in_time(self.pull(target, attempt, offset)).await),
-            Output::AskRetry => Some(Input::Retry(self.control.retry().await)),
+            Output::AskRetry { attempts, reason } => {
+                self.control.retried(reason);
+                Some(Input::Retry(self.control.retry(attempts).await))
+            }
+            Output::Wait(span) => Some(self.in_time(Self::wait(span)).await),
             Output::Cancel { target, attempt } => self.cancel(target, attempt),
             Output::Dropped => {
                 self.control.dropped();
                 None
             }
-            Output::Emit(tokens) => self.emit(Event::Tokens(tokens)).await,
-            Output::Finish(finish, count) => self.emit(Event::End(finish, count)).await,
+            Output::Emit(tokens) => {
+                self.note_first_token();
+                self.emit(Event::Tokens(tokens)).await
+            }
+            Output::Finish(finish, count) => {
+                self.control.served(&self.job, count);
+                self.emit(Event::End(finish, count)).await
+            }
             Output::Fail(failure) => {
                 self.control.failed(&self.job, &failure);
                 self.emit(Event::Failed(failure)).await
@@ -101,6 +122,13 @@
         }
     }
 
+    fn note_first_token(&self) {
+        if !self.begun.replace(true) {
+            let span = self.clock.now().since(self.admitted);
+            self.control.first_token(&self.job, span);
+        }
+    }
+
     async fn in_time(&self, work: impl Future<Output = Input>) -> Input {
         let remaining = self.remaining();
         if remaining == Millis::ZERO {
@@ -110,17 +138,37 @@
         outcome.unwrap_or(Input::Expired)
     }
 
+    async fn wait(span: Millis) -> Input {
+        compio::time::sleep(span.duration()).await;
+        Input::Waited
+    }
+
     async fn place(&self, excluded: Vec<NodeId>) -> Input {
         Input::Placed(self.choose(excluded).await)
     }
 
     async fn choose(&self, excluded: Vec<NodeId>) -> Result<Target, Refusal> {
-        let targets = self.control.candidates(&self.job, excluded).await?;
-        let quotes = self.link.quotes(&self.job, targets, self.remaining()).await;
-        self.control.pick(quotes).await
+        let mut parts = 1;
+        loop {
+            let targets = self.control.candidates(&self.job, parts, excluded.clone());
+            let quotes = self
+                .link
+                .quotes(&self.job, parts, targets.await?, self.remaining());
+            match self.control.pick(&self.job, parts, quotes.await).await? {
+                Choice::Target(target) => return Ok(target),
+                Choice::Split(more) => parts = more,
+            }
+        }
     }
 
     async fn start(&self, target: Target, attempt: AttemptId, offset: Tokens) -> Input {
+        if let Some(helpers) = &target.group {
+            let reserved = Reservation::make(self, &target, helpers, attempt).await;
+            match reserved {
+                Ok(reservation) => *self.group.borrow_mut() = Some(reservation),
+                Err(refusal) => return Input::Started(Some(StartReply::Refused(refusal))),
+            }
+        }
         let remaining = self.remaining();
         match self
             .link
@@ -134,6 +182,14 @@
     }
 
     async fn pull(&self, target: Target, attempt: AttemptId, offset: Tokens) -> Input {
+        if self
+            .group
+            .borrow()
+            .as_ref()
+            .is_some_and(Reservation::is_lost)
+        {
+            return Input::Pulled(Some(PullReply::EngineFailed { died: false }));
+        }
         Input::Pulled(
             self.link
                 .pull(&target, attempt, offset, self.remaining())
@@ -143,6 +199,7 @@
 
     /// Sends a fence without waiting for its answer.
     fn cancel(&self, target: Target, attempt: AttemptId) -> Option<Input> {
+        self.group.borrow_mut().take();
         let link = self.link.clone();
         let remaining = self.remaining().max(FENCE_TIME);
         // The attempt is not older than its request.
@@ -167,7 +224,8 @@
         sent.is_err().then_some(Input::Abandoned)
     }
 
-    fn remaining(&self) -> Millis {
+    /// The time left to the request.
+    pub fn remaining(&self) -> Millis {
         self.deadline.since(self.clock.now())
     }
 }
