Speak to the platform's store over its JSON gateway

Cause: claims, credit and leases need outcomes that part certainly not applied from unknown, over the real protocol.

Ruled out: retries inside the client; who asked settles doubt by reading.

Change: store::Client on cyper: one call, one answer or its timeout; a failed connection, 429 and other 4xx mean not applied, all else unknown; conflicts come with what stands in the way in the same call; counts by kind; the VM list.

Not seen red by knock-out yet; no test of the VM list or of the timeout.

Watches are not built.

--- a/jujubewind/src/store/mod.rs
+++ b/jujubewind/src/store/mod.rs
@@ -3,18 +3,27 @@
 //! An answer tells three things apart: applied, certainly not applied, and unknown. Nothing that
 //! is unknown may be taken for a failure; whoever asked settles it by reading.
 
+mod answer;
 mod batch;
+mod client;
 mod entry;
+mod error;
 mod key;
+mod kind;
 mod number;
 mod op;
 mod outcome;
+mod request;
 
 pub use batch::Batch;
 pub use batch::Settled;
 pub use batch::Waiting;
+pub use client::Client;
 pub use entry::Entry;
+pub use error::Error;
+pub use error::Result;
 pub use key::Key;
+pub use kind::Kind;
 pub use number::LeaseId;
 pub use number::Version;
 pub use op::Op;
