--- a/emulator/benches/routing.rs
+++ b/emulator/benches/routing.rs
@@ -1,118 +1,149 @@
 //! Compares policies of routing and scheduling in virtual time, and fails on a missed bound.
+//!
+//! `cargo bench -p jujube-emulator --bench routing` runs all; names of sites and loads after `--`
+//! choose among them. The plot goes to `docs/routing.svg`.
 
+use std::collections::BTreeMap;
+use std::fs;
+use std::process::ExitCode;
 use std::thread;
 
 use jujube_emulator::engine::core::CostModel;
+use jujube_emulator::experiment::Bounds;
 use jujube_emulator::experiment::Mix;
 use jujube_emulator::experiment::Policy;
 use jujube_emulator::experiment::Report;
 use jujube_emulator::experiment::Run;
 use jujube_emulator::experiment::Site;
+use jujube_emulator::experiment::plot;
 use jujube_emulator::experiment::simulate;
 use jujubewind::retry;
-use jujubewind::routing;
 use jujubewind::types::MonoTime;
 
 const LOADS: [f64; 4] = [0.5, 0.8, 0.95, 1.2];
+/// The load of the plot and of most bounds.
+const BUSY: f64 = 0.8;
 const SEED: u64 = 7;
 /// Seconds of traffic, of which the first are not counted.
 const SPAN: f64 = 1_800.0;
-const WARM_UP: f64 = 200.0;
+const WARM_UP: u64 = 200;
 
-fn measure(site: Site, load: f64, policy: Policy) -> Report {
+const HEADER: &str = "policy             |  1k: n  p50  p95  p99 ms | 10k: n  p50  p95  p99 ms | \
+                      100k: n  p50  p95  p99 s | 1M: n  p50  p95 s | short slowdown p50 p95 p99 | \
+                      in time  long | goodput es/s | jain | cached | refused | attempts";
+
+fn measure(site: Site, load: f64, policy: Policy, retry: &retry::Settings) -> Report {
     let cost = CostModel::default();
     let rate = Mix::capacity(site, &cost) * load;
     let arrivals = Mix::new(site, cost, SEED).arrivals(rate, SPAN);
     let run = Run {
-        site,
-        policy,
-        routing: routing::Settings::default(),
-        retry: retry::Settings::default(),
-        seed: SEED,
+        retry: retry.clone(),
+        ..Run::new(site, policy, SEED)
     };
     let outcomes = simulate(&run, &arrivals);
-    if std::env::var("TRACE").is_ok() {
-        for (a, o) in arrivals.iter().zip(&outcomes) {
-            if o.refused.is_some() || a.prompt.get() > 349_000 {
-                println!(
-                    "{} {} {} at {:.1} allowed {:.0} first {:?} refused {:?} done {:?} parts {} tries {}",
-                    a.class,
-                    a.prompt,
-                    a.org,
-                    a.at.micros() as f64 / 1e6,
-                    a.allowed.get() as f64 / 1e3,
-                    o.first.map(|f| (f.micros() - a.at.micros()) as f64 / 1e6),
-                    o.refused
-                        .map(|(t, r)| ((t.micros() - a.at.micros()) as f64 / 1e6, r)),
-                    o.done.map(|t| t.micros() as f64 / 1e6),
-                    o.parts,
-                    o.attempts
-                );
-            }
-        }
+    let from = MonoTime::from_millis(WARM_UP * 1_000);
+    let span = SPAN - f64::from(u32::try_from(WARM_UP).unwrap_or(0));
+    Report::new(&arrivals, &outcomes, from, span)
+}
+
+fn compare(site: Site, load: f64) -> BTreeMap<Policy, Report> {
+    let retry = &retry::Settings::default();
+    thread::scope(|scope| {
+        let runs: Vec<_> = Policy::ALL
+            .iter()
+            .map(|&policy| {
+                (
+                    policy,
+                    scope.spawn(move || measure(site, load, policy, retry)),
+                )
+            })
+            .collect();
+        runs.into_iter()
+            .map(|(policy, run)| (policy, run.join().expect("the run ends")))
+            .collect()
+    })
+}
+
+fn table(site: Site, load: f64, reports: &BTreeMap<Policy, Report>) {
+    println!("\n{site}, load {load}, seed {SEED}\n{HEADER}");
+    for (policy, report) in reports {
+        println!("{:<18} {report}", policy.as_str());
     }
-    let from = MonoTime::from_millis(WARM_UP as u64 * 1_000);
-    Report::new(&arrivals, &outcomes, from, SPAN - WARM_UP)
 }
 
-fn main() {
-    let only: Vec<String> = std::env::args().skip(1).collect();
-    for &site in Site::ALL {
-        if only.iter().any(|arg| arg == "rb") && site == Site::Lublin
-            || only.iter().any(|arg| arg == "lu") && site == Site::RaviBagh
-        {
-            continue;
-        }
+/// The same fleet at capacity and at twice of it, with the retry budget and without one.
+fn storm(site: Site) -> Vec<String> {
+    let free = retry::Settings {
+        share: 1_000,
+        burst: 1_000_000,
+        attempts: 10,
+        ..retry::Settings::default()
+    };
+    let budget = retry::Settings::default();
+    let (full, twice, unbounded) = thread::scope(|scope| {
+        let full = scope.spawn(|| measure(site, 1.0, Policy::Ours, &budget));
+        let twice = scope.spawn(|| measure(site, 2.0, Policy::Ours, &budget));
+        let unbounded = scope.spawn(|| measure(site, 2.0, Policy::Ours, &free));
+        let join = |run: thread::ScopedJoinHandle<'_, Report>| run.join().expect("the run ends");
+        (join(full), join(twice), join(unbounded))
+    });
+    println!("\n{site}, retry storm, seed {SEED}\n{HEADER}");
+    println!("load 1             {full}");
+    println!("load 2             {twice}");
+    println!("load 2, no budget  {unbounded}");
+    Bounds::storm(&full, &twice)
+}
 
-        println!(
-            "{site} capacity {:.3}/s",
-            Mix::capacity(site, &CostModel::default())
-        );
-        for load in LOADS {
-            if only.iter().any(|arg| arg == "0.8") && (load - 0.8).abs() > 0.41 {
-                continue;
-            }
+fn draw(site: Site, reports: &BTreeMap<Policy, Report>) {
+    let runs: Vec<(&str, &Report)> = reports
+        .iter()
+        .map(|(one, run)| (one.as_str(), run))
+        .collect();
+    let title = format!("Time to first token, 95th percentile, {site} at load {BUSY}");
+    let path = format!("{}/../docs/routing-{site}.svg", env!("CARGO_MANIFEST_DIR"));
+    fs::write(&path, plot(&title, &runs)).expect("docs/ is writable");
+}
 
-            let reports: Vec<(Policy, Report)> = thread::scope(|scope| {
-                let handles: Vec<_> = Policy::ALL
-                    .iter()
-                    .filter(|policy| {
-                        !only.iter().any(|arg| arg == "ours") || **policy == Policy::Ours
-                    })
-                    .map(|&policy| (policy, scope.spawn(move || measure(site, load, policy))))
-                    .collect();
-                handles
-                    .into_iter()
-                    .map(|(policy, handle)| (policy, handle.join().expect("the run ends")))
-                    .collect()
-            });
-            println!("{site} load {load}");
-            for (policy, report) in &reports {
-                print!("{policy:<20}");
-                for decade in &report.decades {
-                    print!(
-                        " | {:>4} {:>8.0} {:>8.0} {:>8.0}",
-                        decade.count(),
-                        decade.percentile(0.5),
-                        decade.percentile(0.95),
-                        decade.percentile(0.99)
-                    );
-                }
-                println!(
-                    " | slow {:.2} {:.2} {:.2} | in time {:.3} long {:.3} | good {:.2} | jain {:.3} | cache {:.3} | refused {:.3} | tries {:.2}",
-                    report.slowdown(0.5),
-                    report.slowdown(0.95),
-                    report.slowdown(0.99),
-                    report.in_time,
-                    report.long_in_time,
-                    report.goodput,
-                    report.fairness,
-                    report.cached,
-                    report.refused,
-                    report.attempts
-                );
-                println!("   {:?}", report.reasons);
+fn main() -> ExitCode {
+    let wanted: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|arg| arg != "--bench")
+        .collect();
+    let chosen = |kind: &[String], name: &str| {
+        let any = wanted.iter().any(|arg| kind.contains(arg));
+        !any || wanted.iter().any(|arg| arg == name)
+    };
+    let sites: Vec<String> = Site::ALL.iter().map(ToString::to_string).collect();
+    let mut loads: Vec<String> = LOADS.iter().map(ToString::to_string).collect();
+    loads.push("storm".to_owned());
+    let mut missed = Vec::new();
+    for &site in Site::ALL
+        .iter()
+        .filter(|site| chosen(&sites, site.as_str()))
+    {
+        let capacity = Mix::capacity(site, &CostModel::default());
+        println!("\n{site}: capacity {capacity:.2} requests/s");
+        for load in LOADS
+            .into_iter()
+            .filter(|load| chosen(&loads, &load.to_string()))
+        {
+            let reports = compare(site, load);
+            table(site, load, &reports);
+            missed.extend(Bounds::check(site, load, &reports));
+            if (load - BUSY).abs() < f64::EPSILON {
+                draw(site, &reports);
             }
         }
+        if chosen(&loads, "storm") {
+            missed.extend(
+                storm(site)
+                    .into_iter()
+                    .map(|miss| format!("{site}: {miss}")),
+            );
+        }
+    }
+    for miss in &missed {
+        println!("MISSED {miss}");
     }
+    ExitCode::from(u8::from(!missed.is_empty()))
 }
--- a/emulator/src/experiment/mod.rs
+++ b/emulator/src/experiment/mod.rs
@@ -4,7 +4,10 @@
 //! its seed. Plain services are left out: they share nothing with the engines.
 
 mod arrival;
+mod bounds;
+mod dispatch;
 mod fleet;
+mod grouping;
 mod links;
 mod mix;
 mod number;
@@ -14,17 +17,19 @@
 mod pool;
 mod queue;
 mod report;
+mod run;
 mod simulation;
 mod site;
 mod worker;
 
 pub use arrival::Arrival;
+pub use bounds::Bounds;
 pub use mix::Mix;
 pub use outcome::Outcome;
 pub use plot::plot;
 pub use policy::Policy;
 pub use report::Decade;
 pub use report::Report;
-pub use simulation::Run;
+pub use run::Run;
 pub use simulation::simulate;
 pub use site::Site;
--- a/emulator/src/experiment/report.rs
+++ b/emulator/src/experiment/report.rs
@@ -1,6 +1,8 @@
 //! Figures of one run.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::fmt::Formatter;
 
 use jujubewind::refusal::Reason;
 use jujubewind::types::MonoTime;
@@ -115,6 +117,30 @@
     }
 }
 
+impl Display for Report {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        for (place, decade) in self.decades.iter().enumerate() {
+            let unit = if place < 2 { 1.0 } else { 1_000.0 };
+            write!(f, "| {:>5}", decade.count())?;
+            for part in [0.5, 0.95, 0.99] {
+                write!(f, " {:>6.0}", decade.percentile(part) / unit)?;
+            }
+        }
+        for part in [0.5, 0.95, 0.99] {
+            write!(
+                f,
+                " {} {:.2}",
+                if part < 0.6 { "|" } else { "" },
+                self.slowdown(part)
+            )?;
+        }
+        write!(f, " | {:.3} {:.3}", self.in_time, self.long_in_time)?;
+        write!(f, " | {:.2} | {:.3}", self.goodput, self.fairness)?;
+        write!(f, " | {:.3} | {:.3}", self.cached, self.refused)?;
+        write!(f, " | {:.2}", self.attempts)
+    }
+}
+
 fn filter<'a>(
     pairs: &[(&'a Arrival, &'a Outcome)],
     keep: impl Fn(&Arrival) -> bool,
--- a/emulator/src/experiment/simulation.rs
+++ b/emulator/src/experiment/simulation.rs
@@ -2,30 +2,22 @@
 
 use std::sync::Arc;
 
-use jujubewind::refusal::Reason;
 use jujubewind::refusal::Refusal;
-use jujubewind::retry;
 use jujubewind::retry::RetryBudget;
 use jujubewind::routing::Group;
 use jujubewind::routing::Offer;
-use jujubewind::routing::Request;
-use jujubewind::routing::Settings;
-use jujubewind::routing::Step;
-use jujubewind::rpc::message::QuoteReply;
 use jujubewind::scheduler::Job;
-use jujubewind::scheduler::PART_TTL;
 use jujubewind::types::AttemptId;
 use jujubewind::types::Millis;
 use jujubewind::types::MonoTime;
 use jujubewind::types::NodeId;
-use jujubewind::types::Tokens;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 use super::Arrival;
 use super::Outcome;
 use super::Policy;
-use super::Site;
+use super::Run;
 use super::fleet;
 use super::fleet::Fleet;
 use super::links;
@@ -36,31 +28,15 @@
 use crate::engine::core::Prompt;
 
 /// The time between two looks of an agent at its deadlines, and of an entry at its groups.
-const TICK: Millis = Millis(50);
+pub(super) const TICK: Millis = Millis(50);
 /// Ticks between two load reports.
 const REPORT: u64 = 20;
-/// How long a part of a group is taken to last where nobody predicts it.
-const PART_SPAN: Millis = Millis(60_000);
 /// Attempt numbers of one request.
 const ATTEMPTS: u128 = 16;
 
-/// What is run.
-#[derive(Clone, Debug)]
-pub struct Run {
-    /// Whose fleet.
-    pub site: Site,
-    /// Who decides.
-    pub policy: Policy,
-    /// The router's parameters.
-    pub routing: Settings,
-    /// The retry budget's parameters.
-    pub retry: retry::Settings,
-    /// The seed of all choices.
-    pub seed: u64,
-}
-
+/// What happens at one time.
 #[derive(Debug)]
-enum Event {
+pub(super) enum Event {
     Arrive(usize),
     Ask(usize, Vec<usize>),
     Pick(usize, Vec<Offer>),
@@ -71,23 +47,24 @@
 }
 
 #[derive(Debug)]
-struct Pending {
-    attempt: u128,
-    tried: Vec<NodeId>,
-    parts: u64,
-    group: Option<Group>,
+pub(super) struct Pending {
+    pub(super) attempt: u128,
+    pub(super) tried: Vec<NodeId>,
+    pub(super) parts: u64,
+    pub(super) group: Option<Group>,
 }
 
-struct Simulation<'a> {
-    run: &'a Run,
-    arrivals: &'a [Arrival],
-    fleet: Fleet,
-    queue: Queue<Event>,
+/// The state of one run.
+pub(super) struct Simulation<'a> {
+    pub(super) run: &'a Run,
+    pub(super) arrivals: &'a [Arrival],
+    pub(super) fleet: Fleet,
+    pub(super) queue: Queue<Event>,
     due: Vec<MonoTime>,
-    pending: Vec<Pending>,
+    pub(super) pending: Vec<Pending>,
     outcomes: Vec<Outcome>,
     budgets: Vec<RetryBudget>,
-    rng: StdRng,
+    pub(super) rng: StdRng,
     open: usize,
 }
 
@@ -136,7 +113,7 @@
             Event::Ask(id, engines) => self.ask(now, id, &engines),
             Event::Pick(id, offers) => self.pick(now, id, &offers),
             Event::Start(id, engine) => self.start(now, id, engine),
-            Event::Refused(id, refusal) => self.refused(now, id, refusal),
+            Event::Refused(id, refusal) => self.refused(now, id, &refusal),
             Event::Step(engine) => {
                 if self.due[engine] == now {
                     self.due[engine] = MonoTime::NEVER;
@@ -154,161 +131,11 @@
         for engine in 0..self.fleet.workers.len() {
             self.advance(now, engine);
         }
-        for id in 0..self.pending.len() {
-            if let Some(mut group) = self.pending[id].group.take() {
-                let steps = group.poll(now);
-                self.pending[id].group = Some(group);
-                self.carry_out(now, id, steps);
-            }
-        }
+        self.poll_groups(now);
         self.queue.push(now.after(TICK), Event::Tick(count + 1));
     }
 
-    fn route(&mut self, now: MonoTime, id: usize) {
-        let arrival = &self.arrivals[id];
-        self.pending[id].attempt += 1;
-        let parts = super::number::index(self.pending[id].parts);
-        if self.run.policy != Policy::Ours {
-            let engines = self.fleet.assign(arrival, parts, &mut self.rng);
-            self.dispatch(now, id, &engines, PART_SPAN);
-            return;
-        }
-        let request = Request {
-            org: &arrival.org,
-            model: &fleet::model(),
-            class: arrival.class,
-            prompt: arrival.prompt,
-            parts,
-            blocks: &arrival.blocks,
-        };
-        let router = &self.fleet.routers[arrival.entry];
-        let tried = &self.pending[id].tried;
-        let nodes = router.choose(&self.fleet.members, &request, tried, &mut self.rng);
-        let engines: Vec<usize> = nodes.iter().map(fleet::number).collect();
-        self.queue
-            .push(self.slowest(now, id, &engines), Event::Ask(id, engines));
-    }
-
-    fn ask(&mut self, now: MonoTime, id: usize, engines: &[usize]) {
-        let offers = engines
-            .iter()
-            .map(|&engine| self.offer(now, id, engine))
-            .collect();
-        self.queue
-            .push(self.slowest(now, id, engines), Event::Pick(id, offers));
-    }
-
-    fn offer(&mut self, now: MonoTime, id: usize, engine: usize) -> Offer {
-        let job = self.job(now, id, engine);
-        let reply = match self.fleet.workers[engine].scheduler.quote(now, &job) {
-            Ok(estimate) => QuoteReply::Estimate {
-                first: estimate.first,
-                total: estimate.total,
-                cached: estimate.cached,
-            },
-            Err(refusal) => QuoteReply::Refused(refusal),
-        };
-        Offer {
-            node: fleet::node(engine),
-            domain: fleet::domain(engine),
-            reply,
-        }
-    }
-
-    fn pick(&mut self, now: MonoTime, id: usize, offers: &[Offer]) {
-        let arrival = &self.arrivals[id];
-        let router = &self.fleet.routers[arrival.entry];
-        let parts = super::number::index(self.pending[id].parts);
-        let places = if parts > 1 {
-            router.pick_group(arrival.class, offers, parts)
-        } else {
-            let place = router.pick(arrival.class, offers, &mut self.rng);
-            place.map(|place| vec![place])
-        };
-        if let Some(places) = places {
-            let engines: Vec<usize> = places
-                .iter()
-                .map(|&place| fleet::number(&offers[place].node))
-                .collect();
-            let spans = places.iter().map(|&place| span(&offers[place]));
-            let span = spans.max().unwrap_or(PART_SPAN);
-            self.dispatch(now, id, &engines, span);
-            return;
-        }
-        for offer in offers {
-            self.pending[id].tried.push(offer.node.clone());
-        }
-        let refusal = offers.iter().find_map(|offer| match &offer.reply {
-            QuoteReply::Refused(refusal) => Some(refusal.clone()),
-            QuoteReply::Estimate { .. } => None,
-        });
-        self.refused(now, id, refusal.unwrap_or_else(nobody));
-    }
-
-    fn dispatch(&mut self, now: MonoTime, id: usize, engines: &[usize], span: Millis) {
-        if let [engine] = engines {
-            let at = links::across(now, self.arrivals[id].entry, *engine);
-            self.queue.push(at, Event::Start(id, *engine));
-            return;
-        }
-        let nodes: Vec<NodeId> = engines.iter().map(|&engine| fleet::node(engine)).collect();
-        let deadline = self.deadline(id);
-        let mut group = Group::new(&nodes, self.part(id), span, deadline);
-        let steps = group.poll(now);
-        self.pending[id].group = Some(group);
-        self.carry_out(now, id, steps);
-    }
-
-    /// Messages about groups take no time here; their answers come before the next tick.
-    fn carry_out(&mut self, now: MonoTime, id: usize, steps: Vec<Step>) {
-        let attempt = self.attempt(id);
-        for step in steps {
-            if self.attempt(id) != attempt {
-                return;
-            }
-            match step {
-                Step::Reserve { node, amount, span } => self.reserve(now, id, &node, amount, span),
-                Step::Release { node } => self.release(now, id, &node),
-                Step::Ready { nodes } => self.start(now, id, fleet::number(&nodes[0])),
-                Step::Failed(refusal) => {
-                    self.pending[id].group = None;
-                    self.refused(now, id, refusal);
-                }
-            }
-        }
-    }
-
-    fn reserve(&mut self, now: MonoTime, id: usize, node: &NodeId, amount: Tokens, span: Millis) {
-        let attempt = self.attempt(id);
-        let worker = &mut self.fleet.workers[fleet::number(node)];
-        let held = worker
-            .scheduler
-            .hold(now, attempt, amount, span)
-            .and_then(|()| {
-                let part = worker
-                    .core
-                    .reserve_part(now, &attempt.to_string(), amount, PART_TTL);
-                part.map_err(|_| busy())
-            });
-        let Some(mut group) = self.pending[id].group.take() else {
-            return;
-        };
-        let steps = match held {
-            Ok(()) => group.granted(now, node),
-            Err(refusal) => group.refused(now, node, refusal),
-        };
-        self.pending[id].group = Some(group);
-        self.carry_out(now, id, steps);
-    }
-
-    fn release(&mut self, now: MonoTime, id: usize, node: &NodeId) {
-        let attempt = self.attempt(id);
-        let engine = fleet::number(node);
-        self.fleet.workers[engine].scheduler.cancel(now, attempt);
-        self.advance(now, engine);
-    }
-
-    fn start(&mut self, now: MonoTime, id: usize, engine: usize) {
+    pub(super) fn start(&mut self, now: MonoTime, id: usize, engine: usize) {
         let arrival = &self.arrivals[id];
         let job = self.job(now, id, engine);
         let group = self.pending[id].group.is_some();
@@ -329,15 +156,8 @@
         }
     }
 
-    fn refused(&mut self, now: MonoTime, id: usize, refusal: Refusal) {
-        if let Some(mut group) = self.pending[id].group.take() {
-            let steps = group.cancel();
-            for step in steps {
-                if let Step::Release { node } = step {
-                    self.release(now, id, &node);
-                }
-            }
-        }
+    pub(super) fn refused(&mut self, now: MonoTime, id: usize, refusal: &Refusal) {
+        self.end_group(now, id);
         let attempts = u32::try_from(self.pending[id].attempt).unwrap_or(u32::MAX);
         let budget = &mut self.budgets[self.arrivals[id].entry];
         if self.run.policy == Policy::Ours && budget.retry(now, attempts).is_ok() {
@@ -348,7 +168,7 @@
         self.open -= 1;
     }
 
-    fn advance(&mut self, now: MonoTime, engine: usize) {
+    pub(super) fn advance(&mut self, now: MonoTime, engine: usize) {
         let notices = self.fleet.workers[engine].advance(now);
         for notice in notices {
             self.notice(now, engine, &notice);
@@ -383,16 +203,6 @@
         self.end_group(now, id);
     }
 
-    fn end_group(&mut self, now: MonoTime, id: usize) {
-        if let Some(mut group) = self.pending[id].group.take() {
-            for step in group.cancel() {
-                if let Step::Release { node } = step {
-                    self.release(now, id, &node);
-                }
-            }
-        }
-    }
-
     fn seen(&self, now: MonoTime, engine: usize, attempt: AttemptId) -> (usize, MonoTime) {
         let number = u128::from_str_radix(&attempt.to_string(), 16).unwrap_or(0);
         let id = usize::try_from(number / ATTEMPTS).unwrap_or(0);
@@ -400,11 +210,11 @@
         (id, links::to_client(at))
     }
 
-    fn attempt(&self, id: usize) -> AttemptId {
+    pub(super) fn attempt(&self, id: usize) -> AttemptId {
         AttemptId::from_number(id as u128 * ATTEMPTS + self.pending[id].attempt)
     }
 
-    fn job(&mut self, now: MonoTime, id: usize, engine: usize) -> Job {
+    pub(super) fn job(&mut self, now: MonoTime, id: usize, engine: usize) -> Job {
         let arrival = &self.arrivals[id];
         let cached = self.fleet.workers[engine].cached(now, &arrival.blocks);
         Job {
@@ -419,23 +229,9 @@
         }
     }
 
-    fn part(&self, id: usize) -> Tokens {
-        let arrival = &self.arrivals[id];
-        let whole = arrival.prompt.saturating_add(arrival.output).get();
-        Tokens(whole.div_ceil(self.pending[id].parts))
-    }
-
-    fn deadline(&self, id: usize) -> MonoTime {
+    pub(super) fn deadline(&self, id: usize) -> MonoTime {
         self.arrivals[id].at.after(self.arrivals[id].allowed)
     }
-
-    fn slowest(&self, now: MonoTime, id: usize, engines: &[usize]) -> MonoTime {
-        let entry = self.arrivals[id].entry;
-        let times = engines
-            .iter()
-            .map(|&engine| links::across(now, entry, engine));
-        times.max().unwrap_or(now)
-    }
 }
 
 /// A prompt that would not leave the short work's memory free is spread over several engines.
@@ -449,24 +245,3 @@
         group: None,
     }
 }
-
-fn span(offer: &Offer) -> Millis {
-    match &offer.reply {
-        QuoteReply::Estimate { total, .. } => *total,
-        QuoteReply::Refused(_) => Millis::ZERO,
-    }
-}
-
-fn busy() -> Refusal {
-    Refusal {
-        reason: Reason::NoMemory,
-        retry: TICK,
-    }
-}
-
-fn nobody() -> Refusal {
-    Refusal {
-        reason: Reason::NoBackend,
-        retry: TICK,
-    }
-}
--- /dev/null
+++ b/emulator/tests/experiment.rs
@@ -0,0 +1,73 @@
+//! A small run of the comparison of policies.
+
+use std::collections::BTreeMap;
+
+use jujube_emulator::engine::core::CostModel;
+use jujube_emulator::experiment::Arrival;
+use jujube_emulator::experiment::Bounds;
+use jujube_emulator::experiment::Mix;
+use jujube_emulator::experiment::Outcome;
+use jujube_emulator::experiment::Policy;
+use jujube_emulator::experiment::Report;
+use jujube_emulator::experiment::Run;
+use jujube_emulator::experiment::Site;
+use jujube_emulator::experiment::simulate;
+use jujubewind::types::MonoTime;
+
+const SPAN: f64 = 20.0;
+
+fn arrivals(load: f64, seed: u64) -> Vec<Arrival> {
+    let cost = CostModel::default();
+    let rate = Mix::capacity(Site::RaviBagh, &cost) * load;
+    Mix::new(Site::RaviBagh, cost, seed).arrivals(rate, SPAN)
+}
+
+fn run(policy: Policy, arrivals: &[Arrival]) -> Vec<Outcome> {
+    simulate(&Run::new(Site::RaviBagh, policy, 1), arrivals)
+}
+
+fn report(policy: Policy, arrivals: &[Arrival]) -> Report {
+    Report::new(arrivals, &run(policy, arrivals), MonoTime::ZERO, SPAN)
+}
+
+#[test]
+fn a_run_follows_from_its_seed() {
+    let arrivals = arrivals(0.8, 3);
+
+    let one = report(Policy::Ours, &arrivals);
+    let other = report(Policy::Ours, &arrivals);
+
+    assert_eq!(one.points, other.points);
+}
+
+#[test]
+fn every_request_has_one_end_under_every_policy() {
+    for seed in 0..2 {
+        let arrivals = arrivals(1.2, seed);
+        for &policy in Policy::ALL {
+            let outcomes = run(policy, &arrivals);
+
+            let ends = |one: &Outcome| one.done.is_some() != one.refused.is_some();
+            assert!(outcomes.iter().all(ends), "{policy} seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_missed_bound_is_named() {
+    let arrivals = arrivals(0.8, 3);
+    let poor = report(Policy::RoundRobin, &arrivals);
+    let reports: BTreeMap<Policy, Report> = Policy::ALL
+        .iter()
+        .map(|&policy| (policy, poor.clone()))
+        .collect();
+
+    let missed = Bounds::check(Site::RaviBagh, 0.8, &reports);
+
+    assert!(
+        missed
+            .iter()
+            .any(|miss| miss.contains("gain over round robin")),
+        "{missed:?}"
+    );
+}
