--- a/emulator/src/experiment/simulation.rs
+++ b/emulator/src/experiment/simulation.rs
@@ -2,30 +2,22 @@
 
 use std::sync::Arc;
 
-use jujubewind::refusal::Reason;
 use jujubewind::refusal::Refusal;
-use jujubewind::retry;
 use jujubewind::retry::RetryBudget;
 use jujubewind::routing::Group;
 use jujubewind::routing::Offer;
-use jujubewind::routing::Request;
-use jujubewind::routing::Settings;
-use jujubewind::routing::Step;
-use jujubewind::rpc::message::QuoteReply;
 use jujubewind::scheduler::Job;
-use jujubewind::scheduler::PART_TTL;
 use jujubewind::types::AttemptId;
 use jujubewind::types::Millis;
 use jujubewind::types::MonoTime;
 use jujubewind::types::NodeId;
-use jujubewind::types::Tokens;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
 use super::Arrival;
 use super::Outcome;
 use super::Policy;
-use super::Site;
+use super::Run;
 use super::fleet;
 use super::fleet::Fleet;
 use super::links;
@@ -36,31 +28,15 @@
 use crate::engine::core::Prompt;
 
 /// The time between two looks of an agent at its deadlines, and of an entry at its groups.
-const TICK: Millis = Millis(50);
+pub(super) const TICK: Millis = Millis(50);
 /// Ticks between two load reports.
 const REPORT: u64 = 20;
-/// How long a part of a group is taken to last where nobody predicts it.
-const PART_SPAN: Millis = Millis(60_000);
 /// Attempt numbers of one request.
 const ATTEMPTS: u128 = 16;
 
-/// What is run.
-#[derive(Clone, Debug)]
-pub struct Run {
-    /// Whose fleet.
-    pub site: Site,
-    /// Who decides.
-    pub policy: Policy,
-    /// The router's parameters.
-    pub routing: Settings,
-    /// The retry budget's parameters.
-    pub retry: retry::Settings,
-    /// The seed of all choices.
-    pub seed: u64,
-}
-
+/// What happens at one time.
 #[derive(Debug)]
-enum Event {
+pub(super) enum Event {
     Arrive(usize),
     Ask(usize, Vec<usize>),
     Pick(usize, Vec<Offer>),
@@ -71,23 +47,24 @@
 }
 
 #[derive(Debug)]
-struct Pending {
-    attempt: u128,
-    tried: Vec<NodeId>,
-    parts: u64,
-    group: Option<Group>,
+pub(super) struct Pending {
+    pub(super) attempt: u128,
+    pub(super) tried: Vec<NodeId>,
+    pub(super) parts: u64,
+    pub(super) group: Option<Group>,
 }
 
-struct Simulation<'a> {
-    run: &'a Run,
-    arrivals: &'a [Arrival],
-    fleet: Fleet,
-    queue: Queue<Event>,
+/// The state of one run.
+pub(super) struct Simulation<'a> {
+    pub(super) run: &'a Run,
+    pub(super) arrivals: &'a [Arrival],
+    pub(super) fleet: Fleet,
+    pub(super) queue: Queue<Event>,
     due: Vec<MonoTime>,
-    pending: Vec<Pending>,
+    pub(super) pending: Vec<Pending>,
     outcomes: Vec<Outcome>,
     budgets: Vec<RetryBudget>,
-    rng: StdRng,
+    pub(super) rng: StdRng,
     open: usize,
 }
 
@@ -136,7 +113,7 @@
             Event::Ask(id, engines) => self.ask(now, id, &engines),
             Event::Pick(id, offers) => self.pick(now, id, &offers),
             Event::Start(id, engine) => self.start(now, id, engine),
-            Event::Refused(id, refusal) => self.refused(now, id, refusal),
+            Event::Refused(id, refusal) => self.refused(now, id, &refusal),
             Event::Step(engine) => {
                 if self.due[engine] == now {
                     self.due[engine] = MonoTime::NEVER;
@@ -154,16 +131,11 @@
         for engine in 0..self.fleet.workers.len() {
             self.advance(now, engine);
         }
-        for id in 0..self.pending.len() {
-            if let Some(mut group) = self.pending[id].group.take() {
-                let steps = group.poll(now);
-                self.pending[id].group = Some(group);
-                self.carry_out(now, id, steps);
-            }
-        }
+        self.poll_groups(now);
         self.queue.push(now.after(TICK), Event::Tick(count + 1));
     }
 
+<<<<<<< HEAD
     fn route(&mut self, now: MonoTime, id: usize) {
         let arrival = &self.arrivals[id];
         self.pending[id].attempt += 1;
@@ -309,6 +281,9 @@
     }
 
     fn start(&mut self, now: MonoTime, id: usize, engine: usize) {
+=======
+    pub(super) fn start(&mut self, now: MonoTime, id: usize, engine: usize) {
+>>>>>>> routing
         let arrival = &self.arrivals[id];
         let job = self.job(now, id, engine);
         let group = self.pending[id].group.is_some();
@@ -329,15 +304,8 @@
         }
     }
 
-    fn refused(&mut self, now: MonoTime, id: usize, refusal: Refusal) {
-        if let Some(mut group) = self.pending[id].group.take() {
-            let steps = group.cancel();
-            for step in steps {
-                if let Step::Release { node } = step {
-                    self.release(now, id, &node);
-                }
-            }
-        }
+    pub(super) fn refused(&mut self, now: MonoTime, id: usize, refusal: &Refusal) {
+        self.end_group(now, id);
         let attempts = u32::try_from(self.pending[id].attempt).unwrap_or(u32::MAX);
         let budget = &mut self.budgets[self.arrivals[id].entry];
         if self.run.policy == Policy::Ours && budget.retry(now, attempts).is_ok() {
@@ -348,7 +316,7 @@
         self.open -= 1;
     }
 
-    fn advance(&mut self, now: MonoTime, engine: usize) {
+    pub(super) fn advance(&mut self, now: MonoTime, engine: usize) {
         let notices = self.fleet.workers[engine].advance(now);
         for notice in notices {
             self.notice(now, engine, &notice);
@@ -383,16 +351,6 @@
         self.end_group(now, id);
     }
 
-    fn end_group(&mut self, now: MonoTime, id: usize) {
-        if let Some(mut group) = self.pending[id].group.take() {
-            for step in group.cancel() {
-                if let Step::Release { node } = step {
-                    self.release(now, id, &node);
-                }
-            }
-        }
-    }
-
     fn seen(&self, now: MonoTime, engine: usize, attempt: AttemptId) -> (usize, MonoTime) {
         let number = u128::from_str_radix(&attempt.to_string(), 16).unwrap_or(0);
         let id = usize::try_from(number / ATTEMPTS).unwrap_or(0);
@@ -400,11 +358,11 @@
         (id, links::to_client(at))
     }
 
-    fn attempt(&self, id: usize) -> AttemptId {
+    pub(super) fn attempt(&self, id: usize) -> AttemptId {
         AttemptId::from_number(id as u128 * ATTEMPTS + self.pending[id].attempt)
     }
 
-    fn job(&mut self, now: MonoTime, id: usize, engine: usize) -> Job {
+    pub(super) fn job(&mut self, now: MonoTime, id: usize, engine: usize) -> Job {
         let arrival = &self.arrivals[id];
         let cached = self.fleet.workers[engine].cached(now, &arrival.blocks);
         Job {
@@ -419,23 +377,9 @@
         }
     }
 
-    fn part(&self, id: usize) -> Tokens {
-        let arrival = &self.arrivals[id];
-        let whole = arrival.prompt.saturating_add(arrival.output).get();
-        Tokens(whole.div_ceil(self.pending[id].parts))
-    }
-
-    fn deadline(&self, id: usize) -> MonoTime {
+    pub(super) fn deadline(&self, id: usize) -> MonoTime {
         self.arrivals[id].at.after(self.arrivals[id].allowed)
     }
-
-    fn slowest(&self, now: MonoTime, id: usize, engines: &[usize]) -> MonoTime {
-        let entry = self.arrivals[id].entry;
-        let times = engines
-            .iter()
-            .map(|&engine| links::across(now, entry, engine));
-        times.max().unwrap_or(now)
-    }
 }
 
 /// A prompt that would not leave the short work's memory free is spread over several engines.
@@ -449,6 +393,7 @@
         group: None,
     }
 }
+<<<<<<< HEAD
 
 fn span(offer: &Offer) -> Millis {
     match &offer.reply {
@@ -470,3 +415,5 @@
         retry: TICK,
     }
 }
+=======
+>>>>>>> routing
