--- a/emulator/src/experiment/dispatch.rs
+++ b/emulator/src/experiment/dispatch.rs
@@ -95,7 +95,7 @@
         }
         let refusal = offers.iter().find_map(|offer| match &offer.reply {
             QuoteReply::Refused(refusal) => Some(refusal.clone()),
-            QuoteReply::Estimate { .. } => None,
+            QuoteReply::Estimate { .. } | QuoteReply::TooLong { .. } => None,
         });
         self.refused(now, id, &refusal.unwrap_or_else(nobody));
     }
@@ -121,7 +121,7 @@
 fn span(offer: &Offer) -> Millis {
     match &offer.reply {
         QuoteReply::Estimate { total, .. } => *total,
-        QuoteReply::Refused(_) => Millis::ZERO,
+        QuoteReply::Refused(_) | QuoteReply::TooLong { .. } => Millis::ZERO,
     }
 }
 
--- a/jujubewind/benches/control/wire.rs
+++ b/jujubewind/benches/control/wire.rs
@@ -26,7 +26,7 @@
     let body = match news.news {
         News::Answer { .. } => encoded(&Response {
             request_id: 1_000,
-            message: Ok(PeerResponse::Gossip(news.clone())),
+            message: Ok(PeerResponse::Gossip(Some(news.clone()))),
         }),
         _ => encoded(&ClientMessage::Request(request(news))),
     };
