Send marks of a prompt's blocks with a quote, not all of them

Ruled out: only the first blocks, which would hide a case file cached deep. Change: chained hashes let few marks stand for all; at most 48, each within a quarter of the way or one block of the next. Conclusion: an estimate may miss up to a fifth of a cached prefix, never count too much.

--- a/jujubewind/src/agent/cached_blocks.rs
+++ b/jujubewind/src/agent/cached_blocks.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use crate::prefix::BLOCK;
+use crate::prefix::Mark;
 use crate::types::Tokens;
 
 /// Blocks that the engine is believed to hold, learnt from its late and gapped events.
@@ -34,13 +34,12 @@
         }
     }
 
-    /// How much of a prompt with these chained block hashes is cached.
+    /// How much of a prompt with these marks is cached, at the least.
     #[must_use]
-    pub fn prefix(&self, blocks: &[u64]) -> Tokens {
-        let count = blocks
+    pub fn prefix(&self, marks: &[Mark]) -> Tokens {
+        let cached = marks
             .iter()
-            .take_while(|b| self.blocks.contains(b))
-            .count();
-        Tokens(count as u64 * BLOCK.get())
+            .take_while(|mark| self.blocks.contains(&mark.hash));
+        cached.last().map_or(Tokens::ZERO, |mark| mark.end)
     }
 }
--- a/jujubewind/src/agent/core.rs
+++ b/jujubewind/src/agent/core.rs
@@ -448,7 +448,7 @@
             org: ask.org.clone(),
             class: ask.class,
             prompt: ask.prompt,
-            cached: self.cached.prefix(&ask.blocks),
+            cached: self.cached.prefix(&ask.marks),
             output: ask.output,
             parts: ask.parts,
             remaining: ask.envelope.remaining,
--- a/jujubewind/src/entry/job.rs
+++ b/jujubewind/src/entry/job.rs
@@ -1,5 +1,6 @@
 //! One request as the entry serves it.
 
+use crate::prefix;
 use crate::rpc::message::Envelope;
 use crate::rpc::message::Quote;
 use crate::types::Class;
@@ -66,7 +67,7 @@
             prompt: self.prompt,
             output: self.output,
             parts,
-            blocks: self.blocks.clone(),
+            marks: prefix::marks(&self.blocks),
         }
     }
 }
--- a/jujubewind/src/prefix/mod.rs
+++ b/jujubewind/src/prefix/mod.rs
@@ -1,5 +1,9 @@
 //! Hashes of a prompt's leading blocks, by which caches of equal prefixes are known.
 
+mod mark;
+
+pub use mark::Mark;
+pub use mark::marks;
 use rapidhash::v3::RapidSecrets;
 use rapidhash::v3::rapidhash_v3_seeded;
 
--- a/jujubewind/src/rpc/message/quote.rs
+++ b/jujubewind/src/rpc/message/quote.rs
@@ -1,6 +1,7 @@
 //! Asking an agent when a request would be served.
 
 use super::Envelope;
+use crate::prefix::Mark;
 use crate::refusal::Refusal;
 use crate::types::Class;
 use crate::types::Millis;
@@ -25,8 +26,8 @@
         pub output: Tokens,
         /// The engines that share the prompt; more than one for a group.
         pub parts: u64,
-        /// Hashes of the prompt's leading blocks, by which a cache hit is known.
-        pub blocks: Vec<u64>,
+        /// Marks of the prompt's blocks, by which a cache hit is known.
+        pub marks: Vec<Mark>,
     }
 
     /// An agent's own estimate, or why it would not take the request.
--- /dev/null
+++ b/jujubewind/tests/prefix.rs
@@ -0,0 +1,35 @@
+//! Hashes of a prompt's blocks and the marks that stand for them.
+
+use jujubewind::prefix::BLOCK;
+use jujubewind::prefix::BYTES_PER_TOKEN;
+use jujubewind::prefix::block_hashes;
+use jujubewind::prefix::marks;
+
+fn text(blocks: u64, letter: &str) -> String {
+    let size = usize::try_from(blocks * BLOCK.get() * BYTES_PER_TOKEN).expect("it fits");
+    letter.repeat(size)
+}
+
+#[test]
+fn equal_prefixes_have_equal_hashes_up_to_where_they_part() {
+    let short = block_hashes(&text(3, "a"));
+    let long = block_hashes(&(text(3, "a") + &text(2, "b")));
+    let other = block_hashes(&(text(2, "a") + &text(3, "b")));
+
+    assert_eq!(short[..], long[..3]);
+    assert_eq!(long[..2], other[..2]);
+    assert_ne!(long[2..], other[2..]);
+}
+
+#[test]
+fn marks_of_a_million_tokens_are_few_and_near_every_prefix() {
+    let blocks: Vec<u64> = (0..1_000_000 / BLOCK.get()).collect();
+
+    let marks = marks(&blocks);
+
+    assert!(marks.len() <= 48, "{} marks", marks.len());
+    for pair in marks.windows(2) {
+        let (near, far) = (pair[0].end.get(), pair[1].end.get());
+        assert!(far - near <= (near / 4).max(BLOCK.get()), "{near} to {far}");
+    }
+}
