Have both engines at work for certain before a failure is tried

Cause: the tests waited for a moment at which both engines had sequences, but at ten times real time an answer of 600 tokens lasts about a second, and chance may send all requests to one engine; then the wait ended in vain. Ruled out: longer answers alone, which leave the chance that all go one way.

Both engines now run 30 times slower until both work, so that no answer ends before (600 tokens take longer than the wait's patience), and each request is placed before the next is sent; more than twelve follow only while one engine is idle. What is asserted is unchanged. The test of the entry's death slows its engines likewise, so that no answer is whole before the kill.

--- a/emulator/tests/system/failures.rs
+++ b/emulator/tests/system/failures.rs
@@ -10,6 +10,12 @@
 use crate::fleet::Fleet;
 
 const TOKENS: u64 = 600;
+/// How many callers a test has; more only if all of these went to one engine.
+const CALLERS: u64 = 12;
+/// Callers after which a test gives up on having both engines at work.
+const MOST_CALLERS: u64 = 36;
+/// Steps take this many times as long until both engines work, so that no answer ends before.
+const SLOW: u32 = 30;
 
 fn two_engines() -> Fleet {
     let fleet = Fleet::new().speed(10).engine("a").engine("b").entry("e1");
@@ -23,18 +29,39 @@
     format!("bundle of mutations {number} ").repeat(200)
 }
 
-fn answers(fleet: &Fleet, count: u64) -> Vec<JoinHandle<Answer>> {
-    let callers = (0..count).map(|number| fleet.caller("e1").complete(&prompt(number), TOKENS));
+fn answer(fleet: &Fleet, number: u64) -> JoinHandle<Answer> {
+    let caller = fleet.caller("e1").complete(&prompt(number), TOKENS);
+    thread::spawn(move || caller.send())
+}
+
+fn slow(fleet: &Fleet, factor: u32) {
+    for engine in ["a-engine", "b-engine"] {
+        fleet.faults(engine, &format!("{{\"slow\": {factor}}}"));
+    }
+}
+
+/// Sends callers one after another, each placed before the next, until both engines work.
+fn both_engines_work(fleet: &Fleet) -> Vec<JoinHandle<Answer>> {
+    slow(fleet, SLOW);
+    let mut callers = Vec::new();
+    for number in 0..MOST_CALLERS {
+        if number >= CALLERS && sequences(fleet, "a") > 0 && sequences(fleet, "b") > 0 {
+            break;
+        }
+        callers.push(answer(fleet, number));
+        fleet.until("the request is placed", |fleet| {
+            sequences(fleet, "a") + sequences(fleet, "b") == callers.len()
+        });
+    }
+    assert!(sequences(fleet, "a") > 0, "a works\n{}", fleet.logs());
+    assert!(sequences(fleet, "b") > 0, "b works\n{}", fleet.logs());
+    slow(fleet, 1);
     callers
-        .map(|caller| thread::spawn(move || caller.send()))
-        .collect()
 }
 
-fn working(fleet: &Fleet, name: &str) -> bool {
+fn sequences(fleet: &Fleet, name: &str) -> usize {
     let list = fleet.get(&format!("{name}-engine"), "/v1/sequences");
-    list["sequences"]
-        .as_array()
-        .is_some_and(|sequences| !sequences.is_empty())
+    list["sequences"].as_array().map_or(0, Vec::len)
 }
 
 fn assert_all_whole(fleet: &Fleet, answers: Vec<JoinHandle<Answer>>) {
@@ -53,10 +80,7 @@
 #[test]
 fn an_answer_goes_on_elsewhere_when_its_engine_dies() {
     let mut fleet = two_engines();
-    let callers = answers(&fleet, 12);
-    fleet.until("both engines work", |fleet| {
-        working(fleet, "a") && working(fleet, "b")
-    });
+    let callers = both_engines_work(&fleet);
 
     fleet.kill("a-engine");
 
@@ -67,10 +91,7 @@
 fn an_answer_goes_on_elsewhere_when_its_agent_dies() {
     let mut fleet = two_engines();
     let before = fleet.free_memory("a");
-    let callers = answers(&fleet, 12);
-    fleet.until("both engines work", |fleet| {
-        working(fleet, "a") && working(fleet, "b")
-    });
+    let callers = both_engines_work(&fleet);
 
     fleet.kill("a-agent");
     fleet.restart("a-agent");
@@ -85,10 +106,7 @@
 fn an_answer_goes_on_elsewhere_when_its_agent_freezes() {
     let fleet = two_engines();
     let before = fleet.free_memory("a");
-    let callers = answers(&fleet, 12);
-    fleet.until("both engines work", |fleet| {
-        working(fleet, "a") && working(fleet, "b")
-    });
+    let callers = both_engines_work(&fleet);
 
     fleet.signal("a-agent", Signal::SIGSTOP);
 
@@ -102,10 +120,7 @@
 #[test]
 fn a_planned_stop_of_an_agent_cuts_no_answer() {
     let mut fleet = two_engines();
-    let callers = answers(&fleet, 12);
-    fleet.until("both engines work", |fleet| {
-        working(fleet, "a") && working(fleet, "b")
-    });
+    let callers = both_engines_work(&fleet);
 
     fleet.signal("a-agent", Signal::SIGTERM);
     fleet.signal("a-agent", Signal::SIGTERM);
@@ -118,9 +133,10 @@
 fn memory_is_free_again_when_the_entry_dies() {
     let mut fleet = two_engines();
     let before = (fleet.free_memory("a"), fleet.free_memory("b"));
-    let callers = answers(&fleet, 6);
+    slow(&fleet, SLOW);
+    let callers: Vec<_> = (0..6).map(|number| answer(&fleet, number)).collect();
     fleet.until("an engine works", |fleet| {
-        working(fleet, "a") || working(fleet, "b")
+        sequences(fleet, "a") + sequences(fleet, "b") > 0
     });
 
     fleet.kill("e1");
