Run the whole system in one process, for a demonstration and to try it by hand

`jujube-emulator demo` starts the platform, engines with agents, a plain service with its agent and two entries in different failure domains, each on a thread of its own and over loopback, puts half of the load on each entry and prints the time to first token by prompt length, failures by kind, calls that the service executed and the engines' memory before and after. It fails if an answer was cut, wrong or lost, if a call ran more or less than once, or if memory is missing. `jujube-emulator up` keeps the same up until Ctrl-C and prints curl lines. The daemons' run functions are used as they are; a thread that is dropped cuts its daemon off, and one that ends early is named at the start. `up` takes no seed, since nothing in it is drawn from one.

Ruled out: starting the binaries as processes, since no process of ours starts another.

--- a/emulator/src/cli/mod.rs
+++ b/emulator/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod options;
 mod run;
+mod whole;
 
 pub use options::Command;
 pub use options::command;
--- a/emulator/src/cli/options.rs
+++ b/emulator/src/cli/options.rs
@@ -13,6 +13,9 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 pub enum Command {
+    /// Run the whole system in this process, put a load on it and print what was served.
+    #[bpaf(command)]
+    Demo(#[bpaf(external(demo_command))] DemoCommand),
     /// Serve a model engine.
     #[bpaf(command)]
     Engine(#[bpaf(external(engine_command))] EngineCommand),
@@ -25,6 +28,53 @@
     /// Serve a plain service.
     #[bpaf(command)]
     Service(#[bpaf(external(service_command))] ServiceCommand),
+    /// Keep the whole system up in this process until Ctrl-C.
+    #[bpaf(command)]
+    Up(#[bpaf(external(up_command))] UpCommand),
+}
+
+/// The options of a demonstration.
+#[derive(Clone, Debug, Bpaf)]
+pub struct DemoCommand {
+    /// How many requests
+    #[bpaf(argument("COUNT"), fallback(200), display_fallback)]
+    pub count: u64,
+    /// The seed of lengths, prompts and times
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    pub seed: u64,
+    /// Requests a second
+    #[bpaf(argument("RATE"), fallback(20.0), display_fallback)]
+    pub rate: f64,
+    /// Lengths of prompts in tokens, with weights
+    #[bpaf(
+        argument("LENGTH:WEIGHT,.."),
+        fallback(LengthMix::default()),
+        display_fallback
+    )]
+    pub lengths: LengthMix,
+    /// The length asked of each answer, in tokens
+    #[bpaf(argument("TOKENS"), fallback(32), display_fallback)]
+    pub max_tokens: u64,
+    /// Engines, each with an agent
+    #[bpaf(argument("COUNT"), fallback(4), display_fallback)]
+    pub engines: u16,
+    /// How many times faster than real time the engines run
+    #[bpaf(argument("FACTOR"), fallback(10.0), display_fallback)]
+    pub speed: f64,
+}
+
+/// The options of a system that stays up.
+#[derive(Clone, Debug, Bpaf)]
+pub struct UpCommand {
+    /// Engines, each with an agent
+    #[bpaf(argument("COUNT"), fallback(4), display_fallback)]
+    pub engines: u16,
+    /// How many times faster than real time the engines run
+    #[bpaf(argument("FACTOR"), fallback(1.0), display_fallback)]
+    pub speed: f64,
+    /// The first entry's port, followed by the second's; 0 takes free ones
+    #[bpaf(argument("PORT"), fallback(8080), display_fallback)]
+    pub port: u16,
 }
 
 /// The options of an engine.
--- a/emulator/src/cli/run.rs
+++ b/emulator/src/cli/run.rs
@@ -30,6 +30,7 @@
 /// The address cannot be listened on.
 pub fn run(command: Command) -> anyhow::Result<()> {
     match command {
+        Command::Demo(command) => super::whole::demo(command),
         Command::Engine(command) => {
             let options = engine_options(&command);
             serve(command.listen, |listener| {
@@ -52,6 +53,7 @@
                 crate::service::serve(listener, faults)
             })
         }
+        Command::Up(command) => super::whole::up(&command),
     }
 }
 
--- /dev/null
+++ b/emulator/src/embedded/mod.rs
@@ -0,0 +1,24 @@
+//! The whole system in one process: the platform, engines, a plain service, agents and entries,
+//! each on a thread of its own and talking over loopback as separate processes do.
+
+mod addrs;
+mod catalogue;
+mod client;
+mod demo;
+mod error;
+mod guide;
+mod options;
+mod role;
+mod summary;
+mod system;
+
+pub use catalogue::KEY;
+pub use catalogue::MODEL;
+pub use demo::Demo;
+pub use error::Error;
+pub use error::Result;
+pub use guide::Guide;
+pub use options::SystemOptions;
+pub use summary::EngineMemory;
+pub use summary::Summary;
+pub use system::System;
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the systems around jujubewind: engines, plain services and the platform.
 
 pub mod cli;
+pub mod embedded;
 pub mod engine;
 pub mod experiment;
 pub mod http;
--- a/emulator/src/load/report.rs
+++ b/emulator/src/load/report.rs
@@ -37,6 +37,17 @@
         times.saturating_record(outcome.first_token.unwrap_or(outcome.total));
     }
 
+    /// Adds all that `other` holds.
+    pub fn merge(&mut self, other: &Self) {
+        for (decade, times) in &other.times {
+            *self.times.entry(*decade).or_insert_with(histogram) += times;
+        }
+        for (failure, count) in &other.failures {
+            *self.failures.entry(failure.clone()).or_default() += count;
+        }
+        self.lost += other.lost;
+    }
+
     /// Whole and right answers.
     #[must_use]
     pub fn served(&self) -> u64 {
--- a/emulator/tests/command.rs
+++ b/emulator/tests/command.rs
@@ -8,6 +8,10 @@
 use std::process::Command;
 use std::process::Stdio;
 
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+
 /// A stand-in as a process; it is ended when this is dropped.
 struct Process(Child);
 
@@ -56,6 +60,24 @@
     }
 }
 
+#[test]
+fn the_whole_system_stays_up_until_it_is_interrupted() {
+    let args = ["up", "--engines", "1", "--port", "0", "--speed", "50"];
+    let mut process = Process::start(&args);
+    let stdout = process.0.stdout.take().expect("its output is piped");
+    let lines = BufReader::new(stdout).lines().map_while(Result::ok);
+
+    let guide: Vec<String> = lines
+        .take_while(|line| !line.starts_with("platform"))
+        .collect();
+    let pid = i32::try_from(process.0.id()).expect("a pid is small");
+    kill(Pid::from_raw(pid), Signal::SIGINT).expect("the process lives");
+
+    let curls = guide.iter().filter(|line| line.starts_with("curl "));
+    assert_eq!(curls.count(), 3, "{guide:?}");
+    assert!(process.0.wait().expect("it ends").success());
+}
+
 #[test]
 fn a_missing_address_is_named() {
     let command = env!("CARGO_BIN_EXE_jujube-emulator");
--- /dev/null
+++ b/emulator/tests/embedded.rs
@@ -0,0 +1,57 @@
+//! The whole system in one process.
+
+mod common;
+
+use common::block_on;
+use jujube_emulator::embedded::Demo;
+use jujube_emulator::embedded::EngineMemory;
+use jujube_emulator::embedded::Summary;
+use jujube_emulator::embedded::SystemOptions;
+use jujube_emulator::load::LoadPlan;
+use jujube_emulator::load::Report;
+use jujubewind::types::Tokens;
+
+fn demo() -> Demo {
+    Demo {
+        system: SystemOptions {
+            engines: 2,
+            speed: 50.0,
+            port: 0,
+        },
+        plan: LoadPlan {
+            count: 13,
+            seed: 3,
+            rate: 50.0,
+            lengths: "1000:3,10000:1".parse().expect("a mix"),
+            max_tokens: 8,
+        },
+    }
+}
+
+fn summary(after: u64, executions: u64) -> Summary {
+    Summary {
+        report: Report::default(),
+        answered: 2,
+        calls: 2,
+        executions,
+        engines: vec![EngineMemory {
+            before: Tokens(100),
+            after: Tokens(after),
+        }],
+    }
+}
+
+#[test]
+fn a_demonstration_serves_all_and_leaves_nothing_held() {
+    let summary = block_on(demo().run()).expect("the system runs");
+
+    assert!(summary.is_sound(), "{summary}");
+    assert_eq!((summary.report.served(), summary.engines.len()), (13, 2));
+}
+
+#[test]
+fn missing_memory_and_repeated_calls_are_not_sound() {
+    assert!(summary(100, 2).is_sound());
+    assert!(!summary(99, 2).is_sound());
+    assert!(!summary(100, 3).is_sound());
+}
