Watch a key of the platform's store

Cause: a change of the catalogue had to be polled for. Ruled out: a watch in each daemon, since each waiting watch counts as a call at the store. Change: a task owns the streamed connection, tells openings, writes and breaks, goes on from the last revision after a break, and ends when its handle is dropped. Conclusion: a watch may fall silent without breaking, so its user reads the key now and then too.

--- /dev/null
+++ b/emulator/tests/store_watch.rs
@@ -0,0 +1,125 @@
+//! The store's watch against the platform's stand-in and its faults.
+
+mod common;
+
+use common::block_on;
+use common::get;
+use common::platform;
+use common::post;
+use jujube_emulator::http::Running;
+use jujube_emulator::platform::PlatformOptions;
+use jujubewind::store::Client;
+use jujubewind::store::Key;
+use jujubewind::store::Notice;
+use jujubewind::store::Op;
+use jujubewind::store::Outcome;
+use jujubewind::store::Watch;
+use jujubewind::types::Millis;
+use serde_json::json;
+
+const TIMEOUT: Millis = Millis(2_000);
+
+fn server() -> Running {
+    platform(PlatformOptions::default())
+}
+
+fn key() -> Key {
+    Key::new("catalogue", "head")
+}
+
+async fn put(client: &Client, value: &str) {
+    let op = Op::Put {
+        key: key(),
+        value: value.as_bytes().to_vec(),
+        lease: None,
+    };
+    let outcome = client.call(&op).await;
+    assert!(matches!(outcome, Outcome::Applied(_)), "{outcome:?}");
+}
+
+async fn written(watch: &Watch) -> Vec<u8> {
+    loop {
+        if let Notice::Written(entry) = watch.next().await.expect("the watch lives") {
+            return entry.value;
+        }
+    }
+}
+
+async fn opened(client: &Client) -> Watch {
+    let watch = Watch::start(client.clone(), key());
+    assert_eq!(watch.next().await, Some(Notice::Opened));
+    watch
+}
+
+#[test]
+fn a_watch_tells_each_write_in_order() {
+    let server = server();
+
+    let values = block_on(async {
+        let client = Client::new(server.addr, TIMEOUT).expect("a client");
+        let watch = opened(&client).await;
+        put(&client, "1").await;
+        put(&client, "2").await;
+        [written(&watch).await, written(&watch).await]
+    });
+
+    assert_eq!(values, [b"1".to_vec(), b"2".to_vec()]);
+}
+
+#[test]
+fn a_broken_watch_goes_on_where_it_was() {
+    let server = server();
+
+    let values = block_on(async {
+        let client = Client::new(server.addr, TIMEOUT).expect("a client");
+        let watch = opened(&client).await;
+        put(&client, "1").await;
+        let first = written(&watch).await;
+        post(&server, "/faults", &json!({ "down": true })).await;
+        assert_eq!(watch.next().await, Some(Notice::Broken));
+        post(&server, "/faults", &json!({ "down": false })).await;
+        put(&client, "2").await;
+        [first, written(&watch).await]
+    });
+
+    assert_eq!(values, [b"1".to_vec(), b"2".to_vec()]);
+}
+
+#[test]
+fn a_frozen_watch_tells_what_it_missed_when_it_thaws() {
+    let server = server();
+
+    let values = block_on(async {
+        let client = Client::new(server.addr, TIMEOUT).expect("a client");
+        let watch = opened(&client).await;
+        post(&server, "/faults", &json!({ "freeze_watches": true })).await;
+        put(&client, "1").await;
+        put(&client, "2").await;
+        post(&server, "/faults", &json!({ "freeze_watches": false })).await;
+        [written(&watch).await, written(&watch).await]
+    });
+
+    assert_eq!(values, [b"1".to_vec(), b"2".to_vec()]);
+}
+
+#[test]
+fn a_dropped_watch_waits_no_longer_at_the_store() {
+    let server = platform(PlatformOptions {
+        reads: 2,
+        ..PlatformOptions::default()
+    });
+
+    let found = block_on(async {
+        let client = Client::new(server.addr, TIMEOUT).expect("a client");
+        let watch = opened(&client).await;
+        drop(watch);
+        loop {
+            if let Outcome::Found(found) = client.call(&Op::Get(key())).await {
+                return found;
+            }
+        }
+    });
+
+    assert_eq!(found, None);
+    assert_eq!(block_on(get(&server, "/faults"))["down"], false);
+}
--- a/jujubewind/src/store/client.rs
+++ b/jujubewind/src/store/client.rs
@@ -76,6 +76,11 @@
         self.calls.borrow().clone()
     }
 
+    /// The longest wait for an answer.
+    pub(super) const fn timeout(&self) -> Millis {
+        self.timeout
+    }
+
     pub(super) async fn post(&self, path: &str, body: Vec<u8>) -> Result<cyper::Response> {
         let url = format!("{}{path}", self.base);
         Ok(self.http.post(url)?.body(body).send().await?)
--- a/jujubewind/src/store/mod.rs
+++ b/jujubewind/src/store/mod.rs
@@ -14,6 +14,7 @@
 mod op;
 mod outcome;
 mod request;
+mod watch;
 
 pub use batch::Batch;
 pub use batch::Settled;
@@ -30,3 +31,5 @@
 pub use op::Write;
 pub use outcome::Cause;
 pub use outcome::Outcome;
+pub use watch::Notice;
+pub use watch::Watch;
