Send long prompts to the agent that owns their prefix

Cause: a new document went to any engine, so that the next question about it found its prefix only by chance.

--- a/emulator/src/experiment/dispatch.rs
+++ b/emulator/src/experiment/dispatch.rs
@@ -6,8 +6,10 @@
 use jujubewind::routing::Request;
 use jujubewind::rpc::message::QuoteReply;
 use jujubewind::types::Millis;
+use jujubewind::types::ModelId;
 use jujubewind::types::MonoTime;
 
+use super::Arrival;
 use super::Policy;
 use super::fleet;
 use super::links;
@@ -28,14 +30,8 @@
             self.dispatch(now, id, &engines, PART_SPAN);
             return;
         }
-        let request = Request {
-            org: &arrival.org,
-            model: &fleet::model(),
-            class: arrival.class,
-            prompt: arrival.prompt,
-            parts,
-            blocks: &arrival.blocks,
-        };
+        let model = fleet::model();
+        let request = request(arrival, &model, parts);
         let router = &self.fleet.routers[arrival.entry];
         let tried = &self.pending[id].tried;
         let nodes = router.choose(&self.fleet.members, &request, tried, &mut self.rng);
@@ -74,10 +70,12 @@
         let arrival = &self.arrivals[id];
         let router = &self.fleet.routers[arrival.entry];
         let parts = index(self.pending[id].parts);
+        let model = fleet::model();
+        let request = request(arrival, &model, parts);
         let places = if parts > 1 {
             router.pick_group(arrival.class, offers, parts)
         } else {
-            let place = router.pick(arrival.class, offers, &mut self.rng);
+            let place = router.pick(&request, offers, &mut self.rng);
             place.map(|place| vec![place])
         };
         if let Some(places) = places {
@@ -131,3 +129,14 @@
         retry: TICK,
     }
 }
+
+fn request<'a>(arrival: &'a Arrival, model: &'a ModelId, parts: usize) -> Request<'a> {
+    Request {
+        org: &arrival.org,
+        model,
+        class: arrival.class,
+        prompt: arrival.prompt,
+        parts,
+        blocks: &arrival.blocks,
+    }
+}
--- a/jujubewind/src/routing/rendezvous.rs
+++ b/jujubewind/src/routing/rendezvous.rs
@@ -5,6 +5,7 @@
 
 use super::Candidate;
 use super::Request;
+use crate::types::NodeId;
 
 /// Leading blocks that tell one organisation's instructions from another's.
 const SHALLOW: usize = 1;
@@ -28,7 +29,12 @@
     members
         .iter()
         .copied()
-        .max_by_key(|member| hash(key, member.node.as_str()))
+        .max_by_key(|member| rank(key, &member.node))
+}
+
+/// The place of `node` in the order of `key`; the highest owns the prefix.
+pub fn rank(key: u64, node: &NodeId) -> u64 {
+    hash(key, node.as_str())
 }
 
 fn prefix(blocks: &[u64], depth: usize) -> Option<u64> {
--- a/jujubewind/src/routing/router.rs
+++ b/jujubewind/src/routing/router.rs
@@ -16,6 +16,9 @@
 /// Agents asked for each part of a group.
 const CHOICE: usize = 3;
 
+/// The part of the best estimate, as a divisor, that a prefix's owner may be slower.
+const AFFINITY: u64 = 8;
+
 /// Chooses backend servers for one entry.
 #[derive(Clone, Debug)]
 pub struct Router {
@@ -53,9 +56,20 @@
     /// Answers within a tie's width are equal, and chance decides between them, so that entries
     /// which asked at the same moment do not all go the same way.
     #[must_use]
-    pub fn pick(&self, class: Class, offers: &[Offer], rng: &mut impl Rng) -> Option<usize> {
-        let costs: Vec<Option<u64>> = offers.iter().map(|offer| self.cost(class, offer)).collect();
+    pub fn pick(
+        &self,
+        request: &Request<'_>,
+        offers: &[Offer],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        let cost = |offer| self.cost(request.class, offer);
+        let costs: Vec<Option<u64>> = offers.iter().map(cost).collect();
         let best = costs.iter().flatten().min()?;
+        if let Some(owner) = self.owner(request, offers)
+            && costs[owner].is_some_and(|cost| cost <= best + best / AFFINITY)
+        {
+            return Some(owner);
+        }
         let limit = best.saturating_add(self.settings.tie.get());
         let equal: Vec<usize> = (0..offers.len())
             .filter(|&place| costs[place].is_some_and(|cost| cost <= limit))
@@ -63,6 +77,17 @@
         Some(equal[rng.random_range(0..equal.len())])
     }
 
+    /// The offer of the agent where the prompt's prefix belongs, if it is long enough to matter.
+    ///
+    /// A new document goes there too, so that the next question about it finds it cached.
+    fn owner(&self, request: &Request<'_>, offers: &[Offer]) -> Option<usize> {
+        if request.prompt < self.settings.short {
+            return None;
+        }
+        let key = *rendezvous::keys(request).first()?;
+        (0..offers.len()).max_by_key(|&place| rendezvous::rank(key, &offers[place].node))
+    }
+
     /// The places in `offers` of the `count` best estimates, for a group; `None` if fewer accept.
     #[must_use]
     pub fn pick_group(&self, class: Class, offers: &[Offer], count: usize) -> Option<Vec<usize>> {
