--- a/emulator/src/experiment/simulation.rs
+++ b/emulator/src/experiment/simulation.rs
@@ -135,7 +135,155 @@
         self.queue.push(now.after(TICK), Event::Tick(count + 1));
     }
 
+<<<<<<< HEAD
+    fn route(&mut self, now: MonoTime, id: usize) {
+        let arrival = &self.arrivals[id];
+        self.pending[id].attempt += 1;
+        let parts = super::number::index(self.pending[id].parts);
+        if self.run.policy != Policy::Ours {
+            let engines = self.fleet.assign(arrival, parts, &mut self.rng);
+            self.dispatch(now, id, &engines, PART_SPAN);
+            return;
+        }
+        let request = Request {
+            org: &arrival.org,
+            model: &fleet::model(),
+            class: arrival.class,
+            prompt: arrival.prompt,
+            parts,
+            blocks: &arrival.blocks,
+        };
+        let router = &self.fleet.routers[arrival.entry];
+        let tried = &self.pending[id].tried;
+        let nodes = router.choose(&self.fleet.members, &request, tried, &mut self.rng);
+        let engines: Vec<usize> = nodes.iter().map(fleet::number).collect();
+        self.queue
+            .push(self.slowest(now, id, &engines), Event::Ask(id, engines));
+    }
+
+    fn ask(&mut self, now: MonoTime, id: usize, engines: &[usize]) {
+        let offers = engines
+            .iter()
+            .map(|&engine| self.offer(now, id, engine))
+            .collect();
+        self.queue
+            .push(self.slowest(now, id, engines), Event::Pick(id, offers));
+    }
+
+    fn offer(&mut self, now: MonoTime, id: usize, engine: usize) -> Offer {
+        let job = self.job(now, id, engine);
+        let reply = match self.fleet.workers[engine].scheduler.quote(now, &job) {
+            Ok(estimate) => QuoteReply::Estimate {
+                first: estimate.first,
+                total: estimate.total,
+                cached: estimate.cached,
+            },
+            Err(refusal) => QuoteReply::Refused(refusal),
+        };
+        Offer {
+            node: fleet::node(engine),
+            domain: fleet::domain(engine),
+            reply,
+        }
+    }
+
+    fn pick(&mut self, now: MonoTime, id: usize, offers: &[Offer]) {
+        let arrival = &self.arrivals[id];
+        let router = &self.fleet.routers[arrival.entry];
+        let parts = super::number::index(self.pending[id].parts);
+        let places = if parts > 1 {
+            router.pick_group(arrival.class, offers, parts)
+        } else {
+            let place = router.pick(arrival.class, offers, &mut self.rng);
+            place.map(|place| vec![place])
+        };
+        if let Some(places) = places {
+            let engines: Vec<usize> = places
+                .iter()
+                .map(|&place| fleet::number(&offers[place].node))
+                .collect();
+            let spans = places.iter().map(|&place| span(&offers[place]));
+            let span = spans.max().unwrap_or(PART_SPAN);
+            self.dispatch(now, id, &engines, span);
+            return;
+        }
+        for offer in offers {
+            self.pending[id].tried.push(offer.node.clone());
+        }
+        let refusal = offers.iter().find_map(|offer| match &offer.reply {
+            QuoteReply::Refused(refusal) => Some(refusal.clone()),
+            QuoteReply::Estimate { .. } | QuoteReply::TooLong { .. } => None,
+        });
+        self.refused(now, id, refusal.unwrap_or_else(nobody));
+    }
+
+    fn dispatch(&mut self, now: MonoTime, id: usize, engines: &[usize], span: Millis) {
+        if let [engine] = engines {
+            let at = links::across(now, self.arrivals[id].entry, *engine);
+            self.queue.push(at, Event::Start(id, *engine));
+            return;
+        }
+        let nodes: Vec<NodeId> = engines.iter().map(|&engine| fleet::node(engine)).collect();
+        let deadline = self.deadline(id);
+        let mut group = Group::new(&nodes, self.part(id), span, deadline);
+        let steps = group.poll(now);
+        self.pending[id].group = Some(group);
+        self.carry_out(now, id, steps);
+    }
+
+    /// Messages about groups take no time here; their answers come before the next tick.
+    fn carry_out(&mut self, now: MonoTime, id: usize, steps: Vec<Step>) {
+        let attempt = self.attempt(id);
+        for step in steps {
+            if self.attempt(id) != attempt {
+                return;
+            }
+            match step {
+                Step::Reserve { node, amount, span } => self.reserve(now, id, &node, amount, span),
+                Step::Release { node } => self.release(now, id, &node),
+                Step::Ready { nodes } => self.start(now, id, fleet::number(&nodes[0])),
+                Step::Failed(refusal) => {
+                    self.pending[id].group = None;
+                    self.refused(now, id, refusal);
+                }
+            }
+        }
+    }
+
+    fn reserve(&mut self, now: MonoTime, id: usize, node: &NodeId, amount: Tokens, span: Millis) {
+        let attempt = self.attempt(id);
+        let worker = &mut self.fleet.workers[fleet::number(node)];
+        let held = worker
+            .scheduler
+            .hold(now, attempt, amount, span)
+            .and_then(|()| {
+                let part = worker
+                    .core
+                    .reserve_part(now, &attempt.to_string(), amount, PART_TTL);
+                part.map_err(|_| busy())
+            });
+        let Some(mut group) = self.pending[id].group.take() else {
+            return;
+        };
+        let steps = match held {
+            Ok(()) => group.granted(now, node),
+            Err(refusal) => group.refused(now, node, refusal),
+        };
+        self.pending[id].group = Some(group);
+        self.carry_out(now, id, steps);
+    }
+
+    fn release(&mut self, now: MonoTime, id: usize, node: &NodeId) {
+        let attempt = self.attempt(id);
+        let engine = fleet::number(node);
+        self.fleet.workers[engine].scheduler.cancel(now, attempt);
+        self.advance(now, engine);
+    }
+
+    fn start(&mut self, now: MonoTime, id: usize, engine: usize) {
+=======
     pub(super) fn start(&mut self, now: MonoTime, id: usize, engine: usize) {
+>>>>>>> routing
         let arrival = &self.arrivals[id];
         let job = self.job(now, id, engine);
         let group = self.pending[id].group.is_some();
@@ -245,3 +393,27 @@
         group: None,
     }
 }
+<<<<<<< HEAD
+
+fn span(offer: &Offer) -> Millis {
+    match &offer.reply {
+        QuoteReply::Estimate { total, .. } => *total,
+        QuoteReply::Refused(_) | QuoteReply::TooLong { .. } => Millis::ZERO,
+    }
+}
+
+fn busy() -> Refusal {
+    Refusal {
+        reason: Reason::NoMemory,
+        retry: TICK,
+    }
+}
+
+fn nobody() -> Refusal {
+    Refusal {
+        reason: Reason::NoBackend,
+        retry: TICK,
+    }
+}
+=======
+>>>>>>> routing
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -1,4 +1,9 @@
 //! Stand-ins for the systems around jujubewind: engines, plain services and the platform.
 
+pub mod cli;
 pub mod engine;
 pub mod experiment;
+pub mod http;
+pub mod load;
+pub mod platform;
+pub mod service;
--- /dev/null
+++ b/jujubewind/src/catalogue/mod.rs
@@ -0,0 +1,52 @@
+//! The operators' catalogue: who owns which work, of which class, within which limits.
+//!
+//! Operators keep it as a directory of YAML files. What is in force is one immutable
+//! [`Catalogue`], accepted or refused whole.
+
+#[macro_use]
+mod digest;
+
+#[expect(clippy::module_inception, reason = "the type gives the topic its name")]
+mod catalogue;
+mod check;
+mod content_hash;
+mod entry;
+mod error;
+mod fault;
+pub mod follow;
+mod head;
+mod key_hash;
+mod limits;
+mod locate;
+mod page;
+mod part;
+mod problem;
+pub mod publish;
+mod quantity;
+mod source;
+mod target;
+mod tree;
+
+pub use catalogue::Catalogue;
+pub use content_hash::ContentHash;
+pub use entry::Entry;
+pub use error::Error;
+pub use error::Result;
+pub use fault::Fault;
+pub use fault::Faults;
+pub use head::Head;
+pub use head::UnixTime;
+pub use key_hash::KeyHash;
+pub use limits::Limits;
+pub use page::Page;
+pub use part::Part;
+pub use problem::Problem;
+pub use quantity::EngineSeconds;
+pub use quantity::RequestRate;
+pub use quantity::Requests;
+pub use quantity::TokenRate;
+pub use source::Source;
+pub use target::Method;
+pub use target::Service;
+pub use target::Target;
+pub use tree::Tree;
--- /dev/null
+++ b/jujubewind/src/entry/control/placement.rs
@@ -0,0 +1,179 @@
+//! Where requests go.
+
+use super::Choice;
+use super::state::State;
+use crate::entry::Job;
+use crate::entry::request::Helpers;
+use crate::entry::request::Target;
+use crate::membership;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::routing::Candidate;
+use crate::routing::Offer;
+use crate::routing::Request;
+use crate::rpc::message::QuoteReply;
+use crate::types::DomainId;
+use crate::types::Millis;
+use crate::types::ModelId;
+use crate::types::NodeId;
+use crate::types::Tokens;
+
+/// When to come back when nobody serves a model.
+const RETRY_NO_BACKEND: Millis = Millis(1_000);
+
+impl State {
+    /// The agents to ask for an estimate.
+    pub(super) fn candidates(
+        &mut self,
+        job: &Job,
+        parts: u64,
+        excluded: &[NodeId],
+    ) -> Result<Vec<Target>, Refusal> {
+        let members = self.serving(&job.model);
+        let request = Request {
+            org: &job.org,
+            model: &job.model,
+            class: job.class,
+            prompt: job.prompt,
+            parts: usize::try_from(parts).unwrap_or(usize::MAX),
+            blocks: &job.blocks,
+        };
+        let nodes = self
+            .router
+            .choose(&members, &request, excluded, &mut self.rng);
+        if nodes.is_empty() {
+            return Err(no_backend());
+        }
+        Ok(nodes.iter().filter_map(|node| self.target(node)).collect())
+    }
+
+    /// The best of the estimates; if all refused, the refusal that ends soonest.
+    pub(super) fn pick(
+        &mut self,
+        job: &Job,
+        parts: u64,
+        quotes: &[(Target, QuoteReply)],
+    ) -> Result<Choice, Refusal> {
+        let offers: Vec<Offer> = quotes.iter().map(|quote| self.offer(quote)).collect();
+        if parts > 1 {
+            return self.pick_group(job, parts, quotes, &offers);
+        }
+        match self.router.pick(job.class, &offers, &mut self.rng) {
+            Some(place) => Ok(Choice::Target(quotes[place].0.clone())),
+            None => self.split(job, quotes),
+        }
+    }
+
+    /// The number of engines that a prompt needs which no single one takes.
+    fn split(&self, job: &Job, quotes: &[(Target, QuoteReply)]) -> Result<Choice, Refusal> {
+        let ceilings = quotes.iter().filter_map(|(_, reply)| match reply {
+            QuoteReply::TooLong { ceiling } if *ceiling > Tokens::ZERO => Some(ceiling.get()),
+            _ => None,
+        });
+        let Some(ceiling) = ceilings.min() else {
+            return Err(soonest(quotes));
+        };
+        let parts = job.memory().get().div_ceil(ceiling);
+        let serving = self.members.view().candidates(&job.model).count();
+        if parts > serving as u64 {
+            return Err(too_long());
+        }
+        Ok(Choice::Split(parts))
+    }
+
+    /// The leader is the first by name, since groups are reserved in that order.
+    fn pick_group(
+        &self,
+        job: &Job,
+        parts: u64,
+        quotes: &[(Target, QuoteReply)],
+        offers: &[Offer],
+    ) -> Result<Choice, Refusal> {
+        let count = usize::try_from(parts).unwrap_or(usize::MAX);
+        let Some(places) = self.router.pick_group(job.class, offers, count) else {
+            return Err(soonest(quotes));
+        };
+        let mut targets: Vec<Target> = places
+            .iter()
+            .map(|place| quotes[*place].0.clone())
+            .collect();
+        targets.sort_by(|a, b| a.node.cmp(&b.node));
+        let mut leader = targets.remove(0);
+        let spans = places
+            .iter()
+            .filter_map(|place| match &offers[*place].reply {
+                QuoteReply::Estimate { total, .. } => Some(*total),
+                _ => None,
+            });
+        let span = spans.max().unwrap_or(Millis::ZERO);
+        leader.group = Some(Box::new(Helpers { targets, span }));
+        Ok(Choice::Target(leader))
+    }
+
+    fn offer(&self, (target, reply): &(Target, QuoteReply)) -> Offer {
+        Offer {
+            node: target.node.clone(),
+            domain: self.domain(&target.node),
+            reply: reply.clone(),
+        }
+    }
+
+    /// The agents beside the plain service `name`, own failure domain first.
+    pub(super) fn services(&self, name: &ModelId) -> Vec<Target> {
+        let mut members = self.serving(name);
+        members.sort_by_key(|one| (one.suspect, one.domain != self.settings.domain));
+        let targets = members.iter().filter_map(|one| self.target(&one.node));
+        targets.collect()
+    }
+
+    fn serving(&self, model: &ModelId) -> Vec<Candidate> {
+        let members = self.members.view().candidates(model);
+        members.map(candidate).collect()
+    }
+
+    fn target(&self, node: &NodeId) -> Option<Target> {
+        let member = self.members.view().get(node)?;
+        Some(Target::alone(node.clone(), member.addr))
+    }
+
+    fn domain(&self, node: &NodeId) -> DomainId {
+        let member = self.members.view().get(node);
+        member.map_or_else(|| self.settings.domain.clone(), |one| one.domain.clone())
+    }
+}
+
+fn candidate(from: membership::Candidate<'_>) -> Candidate {
+    Candidate {
+        node: from.member.node.clone(),
+        domain: from.member.domain.clone(),
+        models: from.member.models.clone(),
+        leaving: from.member.leaving,
+        suspect: from.suspect,
+    }
+}
+
+/// A refusal with no time to come back says nothing of the others, so it counts last.
+fn soonest(quotes: &[(Target, QuoteReply)]) -> Refusal {
+    let refusals = quotes.iter().filter_map(|(_, reply)| match reply {
+        QuoteReply::Refused(refusal) => Some(refusal.clone()),
+        QuoteReply::TooLong { .. } => Some(too_long()),
+        QuoteReply::Estimate { .. } => None,
+    });
+    let never = |refusal: &Refusal| refusal.retry == Millis::ZERO;
+    let soonest = refusals.min_by_key(|refusal| (never(refusal), refusal.retry));
+    soonest.unwrap_or_else(no_backend)
+}
+
+fn too_long() -> Refusal {
+    Refusal {
+        reason: Reason::PromptTooLong,
+        retry: Millis::ZERO,
+    }
+}
+
+fn no_backend() -> Refusal {
+    Refusal {
+        reason: Reason::NoBackend,
+        retry: RETRY_NO_BACKEND,
+    }
+}
--- /dev/null
+++ b/jujubewind/src/entry/control/state.rs
@@ -0,0 +1,209 @@
+//! The task that owns the entry's shared state.
+
+use std::sync::Arc;
+
+use flume::Receiver;
+use flume::Sender;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::Control;
+use super::message::Message;
+use super::stage::Stage;
+use super::tasks;
+use crate::catalogue::Catalogue;
+use crate::entry::EntryStatus;
+use crate::entry::MemberStatus;
+use crate::limits::Limiter;
+use crate::membership::Machine;
+use crate::membership::Member;
+use crate::membership::Outgoing;
+use crate::membership::Role;
+use crate::membership::Seed;
+use crate::membership::limits::PERIOD;
+use crate::metrics::EntryMetrics;
+use crate::retry;
+use crate::retry::RetryBudget;
+use crate::routing;
+use crate::routing::Router;
+use crate::rpc::GossipLink;
+use crate::settings::EntrySettings;
+use crate::timer::TimerService;
+use crate::types::Incarnation;
+use crate::types::MonoTime;
+use crate::types::Revision;
+
+/// The shared state; each part is a decision machine of its own.
+pub(super) struct State {
+    pub(super) settings: EntrySettings,
+    pub(super) catalogue: Option<Arc<Catalogue>>,
+    pub(super) members: Machine,
+    pub(super) router: Router,
+    pub(super) limiter: Limiter,
+    pub(super) budget: RetryBudget,
+    pub(super) metrics: EntryMetrics,
+    pub(super) stage: Stage,
+    pub(super) rng: StdRng,
+    timer: TimerService,
+    gossip: GossipLink,
+    messages: Sender<Message>,
+}
+
+/// Starts the task; it ends when the entry has stopped, and `ended` tells of it.
+///
+/// # Errors
+/// The catalogue folder does not hold a sound catalogue.
+pub fn start(
+    settings: EntrySettings,
+    incarnation: Incarnation,
+    timer: &TimerService,
+) -> anyhow::Result<(Control, Receiver<()>)> {
+    let (tx, rx) = flume::unbounded();
+    let mut state = State::new(settings, incarnation, timer.clone(), tx.clone())?;
+    let (ended, end) = flume::bounded(1);
+    compio::runtime::spawn(tasks::forward_ticks(timer.subscribe(PERIOD), tx.clone())).detach();
+    compio::runtime::spawn(tasks::forward_stop(tx.clone())).detach();
+    let task = async move {
+        while let Ok(message) = rx.recv_async().await {
+            state.handle(message);
+            if state.stage.is_over() {
+                break;
+            }
+        }
+        let _ = ended.send(());
+    };
+    compio::runtime::spawn(task).detach();
+    Ok((Control::new(tx), end))
+}
+
+impl State {
+    fn new(
+        settings: EntrySettings,
+        incarnation: Incarnation,
+        timer: TimerService,
+        messages: Sender<Message>,
+    ) -> anyhow::Result<Self> {
+        let catalogue = match &settings.catalogue {
+            Some(dir) => Some(Arc::new(Catalogue::read_dir(dir)?)),
+            None => None,
+        };
+        let seed = Seed {
+            node: settings.node.clone(),
+            role: Role::Entry,
+            addr: settings.peer,
+            domain: settings.domain.clone(),
+            leaving: false,
+        };
+        let me = Member::new(seed, Vec::new(), incarnation);
+        let mut rng = StdRng::seed_from_u64(rand::rng().next_u64());
+        Ok(Self {
+            members: Machine::new(me, &settings.entries, rng.next_u64()),
+            router: Router::new(settings.domain.clone(), routing::Settings::default()),
+            limiter: Limiter::new(),
+            budget: RetryBudget::new(retry::Settings::default()),
+            metrics: EntryMetrics::default(),
+            stage: Stage::serving(),
+            settings,
+            catalogue,
+            rng,
+            timer,
+            gossip: GossipLink::default(),
+            messages,
+        })
+    }
+
+    pub(super) fn now(&self) -> MonoTime {
+        self.timer.clock().now()
+    }
+
+    /// Answers one message; a caller that no longer waits for the answer is no fault.
+    fn handle(&mut self, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Admit(admission, reply) => drop(reply.send(self.admit(now, &admission))),
+            Message::Release(permit, output) => self.release(&permit, output),
+            Message::Candidates(job, parts, excluded, reply) => {
+                drop(reply.send(self.candidates(&job, parts, &excluded)));
+            }
+            Message::Pick(job, parts, quotes, reply) => {
+                drop(reply.send(self.pick(&job, parts, &quotes)));
+            }
+            Message::Retry(attempts, reply) => {
+                drop(reply.send(self.budget.retry(now, attempts)));
+            }
+            Message::Services(name, reply) => drop(reply.send(self.services(&name))),
+            Message::Names(key, reply) => drop(reply.send(self.names(key.as_deref()))),
+            Message::Gossip(news, reply) => drop(reply.send(self.members.receive(now, &news))),
+            Message::Answered(news) => {
+                let messages = self.members.answered(now, &news);
+                self.send(messages);
+            }
+            Message::Tick => self.tick(now),
+            Message::Stop => self.stop(now),
+            Message::Failed(reason) => self.metrics.refused(reason),
+            Message::Retried(reason) => self.metrics.retried(reason),
+            Message::Served(tokens) => self.metrics.served(tokens),
+            Message::FirstToken(prompt, class, span) => {
+                self.metrics.first_token(prompt, class, span);
+            }
+            Message::Dropped => self.metrics.dropped(),
+            Message::Ready(reply) => {
+                let ready = self.catalogue.is_some() && self.stage.is_serving();
+                let _ = reply.send(ready);
+            }
+            Message::Status(reply) => drop(reply.send(self.status())),
+            Message::Metrics(reply) => drop(reply.send(self.metrics_text())),
+        }
+    }
+
+    fn tick(&mut self, now: MonoTime) {
+        let messages = self.members.tick(now);
+        self.send(messages);
+        self.stage.tick(now);
+    }
+
+    fn stop(&mut self, now: MonoTime) {
+        crate::event!(info, "stopping", node = self.settings.node);
+        self.stage.stop(now, self.settings.grace);
+        let notices = self.members.leave(now);
+        self.send(notices);
+    }
+
+    fn send(&self, messages: Vec<Outgoing>) {
+        let replies = self.messages.clone();
+        self.gossip.send(messages, move |answer| {
+            let _ = replies.send(Message::Answered(Box::new(answer)));
+        });
+    }
+
+    fn status(&self) -> EntryStatus {
+        let view = self.members.view();
+        let me = self.members.me();
+        let members = view.living().map(|member| MemberStatus {
+            node: member.node.clone(),
+            role: member.role.to_string(),
+            domain: member.domain.clone(),
+            leaving: member.leaving,
+            suspect: view.is_suspect(member),
+        });
+        EntryStatus {
+            node: me.node.clone(),
+            incarnation: me.incarnation,
+            domain: me.domain.clone(),
+            revision: self.revision(),
+            stopping: !self.stage.is_serving(),
+            members: members.collect(),
+        }
+    }
+
+    fn metrics_text(&self) -> String {
+        let members = self.members.view().living().count();
+        self.metrics.encode(self.revision(), members)
+    }
+
+    fn revision(&self) -> Revision {
+        let catalogue = self.catalogue.as_deref();
+        catalogue.map_or(Revision::ZERO, Catalogue::revision)
+    }
+}
--- a/jujubewind/src/scheduler/scheduler.rs
+++ b/jujubewind/src/scheduler/scheduler.rs
@@ -143,6 +143,18 @@
         refuse(Reason::NoMemory, PART_RETRY)
     }
 
+    /// Gives back a part that the engine would not hold; unlike a cancel, it may be held later.
+    pub fn unhold(&mut self, attempt: AttemptId) {
+        self.state.parts.remove(&attempt);
+        self.state.ledger.release(attempt);
+    }
+
+    /// Whether a part of the group `attempt` is held here.
+    #[must_use]
+    pub fn holds(&self, attempt: AttemptId) -> bool {
+        self.state.parts.contains_key(&attempt)
+    }
+
     /// Keeps an attempt alive; `false` if it is unknown here.
     pub fn renew(&mut self, now: MonoTime, attempt: AttemptId) -> bool {
         let until = now.after(self.state.settings.ttl);
--- /dev/null
+++ b/jujubewind/tests/catalogue/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the catalogue.
+
+mod examples;
+mod fixture;
+mod fleet;
+mod following;
+mod lookups;
+mod publishing;
+mod refusals;
+mod store;
