--- a/jujubewind/src/entry/control/placement.rs
+++ b/jujubewind/src/entry/control/placement.rs
@@ -30,14 +30,7 @@
         excluded: &[NodeId],
     ) -> Result<Vec<Target>, Refusal> {
         let members = self.serving(&job.model);
-        let request = Request {
-            org: &job.org,
-            model: &job.model,
-            class: job.class,
-            prompt: job.prompt,
-            parts: usize::try_from(parts).unwrap_or(usize::MAX),
-            blocks: &job.blocks,
-        };
+        let request = request(job, parts);
         let nodes = self
             .router
             .choose(&members, &request, excluded, &mut self.rng);
@@ -58,7 +51,10 @@
         if parts > 1 {
             return self.pick_group(job, parts, quotes, &offers);
         }
-        match self.router.pick(job.class, &offers, &mut self.rng) {
+        match self
+            .router
+            .pick(&request(job, parts), &offers, &mut self.rng)
+        {
             Some(place) => Ok(Choice::Target(quotes[place].0.clone())),
             None => self.split(job, quotes),
         }
@@ -142,6 +138,17 @@
     }
 }
 
+fn request(job: &Job, parts: u64) -> Request<'_> {
+    Request {
+        org: &job.org,
+        model: &job.model,
+        class: job.class,
+        prompt: job.prompt,
+        parts: usize::try_from(parts).unwrap_or(usize::MAX),
+        blocks: &job.blocks,
+    }
+}
+
 fn candidate(from: membership::Candidate<'_>) -> Candidate {
     Candidate {
         node: from.member.node.clone(),
--- a/jujubewind/tests/routing.rs
+++ b/jujubewind/tests/routing.rs
@@ -52,22 +52,29 @@
     Router::new(domain(0), Settings::default())
 }
 
-fn choose(members: &[Candidate], excluded: &[NodeId], blocks: &[u64], seed: u64) -> Vec<NodeId> {
-    let org: OrgId = "school".parse().expect("a name");
-    let request = Request {
-        org: &org,
-        model: &model(),
+fn request<'a>(org: &'a OrgId, model: &'a ModelId, prompt: u64, blocks: &'a [u64]) -> Request<'a> {
+    Request {
+        org,
+        model,
         class: Class::Interactive,
-        prompt: Tokens(2_000),
+        prompt: Tokens(prompt),
         parts: 1,
         blocks,
-    };
-    router().choose(
-        members,
-        &request,
-        excluded,
-        &mut StdRng::seed_from_u64(seed),
-    )
+    }
+}
+
+fn choose(members: &[Candidate], excluded: &[NodeId], blocks: &[u64], seed: u64) -> Vec<NodeId> {
+    let org: OrgId = "school".parse().expect("a name");
+    let model = model();
+    let request = request(&org, &model, 2_000, blocks);
+    let mut rng = StdRng::seed_from_u64(seed);
+    router().choose(members, &request, excluded, &mut rng)
+}
+
+fn pick(prompt: u64, blocks: &[u64], offers: &[Offer], rng: &mut StdRng) -> Option<usize> {
+    let org: OrgId = "school".parse().expect("a name");
+    let model = model();
+    router().pick(&request(&org, &model, prompt, blocks), offers, rng)
 }
 
 fn offer(number: usize, first: u64) -> Offer {
@@ -141,8 +148,8 @@
 fn the_own_domain_wins_unless_another_gains_more_than_the_link_costs() {
     let mut rng = StdRng::seed_from_u64(1);
 
-    let near = router().pick(Class::Urgent, &[offer(1, 50), offer(0, 55)], &mut rng);
-    let far = router().pick(Class::Urgent, &[offer(1, 50), offer(0, 95)], &mut rng);
+    let near = pick(2_000, &[], &[offer(1, 50), offer(0, 55)], &mut rng);
+    let far = pick(2_000, &[], &[offer(1, 50), offer(0, 95)], &mut rng);
 
     assert_eq!(near, Some(1));
     assert_eq!(far, Some(0));
@@ -155,15 +162,31 @@
     let mut rng = StdRng::seed_from_u64(1);
 
     for _ in 0..300 {
-        let place = router()
-            .pick(Class::Urgent, &offers, &mut rng)
-            .expect("an offer");
+        let place = pick(2_000, &[], &offers, &mut rng).expect("an offer");
         counts[place] += 1;
     }
 
     assert!(counts.iter().all(|&count| count > 60), "{counts:?}");
 }
 
+#[test]
+fn a_long_prompt_goes_to_its_prefix_owner_until_that_is_an_eighth_slower() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let offers = [offer(0, 800), offer(3, 800), offer(6, 800)];
+    let owner = pick(20_000, &[7], &offers, &mut rng).expect("an offer");
+    let with_owner_at = |first| {
+        let mut offers = offers.clone();
+        offers[owner] = offer(owner * 3, first);
+        offers
+    };
+
+    let near = pick(20_000, &[7], &with_owner_at(890), &mut rng);
+    let slow = pick(20_000, &[7], &with_owner_at(950), &mut rng);
+
+    assert_eq!(near, Some(owner));
+    assert_ne!(slow, Some(owner));
+}
+
 #[test]
 fn refusals_are_no_offers() {
     let refusal = Refusal {
@@ -175,7 +198,7 @@
         ..offer(0, 1)
     };
 
-    let picked = router().pick(Class::Batch, &[refused], &mut StdRng::seed_from_u64(1));
+    let picked = pick(2_000, &[], &[refused], &mut StdRng::seed_from_u64(1));
 
     assert_eq!(picked, None);
 }
