Follow the catalogue in the entry daemon

Cause: an entry had only the folder of its settings; a change published to the store reached nobody. Ruled out: a watch or a poll in each daemon; taking the first peer's revision at a start, since a stale peer would bring back what a process had left behind in its last life. Change: the control task drives the follower from gossip and from two new calls between entries. One entry of each failure domain, by a lease for which the first two stand, watches the head and reads it once a second. A start asks the store after a spread of a second, and puts nothing in force until the store has answered or two seconds have passed; texts come from peers unless they stay away. The revision's age stands in the metrics and in /status.

--- a/jujubewind/src/catalogue/follow/follower.rs
+++ b/jujubewind/src/catalogue/follow/follower.rs
@@ -8,6 +8,7 @@
 use super::Output;
 use super::Source;
 use super::Update;
+use super::store_turn::StoreTurn;
 use crate::catalogue::Head;
 use crate::types::Millis;
 use crate::types::MonoTime;
@@ -17,6 +18,9 @@
 /// The longest wait for an answer before another source is asked.
 const ANSWER_TIMEOUT: Millis = Millis(250);
 
+/// How long a start waits for the store before the highest revision of the peers is taken.
+const SETTLING: Millis = Millis(2_000);
+
 /// The most texts asked for at once, so that an answer stays well below a message's limit.
 const TEXTS_AT_ONCE: usize = 128;
 
@@ -29,7 +33,9 @@
     root: Option<NodeId>,
     best: Option<(NodeId, Revision)>,
     deadline: Option<MonoTime>,
-    store_next: bool,
+    store: StoreTurn,
+    /// Until when a process that has just started looks for the highest revision.
+    settling: Option<MonoTime>,
 }
 
 impl Follower {
@@ -40,14 +46,16 @@
         head.map_or(Revision::ZERO, |head| head.revision)
     }
 
-    /// Asks the store and several peers for their heads; the highest is taken.
-    pub fn boot(&mut self, now: MonoTime, peers: &[NodeId]) -> Vec<Output> {
+    /// Asks several peers for their heads, and the store after `spread`; the highest is taken.
+    ///
+    /// Nothing is in force before the store has answered or has had its time, so that a stale peer
+    /// alone cannot bring a process back that had a higher revision in its last life.
+    pub fn boot(&mut self, now: MonoTime, peers: &[NodeId], spread: Millis) -> Vec<Output> {
         self.deadline = Some(now.after(ANSWER_TIMEOUT));
+        self.settling = Some(now.after(SETTLING));
+        self.store = StoreTurn::new(now, spread);
         let peers = peers.iter().cloned().map(Source::Peer);
-        let sources = std::iter::once(Source::Store).chain(peers);
-        sources
-            .map(|source| Output::Ask(source, Ask::Head))
-            .collect()
+        peers.map(|source| Output::Ask(source, Ask::Head)).collect()
     }
 
     /// Notes the revision that a peer says it has, and asks for it if it is higher.
@@ -62,10 +70,11 @@
         vec![Output::Ask(Source::Peer(peer.clone()), Ask::Head)]
     }
 
-    /// Takes what a watch of the store or a peer passes on unasked.
+    /// Takes what the reader of the store or a peer passes on unasked.
     pub fn offered(&mut self, now: MonoTime, source: &Source, update: Update) -> Vec<Output> {
+        self.settle(source);
         if !self.aim(update.head) {
-            return Vec::new();
+            return self.install_settled();
         }
         self.root = Some(update.root);
         self.gather(now, source, update.texts)
@@ -74,34 +83,38 @@
     /// Takes the answer to a question.
     pub fn answered(&mut self, now: MonoTime, source: &Source, answer: Answer) -> Vec<Output> {
         match answer {
-            Answer::Head(Some(head)) if self.aim(head.clone()) => {
-                self.gather(now, source, Vec::new())
-            }
+            Answer::Head(head) => self.take_head(now, source, head),
             Answer::Texts(texts) if !texts.is_empty() => self.gather(now, source, texts),
-            Answer::Head(_) | Answer::Texts(_) | Answer::Silence => Vec::new(),
+            Answer::Texts(_) | Answer::Silence => Vec::new(),
         }
     }
 
-    /// Asks another source when answers stay away; call it a few times a second.
+    /// Asks others when answers stay away; call it a few times a second.
     pub fn tick(&mut self, now: MonoTime) -> Vec<Output> {
         if self.deadline.is_none_or(|deadline| now < deadline) {
             return Vec::new();
         }
-        let behind = self
-            .best
-            .as_ref()
-            .is_some_and(|(_, best)| *best > self.revision());
-        if self.current.is_some() && self.coming.is_none() && !behind {
+        self.settling = self.settling.filter(|until| now < *until);
+        let installed = self.install_settled();
+        if !installed.is_empty() {
+            return installed;
+        }
+        if !self.is_wanting() {
             self.deadline = None;
+            self.store.relax();
             return Vec::new();
         }
         self.deadline = Some(now.after(ANSWER_TIMEOUT));
-        self.store_next = !self.store_next;
-        let source = match &self.best {
-            Some((peer, _)) if !self.store_next => Source::Peer(peer.clone()),
-            _ => Source::Store,
-        };
-        vec![Output::Ask(source, Ask::Head)]
+        let mut outputs = Vec::new();
+        if let Some((peer, revision)) = &self.best
+            && *revision > self.revision()
+        {
+            outputs.push(Output::Ask(Source::Peer(peer.clone()), Ask::Head));
+        }
+        if self.store.take(now) {
+            outputs.push(Output::Ask(Source::Store, Ask::Head));
+        }
+        outputs
     }
 
     /// Answers a peer.
@@ -117,6 +130,47 @@
         }
     }
 
+    fn take_head(&mut self, now: MonoTime, source: &Source, head: Option<Head>) -> Vec<Output> {
+        self.settle(source);
+        if !head.is_some_and(|head| self.aim(head)) {
+            return self.install_settled();
+        }
+        let is_early = self.settles_early(source);
+        let outputs = self.advance(now, source);
+        let asks_store = matches!(outputs.first(), Some(Output::Ask(Source::Store, _)));
+        if is_early && asks_store {
+            return Vec::new();
+        }
+        outputs
+    }
+
+    /// Whether the texts may well come from a peer, though the store told of them.
+    fn settles_early(&self, source: &Source) -> bool {
+        *source == Source::Store && self.current.is_none() && self.store.is_early()
+    }
+
+    /// Whatever the store says is the highest.
+    fn settle(&mut self, source: &Source) {
+        if *source == Source::Store {
+            self.settling = None;
+        }
+    }
+
+    fn is_wanting(&self) -> bool {
+        let best = self.best.as_ref();
+        let is_behind = best.is_some_and(|(_, best)| *best > self.revision());
+        self.current.is_none() || self.coming.is_some() || is_behind || self.settling.is_some()
+    }
+
+    /// Puts in force what was gathered while the process was looking for the highest.
+    fn install_settled(&mut self) -> Vec<Output> {
+        let coming = self.coming.as_ref();
+        if self.settling.is_none() && coming.is_some_and(|coming| coming.missing().is_empty()) {
+            return self.install(&Source::Store);
+        }
+        Vec::new()
+    }
+
     /// Begins or goes on with `head`, if it is newer than all before.
     fn aim(&mut self, head: Head) -> bool {
         let coming = self.coming.as_ref().map(Assembly::head);
@@ -146,6 +200,9 @@
             return Vec::new();
         };
         let mut missing = coming.missing();
+        if missing.is_empty() && self.settling.is_some() {
+            return Vec::new();
+        }
         if missing.is_empty() {
             return self.install(source);
         }
--- a/jujubewind/src/catalogue/follow/mod.rs
+++ b/jujubewind/src/catalogue/follow/mod.rs
@@ -4,6 +4,7 @@
 mod follower;
 mod message;
 mod relay;
+mod store_turn;
 
 pub use assembly::Assembly;
 pub use follower::Follower;
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -6,6 +6,10 @@
 use super::Choice;
 use super::Permit;
 use super::message::Message;
+use crate::catalogue::follow::Answer;
+use crate::catalogue::follow::Ask;
+use crate::catalogue::follow::Source;
+use crate::catalogue::follow::Update;
 use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
@@ -145,6 +149,17 @@
         self.ask(|tx| Message::Gossip(Box::new(news), tx)).await
     }
 
+    /// Answers another process's question about the catalogue.
+    pub async fn catalogue(&self, ask: Ask) -> Answer {
+        let answer = self.ask(|tx| Message::Catalogue(ask, tx)).await;
+        answer.unwrap_or(Answer::Silence)
+    }
+
+    /// Hands in a newer revision of the catalogue.
+    pub fn offer(&self, source: Source, update: Update) {
+        self.tell(Message::Offered(source, Box::new(update)));
+    }
+
     /// Asks whether the entry is ready for callers.
     pub async fn ready(&self) -> bool {
         self.ask(Message::Ready).await.unwrap_or(false)
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -3,6 +3,11 @@
 use flume::Sender;
 
 use crate::catalogue::Entry;
+use crate::catalogue::Head;
+use crate::catalogue::follow::Answer;
+use crate::catalogue::follow::Ask;
+use crate::catalogue::follow::Source;
+use crate::catalogue::follow::Update;
 use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
@@ -90,6 +95,16 @@
     Gossip(Box<Gossip>, Sender<Gossip>),
     /// Another process answered to our news.
     Answered(Box<Gossip>),
+    /// Another process asks for the catalogue.
+    Catalogue(Ask, Sender<Answer>),
+    /// Another process passes on a newer revision.
+    Offered(Source, Box<Update>),
+    /// The store or another process answered our question about the catalogue.
+    CatalogueAnswer(Source, Answer),
+    /// The reader of the failure domain saw this head in the store.
+    StoreHead(Option<Head>),
+    /// It is time to look after questions about the catalogue.
+    Follow,
     /// Time has passed.
     Tick,
     /// The process was asked to stop.
--- a/jujubewind/src/entry/control/mod.rs
+++ b/jujubewind/src/entry/control/mod.rs
@@ -1,9 +1,11 @@
 //! The entry's shared state, owned by one task: catalogue, members, limits, retry budget.
 
 mod admission;
+mod follow;
 mod handle;
 mod message;
 mod placement;
+mod reader;
 mod stage;
 mod state;
 mod tasks;
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -9,6 +9,8 @@
 use rand::rngs::StdRng;
 
 use super::Control;
+use super::follow;
+use super::follow::Following;
 use super::message::Message;
 use super::stage::Stage;
 use super::tasks;
@@ -45,9 +47,10 @@
     pub(super) metrics: EntryMetrics,
     pub(super) stage: Stage,
     pub(super) rng: StdRng,
+    pub(super) following: Following,
     timer: TimerService,
     gossip: GossipLink,
-    messages: Sender<Message>,
+    pub(super) messages: Sender<Message>,
 }
 
 /// Starts the task; it ends when the entry has stopped, and `ended` tells of it.
@@ -62,7 +65,11 @@
     let (tx, rx) = flume::unbounded();
     let mut state = State::new(settings, incarnation, timer.clone(), tx.clone())?;
     let (ended, end) = flume::bounded(1);
-    compio::runtime::spawn(tasks::forward_ticks(timer.subscribe(PERIOD), tx.clone())).detach();
+    let ticks = tasks::forward_ticks(timer.subscribe(PERIOD), tx.clone(), || Message::Tick);
+    compio::runtime::spawn(ticks).detach();
+    let ticks = timer.subscribe(follow::PERIOD);
+    let ticks = tasks::forward_ticks(ticks, tx.clone(), || Message::Follow);
+    compio::runtime::spawn(ticks).detach();
     compio::runtime::spawn(tasks::forward_stop(tx.clone())).detach();
     let task = async move {
         while let Ok(message) = rx.recv_async().await {
@@ -97,6 +104,7 @@
         };
         let me = Member::new(seed, Vec::new(), incarnation);
         let mut rng = StdRng::seed_from_u64(rand::rng().next_u64());
+        let following = Following::start(&settings, incarnation, &timer, &messages, &mut rng)?;
         Ok(Self {
             members: Machine::new(me, &settings.entries, rng.next_u64()),
             router: Router::new(settings.domain.clone(), routing::Settings::default()),
@@ -107,6 +115,7 @@
             settings,
             catalogue,
             rng,
+            following,
             timer,
             gossip: GossipLink::default(),
             messages,
@@ -134,11 +143,22 @@
             }
             Message::Services(name, reply) => drop(reply.send(self.services(&name))),
             Message::Names(key, reply) => drop(reply.send(self.names(key.as_deref()))),
-            Message::Gossip(news, reply) => drop(reply.send(self.members.receive(now, &news))),
+            Message::Gossip(news, reply) => {
+                self.heard(now, &news);
+                drop(reply.send(self.members.receive(now, &news)));
+            }
             Message::Answered(news) => {
+                self.heard(now, &news);
                 let messages = self.members.answered(now, &news);
                 self.send(messages);
             }
+            Message::Catalogue(ask, reply) => {
+                drop(reply.send(self.following.follower.answer(&ask)));
+            }
+            Message::Offered(source, update) => self.offered(now, &source, *update),
+            Message::CatalogueAnswer(source, answer) => self.learnt(now, &source, answer),
+            Message::StoreHead(head) => self.store_head(now, head),
+            Message::Follow => self.follow(now),
             Message::Tick => self.tick(now),
             Message::Stop => self.stop(now),
             Message::Failed(reason) => self.metrics.refused(reason),
@@ -161,11 +181,13 @@
         let messages = self.members.tick(now);
         self.send(messages);
         self.stage.tick(now);
+        self.stand();
     }
 
     fn stop(&mut self, now: MonoTime) {
         crate::event!(info, "stopping", node = self.settings.node);
         self.stage.stop(now, self.settings.grace);
+        self.stand();
         let notices = self.members.leave(now);
         self.send(notices);
     }
@@ -192,6 +214,7 @@
             incarnation: me.incarnation,
             domain: me.domain.clone(),
             revision: self.revision(),
+            confirmed: self.following.confirmed.map(|at| self.now().since(at)),
             stopping: !self.stage.is_serving(),
             members: members.collect(),
         }
@@ -199,7 +222,8 @@
 
     fn metrics_text(&self) -> String {
         let members = self.members.view().living().count();
-        self.metrics.encode(self.revision(), members)
+        let confirmed = self.following.confirmed.map(|at| self.now().since(at));
+        self.metrics.encode(self.revision(), confirmed, members)
     }
 
     fn revision(&self) -> Revision {
--- a/jujubewind/src/entry/control/tasks.rs
+++ b/jujubewind/src/entry/control/tasks.rs
@@ -7,10 +7,14 @@
 use crate::daemon;
 use crate::types::MonoTime;
 
-/// Sends a tick each period.
-pub(super) async fn forward_ticks(ticks: Receiver<MonoTime>, messages: Sender<Message>) {
+/// Sends the message that `make` makes each period.
+pub(super) async fn forward_ticks(
+    ticks: Receiver<MonoTime>,
+    messages: Sender<Message>,
+    make: fn() -> Message,
+) {
     while ticks.recv_async().await.is_ok() {
-        if messages.send(Message::Tick).is_err() {
+        if messages.send(make()).is_err() {
             return;
         }
     }
--- a/jujubewind/src/entry/peer.rs
+++ b/jujubewind/src/entry/peer.rs
@@ -3,8 +3,13 @@
 use tarpc::context::Context;
 
 use super::control::Control;
+use crate::catalogue::follow::Answer;
+use crate::catalogue::follow::Ask;
+use crate::catalogue::follow::Source;
+use crate::catalogue::follow::Update;
 use crate::rpc::Peer;
 use crate::rpc::message::Gossip;
+use crate::types::NodeId;
 
 /// Answers calls by asking the control task.
 #[derive(Clone, Debug)]
@@ -23,4 +28,12 @@
     async fn gossip(self, _: Context, news: Gossip) -> Option<Gossip> {
         self.control.gossip(news).await
     }
+
+    async fn catalogue(self, _: Context, ask: Ask) -> Answer {
+        self.control.catalogue(ask).await
+    }
+
+    async fn offer(self, _: Context, sender: NodeId, update: Update) {
+        self.control.offer(Source::Peer(sender), update);
+    }
 }
--- a/jujubewind/src/entry/status.rs
+++ b/jujubewind/src/entry/status.rs
@@ -2,6 +2,7 @@
 
 use crate::types::DomainId;
 use crate::types::Incarnation;
+use crate::types::Millis;
 use crate::types::NodeId;
 use crate::types::Revision;
 
@@ -16,6 +17,8 @@
         pub domain: DomainId,
         /// The catalogue revision in force here.
         pub revision: Revision,
+        /// The time since the store or another process last spoke of its revision.
+        pub confirmed: Option<Millis>,
         /// Whether it is stopping.
         pub stopping: bool,
         /// The members it knows, dead ones left out.
--- a/jujubewind/src/metrics/entry_metrics.rs
+++ b/jujubewind/src/metrics/entry_metrics.rs
@@ -24,6 +24,7 @@
     tokens: Counter,
     first: FirstToken,
     revision: Gauge,
+    age: Gauge,
     members: Gauge,
 }
 
@@ -37,6 +38,7 @@
         let tokens = Counter::default();
         let first = FirstToken::default();
         let revision = Gauge::default();
+        let age = Gauge::default();
         let members = Gauge::default();
         registry.register(
             "refusals",
@@ -57,6 +59,11 @@
         registry.register("tokens", "Tokens handed to callers", tokens.clone());
         registry.register("first_token_seconds", "Time to first token", first.family());
         registry.register("revision", "Catalogue revision in force", revision.clone());
+        registry.register(
+            "revision_age_milliseconds",
+            "Time since the store or a peer last spoke of its revision; -1 if never",
+            age.clone(),
+        );
         registry.register("members", "Members believed to live", members.clone());
         Self {
             registry,
@@ -67,6 +74,7 @@
             tokens,
             first,
             revision,
+            age,
             members,
         }
     }
@@ -101,9 +109,11 @@
 
     /// Sets the gauges and gives all metrics as text.
     #[must_use]
-    pub fn encode(&self, revision: Revision, members: usize) -> String {
+    pub fn encode(&self, revision: Revision, age: Option<Millis>, members: usize) -> String {
         self.revision
             .set(i64::try_from(revision.get()).unwrap_or(i64::MAX));
+        let millis = age.and_then(|age| i64::try_from(age.get()).ok());
+        self.age.set(millis.unwrap_or(-1));
         self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
         let mut text = String::new();
         let _ = encode(&mut text, &self.registry);
--- a/jujubewind/src/store/watch.rs
+++ b/jujubewind/src/store/watch.rs
@@ -64,6 +64,12 @@
         }
     }
 
+    /// The next notice, if one is there already.
+    #[must_use]
+    pub fn try_next(&self) -> Option<Notice> {
+        self.notices.try_recv().ok()
+    }
+
     /// The next notice; `None` if the task has ended.
     pub async fn next(&self) -> Option<Notice> {
         self.notices.recv_async().await.ok()
--- a/jujubewind/tests/catalogue/fleet.rs
+++ b/jujubewind/tests/catalogue/fleet.rs
@@ -13,6 +13,7 @@
 use jujubewind::catalogue::follow::Source;
 use jujubewind::catalogue::follow::Update;
 use jujubewind::catalogue::follow::children;
+use jujubewind::types::Millis;
 use jujubewind::types::MonoTime;
 use jujubewind::types::NodeId;
 use jujubewind::types::Revision;
@@ -229,7 +230,8 @@
         self.members[member].ticks += 1;
         let outputs = if ticks == 0 {
             let peers: Vec<NodeId> = (0..3).map(|_| node(self.any())).collect();
-            self.members[member].follower.boot(now, &peers)
+            let spread = Millis(self.rng.random_range(0..1_000));
+            self.members[member].follower.boot(now, &peers, spread)
         } else {
             self.members[member].follower.tick(now)
         };
