--- a/jujubewind/src/entry/control/admission.rs
+++ b/jujubewind/src/entry/control/admission.rs
@@ -95,6 +95,7 @@
 fn rates(limits: &Limits, is_model: bool) -> Rates {
     Rates {
         requests: Some(limits.request_rate.get()),
+        burst: Some(limits.request_burst.get()),
         tokens: is_model.then_some(limits.token_rate.get()),
         concurrency: Some(limits.concurrency.get()),
         metered: false,
--- a/jujubewind/src/limits/bucket.rs
+++ b/jujubewind/src/limits/bucket.rs
@@ -5,8 +5,19 @@
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
 
-/// How far ahead of its rate a bucket may run: a second of burst.
-const WINDOW: u64 = MICROS_PER_SECOND;
+/// How far ahead of its rate a bucket may run that names no burst: a second of it.
+pub const WINDOW: Micros = Micros(MICROS_PER_SECOND);
+
+/// A span in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Micros(u64);
+
+impl Micros {
+    /// How far ahead a bucket of `rate` a second may run so that `burst` pass at once.
+    pub fn of_burst(burst: u64, rate: u64) -> Self {
+        Self(burst.saturating_sub(1).saturating_mul(MICROS_PER_SECOND) / rate.max(1))
+    }
+}
 
 /// A rate limit whose state is one point in time: when all that was taken is paid off.
 ///
@@ -18,10 +29,10 @@
 }
 
 impl Bucket {
-    /// The wait until something may be taken; zero if it may now.
-    pub fn wait(self, now: MonoTime) -> Millis {
+    /// The wait until something may be taken by a bucket that may run `ahead`; zero if it may now.
+    pub fn wait(self, now: MonoTime, ahead: Micros) -> Millis {
         let debt = self.paid.micros().saturating_sub(now.micros());
-        let over = debt.saturating_sub(WINDOW);
+        let over = debt.saturating_sub(ahead.0);
         Millis(over.div_ceil(1_000))
     }
 
--- a/jujubewind/src/limits/limiter.rs
+++ b/jujubewind/src/limits/limiter.rs
@@ -6,6 +6,7 @@
 use super::Rates;
 use super::Result;
 use super::bucket::Bucket;
+use super::bucket::WINDOW;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::types::Credit;
@@ -105,11 +106,11 @@
 
 impl Account {
     fn check(&self, now: MonoTime, charge: &Charge, rates: &Rates) -> Result<()> {
-        let requests = self.requests.wait(now);
+        let requests = self.requests.wait(now, rates.ahead());
         if rates.requests.is_some() && requests > Millis::ZERO {
             return refuse(Reason::RequestRate, requests);
         }
-        let tokens = self.tokens.wait(now);
+        let tokens = self.tokens.wait(now, WINDOW);
         if rates.tokens.is_some() && tokens > Millis::ZERO {
             return refuse(Reason::TokenRate, tokens);
         }
--- a/jujubewind/tests/limits.rs
+++ b/jujubewind/tests/limits.rs
@@ -8,6 +8,7 @@
 use jujubewind::retry::RetryBudget;
 use jujubewind::types::Credit;
 use jujubewind::types::EntryId;
+use jujubewind::types::Millis;
 use jujubewind::types::MonoTime;
 use jujubewind::types::Tokens;
 
@@ -45,6 +46,33 @@
     assert!((500..=552).contains(&count), "{count}");
 }
 
+#[test]
+fn a_burst_passes_at_once_and_the_next_one_is_told_when_to_come_back() {
+    let rates = Rates {
+        requests: Some(2),
+        burst: Some(3),
+        ..Rates::default()
+    };
+    let mut limiter = Limiter::new();
+    let start = MonoTime::from_millis(60_000);
+
+    let passed = (0..3).filter(|_| limiter.admit(start, &charge(1), &rates).is_ok());
+    let passed = passed.count();
+    let refused = limiter.admit(start, &charge(1), &rates);
+
+    assert_eq!(passed, 3);
+    let refusal = refused.expect_err("the burst is used up");
+    assert_eq!(
+        (refusal.reason, refusal.retry),
+        (Reason::RequestRate, Millis(500))
+    );
+    assert!(
+        limiter
+            .admit(start.after(refusal.retry), &charge(1), &rates)
+            .is_ok()
+    );
+}
+
 #[test]
 fn the_token_rate_holds_on_average_for_prompts_above_it() {
     let rates = Rates {
--- a/jujubewind/tests/request.rs
+++ b/jujubewind/tests/request.rs
@@ -140,12 +140,16 @@
 
     fn faulty_pull(&mut self, attempt: AttemptId, offset: Tokens) -> Option<PullReply> {
         let queued = self.fates.get(&attempt) == Some(&Fate::Queued);
-        match self.rng.random_range(0..6) {
+        match self.rng.random_range(0..7) {
             0 => None,
-            1 => Some(chunk(AttemptId::from_number(7), offset.get(), ANSWER)),
+            1 => Some(foreign(offset)),
             2 => Some(chunk(attempt, offset.get() + 1, ANSWER)),
             3 if queued => Some(PullReply::Refused(refusal(Reason::DeadlinePassed))),
             4 => Some(PullReply::Unknown),
+            5 => {
+                self.fates.insert(attempt, Fate::Ran);
+                Some(cut_short(attempt, offset))
+            }
             _ => {
                 self.fates.insert(attempt, Fate::Ran);
                 Some(PullReply::EngineFailed { died: true })
@@ -190,6 +194,26 @@
     })
 }
 
+/// The answer to somebody else's request.
+fn foreign(offset: Tokens) -> PullReply {
+    PullReply::Chunk(Chunk {
+        attempt: AttemptId::from_number(7),
+        offset,
+        tokens: vec!["not yours".to_owned()],
+        end: None,
+    })
+}
+
+/// An end that counts tokens which never came.
+fn cut_short(attempt: AttemptId, offset: Tokens) -> PullReply {
+    PullReply::Chunk(Chunk {
+        attempt,
+        offset,
+        tokens: Vec::new(),
+        end: Some((Finish::Length, Tokens(ANSWER + 1))),
+    })
+}
+
 /// Runs one request to its final answer.
 fn run(seed: u64) -> World {
     let mut world = World::new(seed);
