--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -6,4 +6,5 @@
 mod fleet;
 mod groups;
 mod process;
+mod settings;
 mod whole_path;
