Give operators a command to check, publish and show the catalogue

Cause: the catalogue could be checked and published in the library only; operators had an empty binary.

Ruled out: a default base of whatever is in force without a word, since it overwrites what another operator changed in between; it stays possible and warns. Listing all replaced heads for the history, which grows without bound; the history walks back from the head, one read a revision. Reading the whole catalogue before each apply; only pages that the folder does not have itself are read, and only texts that the store lacks are written.

Change: `jujube catalogue check|diff|apply|show|history` and `jujube status`, text or JSON, with documented exit codes and shell completion. The keys of the stored catalogue stand in `catalogue::layout`; the difference of two catalogues is `catalogue::Diff`, which also tells the slower of two operators what the other changed.

--- a/jujubewind/src/catalogue/publish/message.rs
+++ b/jujubewind/src/catalogue/publish/message.rs
@@ -1,11 +1,15 @@
 //! What the publisher asks of the store, and what it concludes.
 
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::str::FromStr;
 use std::sync::Arc;
 
 use crate::catalogue::ContentHash;
 use crate::catalogue::Head;
 use crate::catalogue::UnixTime;
 use crate::types::ChangeId;
+use crate::types::ParseError;
 use crate::types::Revision;
 
 crate::quantity! {
@@ -45,6 +49,9 @@
     Unknown,
 }
 
+/// How operators write [`Base::Latest`].
+const LATEST: &str = "latest";
+
 /// The revision that a change was made against.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Base {
@@ -54,6 +61,26 @@
     Exactly(Revision),
 }
 
+impl Display for Base {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Latest => f.write_str(LATEST),
+            Self::Exactly(revision) => write!(f, "{revision}"),
+        }
+    }
+}
+
+impl FromStr for Base {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Self::Err> {
+        if text == LATEST {
+            return Ok(Self::Latest);
+        }
+        text.parse().map(Self::Exactly)
+    }
+}
+
 /// Who changes what, on which ground.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
--- /dev/null
+++ b/jujubewind/src/cli/apply.rs
@@ -0,0 +1,150 @@
+//! `catalogue apply`: a folder becomes the catalogue, whole or not at all.
+
+use std::collections::HashSet;
+use std::fmt::Display;
+use std::fmt::Formatter;
+use std::time::SystemTime;
+
+use serde::Serialize;
+
+use super::Exit;
+use super::Platform;
+use super::Result;
+use super::Warning;
+use super::conflict::ConflictReport;
+use super::options::ApplyOptions;
+use super::output::Report;
+use super::publishing;
+use super::wait;
+use super::wait::WaitReport;
+use crate::catalogue::Catalogue;
+use crate::catalogue::Tree;
+use crate::catalogue::UnixTime;
+use crate::catalogue::publish::Base;
+use crate::catalogue::publish::Change;
+use crate::catalogue::publish::Publisher;
+use crate::catalogue::publish::Verdict;
+use crate::types::ChangeId;
+use crate::types::Revision;
+
+/// How applying ended.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
+pub enum ApplyReport {
+    /// The folder is the catalogue now.
+    Accepted {
+        /// Its revision.
+        revision: Revision,
+        /// How the wait ended, if there was one.
+        wait: Option<WaitReport>,
+    },
+    /// The folder was the catalogue already.
+    Unchanged {
+        /// Its revision.
+        revision: Revision,
+        /// How the wait ended, if there was one.
+        wait: Option<WaitReport>,
+    },
+    /// Another operator was faster.
+    Conflict(ConflictReport),
+    /// The answer was lost and the platform is silent.
+    Unknown {
+        /// The change, by which the history tells whether it took effect.
+        change: ChangeId,
+    },
+}
+
+/// Publishes a folder.
+///
+/// # Errors
+/// The folder is refused, or the platform does not answer; nothing was changed.
+pub async fn apply(options: &ApplyOptions) -> Result<ApplyReport> {
+    let wanted = Catalogue::read_dir(&options.dir)?;
+    if options.base.is_none() {
+        Warning::NoBase.print();
+    }
+    let platform = Platform::new(options.platform)?;
+    let tree = Tree::of(&wanted);
+    let mut known = tree.texts.clone();
+    let stored = match platform.head().await? {
+        Some((_, head)) => platform.stored(&head, &mut known).await?,
+        None => HashSet::new(),
+    };
+    let publisher = Publisher::new(change(options), tree, stored);
+    match publishing::publish(&platform, publisher).await {
+        Verdict::Accepted(revision) => {
+            let wait = wait_for(revision, options).await?;
+            Ok(ApplyReport::Accepted { revision, wait })
+        }
+        Verdict::Unchanged(revision) => {
+            let wait = wait_for(revision, options).await?;
+            Ok(ApplyReport::Unchanged { revision, wait })
+        }
+        Verdict::Conflict(conflict) => {
+            let report = ConflictReport::explain(&platform, conflict, &mut known).await;
+            Ok(ApplyReport::Conflict(report))
+        }
+        Verdict::Unknown(change) => Ok(ApplyReport::Unknown { change }),
+        Verdict::Failed => Err(platform.down()),
+    }
+}
+
+fn change(options: &ApplyOptions) -> Change {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Change {
+        id: ChangeId::random(&mut rand::rng()),
+        author: options.author.clone(),
+        time: UnixTime(since.unwrap_or_default().as_secs()),
+        base: options.base.unwrap_or(Base::Latest),
+    }
+}
+
+async fn wait_for(revision: Revision, options: &ApplyOptions) -> Result<Option<WaitReport>> {
+    match &options.wait {
+        Some(options) => wait::wait(revision, options).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+impl Report for ApplyReport {
+    fn exit(&self) -> Exit {
+        match self {
+            Self::Accepted { wait, .. } | Self::Unchanged { wait, .. } => match wait {
+                Some(wait) if !wait.everywhere => Exit::Pending,
+                _ => Exit::Success,
+            },
+            Self::Conflict(_) => Exit::Conflict,
+            Self::Unknown { .. } => Exit::Unknown,
+        }
+    }
+}
+
+impl Display for ApplyReport {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        let wait = match self {
+            Self::Accepted { revision, wait } => {
+                writeln!(f, "accepted: revision {revision}")?;
+                wait
+            }
+            Self::Unchanged { revision, wait } => {
+                writeln!(
+                    f,
+                    "unchanged: the same catalogue is revision {revision} already"
+                )?;
+                wait
+            }
+            Self::Conflict(report) => return write!(f, "{report}"),
+            Self::Unknown { change } => {
+                return write!(
+                    f,
+                    "unknown: the platform fell silent after change {change} was sent, and it \
+                     may have taken effect or may yet.\nOnce the platform answers, look for the \
+                     change in `jujube catalogue history`. Applying the same folder again with \
+                     --base set to the newest revision there is safe: it reports `unchanged` if \
+                     the change took effect."
+                );
+            }
+        };
+        wait.as_ref().map_or(Ok(()), |wait| write!(f, "{wait}"))
+    }
+}
--- /dev/null
+++ b/jujubewind/src/cli/conflict.rs
@@ -0,0 +1,90 @@
+//! What another operator changed first.
+
+use std::fmt::Display;
+use std::fmt::Formatter;
+
+use serde::Serialize;
+
+use super::Platform;
+use super::Result;
+use super::platform::Texts;
+use crate::catalogue::Catalogue;
+use crate::catalogue::Diff;
+use crate::catalogue::publish::Conflict;
+use crate::types::Revision;
+
+/// Who was faster, and with what.
+#[derive(Clone, Debug, Serialize)]
+pub struct ConflictReport {
+    base: Revision,
+    current: Option<Revision>,
+    author: Option<String>,
+    changes: Option<Diff>,
+}
+
+impl ConflictReport {
+    /// Reads both revisions; what cannot be read is left out, since the conflict stands anyway.
+    pub async fn explain(platform: &Platform, conflict: Conflict, known: &mut Texts) -> Self {
+        let changes = changes(platform, &conflict, known).await;
+        let current = conflict.current;
+        Self {
+            base: conflict.base,
+            current: current.as_ref().map(|head| head.revision),
+            author: current.map(|head| head.author),
+            changes: changes.unwrap_or_default(),
+        }
+    }
+}
+
+async fn changes(
+    platform: &Platform,
+    conflict: &Conflict,
+    known: &mut Texts,
+) -> Result<Option<Diff>> {
+    let Some(current) = &conflict.current else {
+        return Ok(None);
+    };
+    let before = if conflict.base == Revision::ZERO {
+        Catalogue::default()
+    } else {
+        match platform.head_of(conflict.base).await? {
+            Some(head) => platform.catalogue(&head, known).await?,
+            None => return Ok(None),
+        }
+    };
+    let after = platform.catalogue(current, known).await?;
+    Ok(Some(Diff::between(&before, &after)))
+}
+
+impl Display for ConflictReport {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "conflict: the change was made against revision {}",
+            self.base
+        )?;
+        let Some(current) = self.current else {
+            return f.write_str(
+                ", but the platform holds no catalogue; nothing was changed.\n\
+                 Check the platform's address, or apply with --base 0.",
+            );
+        };
+        let author = self.author.as_deref().unwrap_or("unknown");
+        writeln!(
+            f,
+            ", but revision {current} by {author} is in force; nothing was changed."
+        )?;
+        match &self.changes {
+            Some(changes) => write!(f, "Changed since revision {}:\n{changes}", self.base)?,
+            None => writeln!(
+                f,
+                "What changed since revision {} cannot be read.",
+                self.base
+            )?,
+        }
+        write!(
+            f,
+            "Take these changes into the folder, then apply with --base {current}."
+        )
+    }
+}
--- /dev/null
+++ b/jujubewind/src/cli/error.rs
@@ -0,0 +1,61 @@
+//! Why a command gave up.
+
+use std::net::SocketAddr;
+
+use super::Exit;
+use crate::catalogue;
+use crate::catalogue::ContentHash;
+use crate::store;
+use crate::types::Revision;
+
+/// A failure of the command; its message names the remedy.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The catalogue breaks its rules or cannot be read.
+    #[error("{0}")]
+    Catalogue(#[from] catalogue::Error),
+    /// No runtime or client could be set up.
+    #[error("the command cannot start: {0}; free memory and file handles, then try again")]
+    Start(#[from] std::io::Error),
+    /// The client of the platform could not be set up.
+    #[error("{0}")]
+    Store(#[from] store::Error),
+    /// The client of the entries could not be set up.
+    #[error("the HTTP client cannot start: {0}; free file handles, then try again")]
+    Http(#[from] cyper::Error),
+    /// The platform does not answer.
+    #[error("no answer from the platform at {0}; nothing was changed, try again later")]
+    PlatformDown(SocketAddr),
+    /// The entry does not answer.
+    #[error("no usable answer from the entry at {0}: {1}; check the address or ask another entry")]
+    EntryDown(SocketAddr, String),
+    /// None of the entries answers.
+    #[error("none of the entries answers; check the addresses given with --entries")]
+    NoEntry,
+    /// The platform holds no catalogue.
+    #[error("the platform holds no catalogue yet; publish one with `jujube catalogue apply`")]
+    NoCatalogue,
+    /// The platform has no such revision.
+    #[error("the platform keeps no revision {0}; `jujube catalogue history` lists those it has")]
+    NoRevision(Revision),
+    /// The head cannot be read.
+    #[error("the stored head cannot be read; use the version of `jujube` that wrote it")]
+    BadHead,
+    /// A page or part is missing or is not what its address says.
+    #[error("the stored text {0} is missing or damaged; apply the catalogue again")]
+    BadText(ContentHash),
+}
+
+impl Error {
+    /// The exit code.
+    #[must_use]
+    pub const fn exit(&self) -> Exit {
+        match self {
+            Self::PlatformDown(_) | Self::EntryDown(..) | Self::NoEntry => Exit::NoAnswer,
+            _ => Exit::Refused,
+        }
+    }
+}
+
+/// A result of a command.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/jujubewind/src/cli/mod.rs
@@ -0,0 +1,30 @@
+//! The operators' command: checks and publishes the catalogue, and shows how the fleet stands.
+
+mod addrs;
+mod apply;
+mod check;
+mod conflict;
+mod diff;
+mod entry_client;
+mod error;
+mod exit;
+mod history;
+pub mod options;
+pub mod output;
+mod platform;
+mod publishing;
+mod run;
+mod show;
+mod status;
+mod wait;
+mod warning;
+
+pub use addrs::Addrs;
+pub use error::Error;
+pub use error::Result;
+pub use exit::Exit;
+pub use options::Command;
+pub use options::command;
+pub use platform::Platform;
+pub use run::run;
+pub use warning::Warning;
--- /dev/null
+++ b/jujubewind/src/cli/options.rs
@@ -0,0 +1,168 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+use super::addrs::Addrs;
+use super::exit::EXIT_CODES;
+use super::output::Format;
+use crate::catalogue::publish::Base;
+use crate::types::Millis;
+use crate::types::Revision;
+
+/// Checks and publishes the catalogue, and shows how the fleet stands.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, footer(EXIT_CODES))]
+pub enum Command {
+    /// Check, compare, publish and show the catalogue
+    #[bpaf(command, footer(EXIT_CODES))]
+    Catalogue(#[bpaf(external(catalogue_command))] CatalogueCommand),
+    /// Show roles, revisions in force, and who leaves or is silent
+    #[bpaf(command, footer(EXIT_CODES))]
+    Status(#[bpaf(external(status_options))] StatusOptions),
+}
+
+/// What to do with the catalogue.
+#[derive(Clone, Debug, Bpaf)]
+pub enum CatalogueCommand {
+    /// Check a folder of declarations without any connection
+    #[bpaf(command, footer(EXIT_CODES))]
+    Check(#[bpaf(external(check_options))] CheckOptions),
+    /// Show what applying a folder would change
+    #[bpaf(command, footer(EXIT_CODES))]
+    Diff(#[bpaf(external(diff_options))] DiffOptions),
+    /// Publish a folder, whole or not at all
+    #[bpaf(command, footer(EXIT_CODES))]
+    Apply(#[bpaf(external(apply_options))] ApplyOptions),
+    /// Show the catalogue that the platform holds
+    #[bpaf(command, footer(EXIT_CODES))]
+    Show(#[bpaf(external(show_options))] ShowOptions),
+    /// Show who changed the catalogue, newest change first
+    #[bpaf(command, footer(EXIT_CODES))]
+    History(#[bpaf(external(history_options))] HistoryOptions),
+}
+
+/// The options of `catalogue check`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct CheckOptions {
+    /// The form of the output.
+    #[bpaf(external)]
+    pub format: Format,
+    /// The folder of declarations
+    #[bpaf(positional("DIR"))]
+    pub dir: PathBuf,
+}
+
+/// The options of `catalogue diff`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct DiffOptions {
+    /// The form of the output.
+    #[bpaf(external)]
+    pub format: Format,
+    /// The platform's key-value service.
+    #[bpaf(external)]
+    pub platform: SocketAddr,
+    /// The folder of declarations
+    #[bpaf(positional("DIR"))]
+    pub dir: PathBuf,
+}
+
+/// The options of `catalogue apply`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ApplyOptions {
+    /// The form of the output.
+    #[bpaf(external)]
+    pub format: Format,
+    /// The platform's key-value service.
+    #[bpaf(external)]
+    pub platform: SocketAddr,
+    /// The revision the folder was made against, or `latest`; another one in force is a conflict
+    #[bpaf(argument("REVISION"))]
+    pub base: Option<Base>,
+    /// Who makes the change
+    #[bpaf(argument("NAME"), fallback("unknown".to_owned()), display_fallback)]
+    pub author: String,
+    /// Whether to wait, and for whom.
+    #[bpaf(external, optional)]
+    pub wait: Option<Wait>,
+    /// The folder of declarations
+    #[bpaf(positional("DIR"))]
+    pub dir: PathBuf,
+}
+
+/// How long and for whom `apply` waits.
+#[derive(Clone, Debug, Bpaf)]
+pub struct Wait {
+    /// Wait until the revision is in force at every entry named
+    #[bpaf(long("wait"), req_flag(()))]
+    pub asked: (),
+    /// The entries' addresses
+    #[bpaf(argument("ADDR,.."))]
+    pub entries: Addrs,
+    /// The longest wait
+    #[bpaf(argument("MILLIS"), fallback(Millis(60_000)), display_fallback)]
+    pub timeout: Millis,
+}
+
+/// The options of `catalogue show`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ShowOptions {
+    /// The form of the output.
+    #[bpaf(external)]
+    pub format: Format,
+    /// The platform's key-value service.
+    #[bpaf(external)]
+    pub platform: SocketAddr,
+    /// An earlier revision instead of the one in force
+    #[bpaf(argument("REVISION"))]
+    pub revision: Option<Revision>,
+}
+
+/// The options of `catalogue history`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct HistoryOptions {
+    /// The form of the output.
+    #[bpaf(external)]
+    pub format: Format,
+    /// The platform's key-value service.
+    #[bpaf(external)]
+    pub platform: SocketAddr,
+    /// The most changes to show
+    #[bpaf(argument("COUNT"), fallback(20), display_fallback)]
+    pub limit: usize,
+}
+
+/// The options of `status`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct StatusOptions {
+    /// The form of the output.
+    #[bpaf(external)]
+    pub format: Format,
+    /// The entries' addresses
+    #[bpaf(argument("ADDR,.."))]
+    pub entries: Addrs,
+}
+
+/// Every command takes it, so that each can be read by a program.
+fn format() -> impl bpaf::Parser<Format> {
+    use bpaf::Parser;
+    bpaf::long("format")
+        .help("The form of the output: text or json")
+        .argument::<Format>("FORMAT")
+        .complete(|_: &Format| {
+            Format::ALL
+                .iter()
+                .map(|form| (form.as_str(), None))
+                .collect()
+        })
+        .fallback(Format::Text)
+        .display_fallback()
+}
+
+fn platform() -> impl bpaf::Parser<SocketAddr> {
+    bpaf::long("platform")
+        .help("The address of the platform's key-value service")
+        .argument::<SocketAddr>("ADDR")
+}
--- /dev/null
+++ b/jujubewind/src/cli/output/json.rs
@@ -0,0 +1,15 @@
+//! Output for programs.
+
+use super::Output;
+use super::Report;
+
+/// One JSON document.
+#[derive(Clone, Copy, Debug)]
+pub struct Json;
+
+impl Output for Json {
+    fn render(&self, report: &impl Report) -> String {
+        let text = serde_json::to_string_pretty(report).unwrap_or_default();
+        text + "\n"
+    }
+}
--- /dev/null
+++ b/jujubewind/src/cli/platform.rs
@@ -0,0 +1,159 @@
+//! The catalogue as the platform's store holds it.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::Error;
+use super::Result;
+use crate::catalogue::Catalogue;
+use crate::catalogue::ContentHash;
+use crate::catalogue::Head;
+use crate::catalogue::Page;
+use crate::catalogue::Part;
+use crate::catalogue::layout;
+use crate::catalogue::publish::HeadVersion;
+use crate::store::Client;
+use crate::store::Entry;
+use crate::store::Key;
+use crate::store::Op;
+use crate::store::Outcome;
+use crate::types::Millis;
+use crate::types::Revision;
+
+/// The longest wait for one answer.
+const TIMEOUT: Millis = Millis(3_000);
+/// How often a read is tried.
+const READS: usize = 3;
+/// The pause before a call is repeated, so that a store at its rate limit can recover.
+pub(super) const PAUSE: Millis = Millis(200);
+
+/// Pages and parts that are known already and need no call.
+pub type Texts = HashMap<ContentHash, Arc<str>>;
+
+/// An operator's view of the store.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    pub(super) client: Client,
+    addr: SocketAddr,
+}
+
+impl Platform {
+    /// Prepares calls to the store at `addr`.
+    ///
+    /// # Errors
+    /// No client can be set up.
+    pub fn new(addr: SocketAddr) -> Result<Self> {
+        let client = Client::new(addr, TIMEOUT)?;
+        Ok(Self { client, addr })
+    }
+
+    /// The error for a store that does not answer.
+    #[must_use]
+    pub const fn down(&self) -> Error {
+        Error::PlatformDown(self.addr)
+    }
+
+    /// The head in force, if there is any.
+    ///
+    /// # Errors
+    /// The store does not answer, or holds something else.
+    pub async fn head(&self) -> Result<Option<(HeadVersion, Head)>> {
+        let Some(entry) = self.read(layout::head_key()).await? else {
+            return Ok(None);
+        };
+        let head = decode(&entry).ok_or(Error::BadHead)?;
+        Ok(Some((HeadVersion(entry.version.get()), head)))
+    }
+
+    /// The head that `revision` had, in force or replaced; `None` if the store has none.
+    ///
+    /// # Errors
+    /// The store does not answer, or holds something else.
+    pub async fn head_of(&self, revision: Revision) -> Result<Option<Head>> {
+        match self.head().await? {
+            Some((_, head)) if head.revision == revision => Ok(Some(head)),
+            _ => self.past(revision).await,
+        }
+    }
+
+    /// The replaced head that `revision` had.
+    ///
+    /// # Errors
+    /// The store does not answer, or holds something else.
+    pub async fn past(&self, revision: Revision) -> Result<Option<Head>> {
+        match self.read(layout::history_key(revision)).await? {
+            None => Ok(None),
+            Some(entry) => decode(&entry).ok_or(Error::BadHead).map(Some),
+        }
+    }
+
+    /// The whole catalogue of a head; only texts that `known` lacks are read.
+    ///
+    /// # Errors
+    /// The store does not answer, or the catalogue is damaged.
+    pub async fn catalogue(&self, head: &Head, known: &mut Texts) -> Result<Catalogue> {
+        let mut parts = Vec::new();
+        for hash in self.part_hashes(head, known).await? {
+            let text = self.text(hash, known).await?;
+            let part = Part::decode(&text).ok_or(Error::BadText(hash))?;
+            parts.push(Arc::new(part));
+        }
+        Ok(Catalogue::from_parts(head.revision, parts)?)
+    }
+
+    /// The addresses of all pages and parts of a head, which therefore need not be written.
+    ///
+    /// # Errors
+    /// The store does not answer, or a page is damaged.
+    pub async fn stored(&self, head: &Head, known: &mut Texts) -> Result<HashSet<ContentHash>> {
+        let parts = self.part_hashes(head, known).await?;
+        Ok(parts
+            .into_iter()
+            .chain(head.pages.values().copied())
+            .collect())
+    }
+
+    async fn part_hashes(&self, head: &Head, known: &mut Texts) -> Result<Vec<ContentHash>> {
+        let mut found = Vec::new();
+        for hash in head.pages.values() {
+            let text = self.text(*hash, known).await?;
+            let page = Page::decode(&text).ok_or(Error::BadText(*hash))?;
+            found.extend(page.parts.into_values());
+        }
+        Ok(found)
+    }
+
+    async fn text(&self, hash: ContentHash, known: &mut Texts) -> Result<Arc<str>> {
+        if let Some(text) = known.get(&hash) {
+            return Ok(Arc::clone(text));
+        }
+        let entry = self.read(layout::text_key(hash)).await?;
+        let bytes = entry.map(|entry| entry.value).unwrap_or_default();
+        let text = String::from_utf8(bytes).map_err(|_| Error::BadText(hash))?;
+        if ContentHash::of(&text) != hash {
+            return Err(Error::BadText(hash));
+        }
+        let text: Arc<str> = text.into();
+        known.insert(hash, Arc::clone(&text));
+        Ok(text)
+    }
+
+    async fn read(&self, key: Key) -> Result<Option<Entry>> {
+        let op = Op::Get(key);
+        for attempt in 0..READS {
+            if attempt > 0 {
+                compio::time::sleep(PAUSE.duration()).await;
+            }
+            if let Outcome::Found(entry) = self.client.call(&op).await {
+                return Ok(entry);
+            }
+        }
+        Err(self.down())
+    }
+}
+
+fn decode(entry: &Entry) -> Option<Head> {
+    Head::decode(std::str::from_utf8(&entry.value).ok()?)
+}
--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod catalogue;
 pub mod chart;
 pub mod claims;
+pub mod cli;
 pub mod conviction;
 pub mod credit;
 pub mod daemon;
