Prove the catalogue's way to the entries with real binaries

Cause: the follower in the daemon was held by pure tests only. Pure tests hold a start against a stale peer and a restart of 410 members against the rate of the store. The test organisation's declarations moved to a file of their own.

--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -11,11 +11,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use jujubewind::catalogue::KeyHash;
 use nix::sys::signal::Signal;
 use tempfile::TempDir;
 
 use crate::caller::Caller;
+use crate::declarations::catalogue;
 use crate::process::Process;
 
 /// The key of the test organisation's callers.
@@ -98,20 +98,44 @@
         self
     }
 
+    /// Starts the platform; entries that are started from now on take the catalogue from it.
+    pub fn platform(mut self) -> Self {
+        let addr = self.address("platform");
+        let args = words(&["platform", "--listen", &addr.to_string()]);
+        self.start("platform", "jujube-emulator", args);
+        self.until("the platform answers", |_| TcpStream::connect(addr).is_ok());
+        self
+    }
+
     /// Starts an entry and waits until it is ready.
     pub fn entry(mut self, name: &str) -> Self {
+        self.start_entry(name, "d1");
+        self.wait_ready(name);
+        self
+    }
+
+    /// Starts an entry of a failure domain and does not wait for it.
+    pub fn start_entry(&mut self, name: &str, domain: &str) {
         let listen = self.addrs[name];
         let peer = self.addrs[&format!("{name}-peer")];
         let text = format!(
-            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\n{}",
-            self.dir.path().join("catalogue").display(),
+            "node: {name}\ndomain: {domain}\nlisten: \"{listen}\"\npeer: \"{peer}\"\n{}\n{}",
+            self.source(),
             self.contacts(),
         );
         let settings = self.write(&format!("{name}.yaml"), &text);
         let args = words(&["--settings", &settings.display().to_string()]);
         self.start(name, "jujube-entry", args);
-        self.wait_ready(name);
-        self
+    }
+
+    /// Where a process listens.
+    pub fn addr(&self, name: &str) -> SocketAddr {
+        self.addrs[name]
+    }
+
+    /// What one process logged.
+    pub fn log(&self, name: &str) -> String {
+        self.processes[name].log()
     }
 
     /// A caller of the entry `name`.
@@ -183,6 +207,14 @@
         text
     }
 
+    /// The settings' line that says where the catalogue comes from.
+    fn source(&self) -> String {
+        match self.addrs.get("platform") {
+            Some(addr) => format!("platform: \"{addr}\""),
+            None => format!("catalogue: {}", self.dir.path().join("catalogue").display()),
+        }
+    }
+
     fn contacts(&self) -> String {
         let peers =
             ENTRIES.map(|entry| format!("  - \"{}\"\n", self.addrs[&format!("{entry}-peer")]));
@@ -251,41 +283,3 @@
 fn words(words: &[&str]) -> Vec<String> {
     words.iter().map(|word| (*word).to_owned()).collect()
 }
-
-fn catalogue() -> String {
-    let hash = KeyHash::of(KEY);
-    format!(
-        "entries:
-  - id: acme.reviews
-    owner: acme
-    class: interactive
-    target: {{models: [m1]}}
-    limits:
-      request_rate: 1000
-      request_burst: 1000
-      concurrency: 1000
-      token_rate: 100000000
-      engine_seconds: 1000000
-      longest_prompt: 1048576
-      longest_output: 100000
-      default_timeout: 60000
-      longest_timeout: 600000
-    keys: [{hash}]
-  - id: acme.desk
-    owner: acme
-    class: urgent
-    target:
-      service:
-        name: desk
-        methods:
-          - {{name: transfers, idempotent: false}}
-          - {{name: balances, idempotent: true}}
-    limits:
-      request_rate: 1000
-      request_burst: 1000
-      concurrency: 1000
-      default_timeout: 5000
-      longest_timeout: 60000
-"
-    )
-}
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -2,6 +2,8 @@
 
 mod answer;
 mod caller;
+mod catalogue;
+mod declarations;
 mod failures;
 mod fleet;
 mod groups;
--- a/jujubewind/tests/catalogue/fleet.rs
+++ b/jujubewind/tests/catalogue/fleet.rs
@@ -65,6 +65,8 @@
     pub gossip: bool,
     /// Calls that the store got, watches left out.
     pub store_calls: u64,
+    /// Calls that the store got in each second.
+    pub calls_by_second: BTreeMap<u64, u64>,
     rng: SmallRng,
     now: u64,
     number: u64,
@@ -90,6 +92,7 @@
             loss: 0.0,
             gossip: true,
             store_calls: 0,
+            calls_by_second: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             now: 0,
             number: 0,
@@ -126,6 +129,11 @@
     pub fn publish(&mut self, head: Head, texts: BTreeMap<ContentHash, Arc<str>>) {
         self.texts.extend(texts);
         self.head = Some(head);
+        self.open_watches();
+    }
+
+    /// Lets the reader of each failure domain see the head, as when its watch begins.
+    pub fn open_watches(&mut self) {
         for reader in 0..DOMAINS {
             self.watch(reader);
         }
@@ -285,6 +293,7 @@
             }
         };
         self.store_calls += calls as u64;
+        *self.calls_by_second.entry(self.now / 1_000).or_default() += calls as u64;
         self.send_after(5, member, Event::Answer(Source::Store, answer));
     }
 }
--- a/jujubewind/tests/catalogue/following.rs
+++ b/jujubewind/tests/catalogue/following.rs
@@ -23,16 +23,16 @@
 use crate::fleet::Fleet;
 
 /// The daemons of a large deployment.
-const MEMBERS: usize = 410;
+pub const MEMBERS: usize = 410;
 
 /// The histories of each test.
-const SEEDS: u64 = 4;
+pub const SEEDS: u64 = 4;
 
 /// The time within which a change is in force everywhere.
 const IN_FORCE_SECONDS: f64 = 4.0;
 
 /// A revision of ten organisations, of which one changes each time.
-fn revision(number: u64) -> (Head, BTreeMap<ContentHash, Arc<str>>) {
+pub fn revision(number: u64) -> (Head, BTreeMap<ContentHash, Arc<str>>) {
     let entries: Vec<String> = (0..10)
         .map(|org| {
             let model = if org == number % 10 { number } else { 0 };
@@ -55,7 +55,8 @@
     fleet.publish(head, texts);
 }
 
-fn booted(seed: u64) -> Fleet {
+/// A fleet with revision 1 in force.
+pub fn booted(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(MEMBERS, seed);
     publish(&mut fleet, 1);
     fleet.run(10_000);
--- a/jujubewind/tests/catalogue/main.rs
+++ b/jujubewind/tests/catalogue/main.rs
@@ -7,4 +7,5 @@
 mod lookups;
 mod publishing;
 mod refusals;
+mod starting;
 mod store;
