Run a call that may not be repeated at most once, in the entry itself

Cause: the entry refused every such call with store_down. The claim's machine stood without a task that drives it, and nothing held the real binaries against the service's count of executions.

Ruled out: driving the claim inside the HTTP handler, which hyper drops when the caller goes away; telling the caller only after the store answered, which passes its deadline when the store is slow (at the deadline nothing was sent, so it is told `not_run`, and a cancel keeps it true); releasing the concurrency limit only when the claim is kept, which an outage of the store would hold for minutes (a stop counts that work apart).

Change: a task owns the store's client and joins conditional writes; a task renews the retention lease; a task for each call drives its claim, sends once and keeps the result. Another agent has the call only after the first refused it itself or never connected. A repeat is answered with `idempotent-replayed: true`. Three faults on the way are mended: a repeatable call that one agent may have run was told as not run when the next refused; a call on a connection that had already ended left a doubt for nothing; a call with no time left was begun before its timeout of zero ended it.

Before the change all but the refusal without a key got store_down.

--- a/emulator/tests/system/answer.rs
+++ b/emulator/tests/system/answer.rs
@@ -9,6 +9,8 @@
     pub status: u16,
     /// The value of `Retry-After`.
     pub retry_after: Option<u64>,
+    /// Whether an earlier call with the same key got this answer.
+    pub replayed: bool,
     /// The body as text.
     pub body: String,
 }
--- a/emulator/tests/system/caller.rs
+++ b/emulator/tests/system/caller.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::answer::Answer;
-use crate::fleet::KEY;
+use crate::declaration::KEY;
 
 /// The longest a test waits for any answer.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -80,6 +80,7 @@
             Err(_) => Answer {
                 status: 0,
                 retry_after: None,
+                replayed: false,
                 body: String::new(),
             },
         }
@@ -113,6 +114,7 @@
     Answer {
         status: status.unwrap_or(0),
         retry_after: header(head, "retry-after").and_then(|value| value.parse().ok()),
+        replayed: header(head, "idempotent-replayed") == Some("true"),
         body: if chunked {
             unchunk(body)
         } else {
--- /dev/null
+++ b/emulator/tests/system/desk.rs
@@ -0,0 +1,78 @@
+//! A plain service behind two entries that share the platform's store.
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::answer::Answer;
+use crate::caller::Caller;
+use crate::fleet::Fleet;
+
+/// Time enough for a call that meets a slow store.
+const TIME: &str = "30000";
+
+/// Two entries and one service with its agent.
+pub fn desk() -> Fleet {
+    let fleet = Fleet::new().platform().service("s").entry("e1").entry("e2");
+    for entry in ["e1", "e2"] {
+        fleet.until("the agent is known", |fleet| fleet.agents_known(entry) == 1);
+    }
+    fleet
+}
+
+/// A transfer under `key` through `entry`.
+pub fn transfer(fleet: &Fleet, entry: &str, key: &str) -> Caller {
+    let caller = fleet
+        .caller(entry)
+        .call("transfers", &json!({ "amount": 5 }));
+    caller
+        .header("idempotency-key", key)
+        .header("x-timeout-ms", TIME)
+}
+
+/// How often the service executed the call under `key`.
+pub fn executions(fleet: &Fleet, key: &str) -> u64 {
+    let counts = fleet.get("s-service", "/counts");
+    counts["executions"][key].as_u64().unwrap_or(0)
+}
+
+/// Waits until whatever the service began before has ended: a later call takes as long.
+pub fn settle(fleet: &Fleet) {
+    let caller = Caller::new(fleet.addr("s-service"));
+    let answer = caller.post("/settle", "").send();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+/// Repeats the transfer until the answer is no longer that the key is busy.
+pub fn repeat(fleet: &Fleet, entry: &str, key: &str) -> Answer {
+    let mut answer = transfer(fleet, entry, key).send();
+    fleet.until("the key is settled", |_| {
+        let is_settled = answer.kind() != "key_busy";
+        if !is_settled {
+            answer = transfer(fleet, entry, key).send();
+        }
+        is_settled
+    });
+    answer
+}
+
+/// How many claims in the store are in `phase`.
+pub fn claims_in(fleet: &Fleet, phase: &str) -> usize {
+    let range = json!({ "key": encode("claims/"), "range_end": encode("claims0") });
+    let caller = Caller::new(fleet.addr("platform"));
+    let answer = caller.post("/v3/kv/range", range.to_string()).send().json();
+    let found = answer["kvs"].as_array().cloned().unwrap_or_default();
+    let records = found.iter().map(record);
+    records.filter(|record| record["phase"] == phase).count()
+}
+
+fn record(kv: &Value) -> Value {
+    let value = kv["value"].as_str().unwrap_or_default();
+    let bytes = BASE64_STANDARD.decode(value).unwrap_or_default();
+    serde_json::from_slice(&bytes).unwrap_or(Value::Null)
+}
+
+fn encode(text: &str) -> String {
+    BASE64_STANDARD.encode(text)
+}
--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -11,15 +11,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use jujubewind::catalogue::KeyHash;
 use nix::sys::signal::Signal;
 use tempfile::TempDir;
 
 use crate::caller::Caller;
+use crate::declaration::catalogue;
 use crate::process::Process;
 
-/// The key of the test organisation's callers.
-pub const KEY: &str = "acme-key";
 /// The entries a fleet can have; all processes are told where they would be.
 const ENTRIES: [&str; 3] = ["e1", "e2", "e3"];
 /// How long a test waits for a condition before it fails.
@@ -98,13 +96,23 @@
         self
     }
 
+    /// Starts the platform, which entries started from now on use.
+    pub fn platform(mut self) -> Self {
+        let addr = self.address("platform");
+        let args = words(&["platform", "--listen", &addr.to_string()]);
+        self.start("platform", "jujube-emulator", args);
+        self.until("the platform listens", |_| TcpStream::connect(addr).is_ok());
+        self
+    }
+
     /// Starts an entry and waits until it is ready.
     pub fn entry(mut self, name: &str) -> Self {
         let listen = self.addrs[name];
         let peer = self.addrs[&format!("{name}-peer")];
         let text = format!(
-            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\n{}",
+            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\n{}{}",
             self.dir.path().join("catalogue").display(),
+            self.platform_line(),
             self.contacts(),
         );
         let settings = self.write(&format!("{name}.yaml"), &text);
@@ -119,6 +127,11 @@
         Caller::new(self.addrs[name])
     }
 
+    /// Where the process `name` listens.
+    pub fn addr(&self, name: &str) -> SocketAddr {
+        self.addrs[name]
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: Signal) {
         self.processes[name].signal(signal);
@@ -162,7 +175,7 @@
     }
 
     /// Waits until `holds`, or fails with the logs.
-    pub fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+    pub fn until(&self, what: &str, mut holds: impl FnMut(&Self) -> bool) {
         let start = Instant::now();
         while !holds(self) {
             assert!(
@@ -183,6 +196,11 @@
         text
     }
 
+    fn platform_line(&self) -> String {
+        let addr = self.addrs.get("platform");
+        addr.map_or_else(String::new, |addr| format!("platform: \"{addr}\"\n"))
+    }
+
     fn contacts(&self) -> String {
         let peers =
             ENTRIES.map(|entry| format!("  - \"{}\"\n", self.addrs[&format!("{entry}-peer")]));
@@ -220,7 +238,8 @@
         self.processes.insert(name.to_owned(), process);
     }
 
-    fn wait_ready(&self, name: &str) {
+    /// Waits until the process whose routes `name` has is ready.
+    pub fn wait_ready(&self, name: &str) {
         let addr = self.addrs[name];
         self.until(&format!("{name} ready"), |_| {
             TcpStream::connect(addr).is_ok()
@@ -251,41 +270,3 @@
 fn words(words: &[&str]) -> Vec<String> {
     words.iter().map(|word| (*word).to_owned()).collect()
 }
-
-fn catalogue() -> String {
-    let hash = KeyHash::of(KEY);
-    format!(
-        "entries:
-  - id: acme.reviews
-    owner: acme
-    class: interactive
-    target: {{models: [m1]}}
-    limits:
-      request_rate: 1000
-      request_burst: 1000
-      concurrency: 1000
-      token_rate: 100000000
-      engine_seconds: 1000000
-      longest_prompt: 1048576
-      longest_output: 100000
-      default_timeout: 60000
-      longest_timeout: 600000
-    keys: [{hash}]
-  - id: acme.desk
-    owner: acme
-    class: urgent
-    target:
-      service:
-        name: desk
-        methods:
-          - {{name: transfers, idempotent: false}}
-          - {{name: balances, idempotent: true}}
-    limits:
-      request_rate: 1000
-      request_burst: 1000
-      concurrency: 1000
-      default_timeout: 5000
-      longest_timeout: 60000
-"
-    )
-}
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -2,6 +2,10 @@
 
 mod answer;
 mod caller;
+mod claim_crashes;
+mod claims;
+mod declaration;
+mod desk;
 mod failures;
 mod fleet;
 mod groups;
--- a/jujubewind/src/agent/service_client.rs
+++ b/jujubewind/src/agent/service_client.rs
@@ -35,7 +35,15 @@
     }
 
     /// Sends the call once and waits for its answer for at most the time left.
+    ///
+    /// A call whose time is over is not sent: a timeout of zero would still let it begin.
     pub async fn call(&self, call: &Call) -> CallReply {
+        if call.envelope.remaining == Millis::ZERO {
+            return CallReply::Refused(Refusal {
+                reason: Reason::DeadlinePassed,
+                retry: Millis::ZERO,
+            });
+        }
         let wait = call.envelope.remaining.duration();
         match compio::time::timeout(wait, self.send(call)).await {
             Ok(Ok(reply)) => reply,
--- a/jujubewind/src/entry/api/handler.rs
+++ b/jujubewind/src/entry/api/handler.rs
@@ -14,6 +14,7 @@
 use crate::entry::Failure;
 use crate::entry::control::Control;
 use crate::entry::link::Link;
+use crate::entry::service::Calls;
 use crate::http;
 use crate::http::Error;
 use crate::http::Handler;
@@ -37,6 +38,7 @@
     pub(super) clock: Clock,
     pub(super) link: Link,
     pub(super) control: Control,
+    pub(super) calls: Calls,
 }
 
 impl Handler for Api {
@@ -58,12 +60,19 @@
 
 impl Api {
     /// Makes the interface over the entry's parts.
-    pub fn new(settings: EntrySettings, clock: Clock, link: Link, control: Control) -> Self {
+    pub fn new(
+        settings: EntrySettings,
+        clock: Clock,
+        link: Link,
+        control: Control,
+        calls: Calls,
+    ) -> Self {
         Self {
             settings,
             clock,
             link,
             control,
+            calls,
         }
     }
 
--- a/jujubewind/src/entry/api/service.rs
+++ b/jujubewind/src/entry/api/service.rs
@@ -2,40 +2,30 @@
 
 use hyper::HeaderMap;
 use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 
 use super::generation::time;
 use super::handler::Api;
 use super::headers;
+use crate::claims::Answer;
 use crate::entry::Failure;
 use crate::entry::Ran;
 use crate::entry::control::Admission;
-use crate::entry::request::Target;
+use crate::entry::control::Permit;
+use crate::entry::service::Order;
 use crate::http::Reply;
 use crate::http::plain;
 use crate::refusal::Reason;
-use crate::refusal::Refusal;
-use crate::rpc::Error;
-use crate::rpc::message::Call;
-use crate::rpc::message::CallReply;
-use crate::types::AttemptId;
 use crate::types::Millis;
 use crate::types::ModelId;
-use crate::types::MonoTime;
 use crate::types::Tokens;
 
-/// When to come back when no backend server took the call.
-const RETRY_DOWN: Millis = Millis(1_000);
-/// The most attempts for one call that may be repeated.
-const MAX_ATTEMPTS: usize = 3;
-
-/// A call whose caller is known, with the end of its time.
-struct Order {
-    name: ModelId,
-    method: String,
-    key: Option<String>,
-    body: Vec<u8>,
-    deadline: MonoTime,
-}
+/// The header of an answer that an earlier call with the same key was given.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotent-replayed");
+/// When to ask again about a call whose outcome is unknown.
+const RETRY_UNKNOWN: Millis = Millis(1_000);
 
 impl Api {
     /// Serves a call to a plain service.
@@ -56,90 +46,66 @@
             output: Tokens::ZERO,
         });
         let permit = permit.await?;
-        let unknown = Failure::not_run(Reason::UnknownRoute, Millis::ZERO);
         let service = permit.entry.service();
         let idempotent = service
             .and_then(|service| service.method(&method))
             .map(|method| method.idempotent);
-        let deadline = self.clock.now().after(time(timeout, &permit.entry.limits));
+        let Some(idempotent) = idempotent else {
+            self.control.release(permit, Tokens::ZERO);
+            return Err(Failure::not_run(Reason::UnknownRoute, Millis::ZERO));
+        };
         let order = Order {
+            org: permit.org.clone(),
             name,
             method,
             key,
             body,
-            deadline,
-        };
-        let outcome = match idempotent {
-            None => Err(unknown),
-            Some(true) => self.repeatable(&order).await,
-            Some(false) => Self::once(&order),
+            deadline: self.clock.now().after(time(timeout, &permit.entry.limits)),
         };
-        self.control.release(permit, Tokens::ZERO);
-        outcome
+        reply(self.make(order, idempotent, permit).await)
     }
 
-    /// Makes a call that may be repeated: another backend server is tried after a failure.
-    async fn repeatable(&self, order: &Order) -> Result<Reply, Failure> {
-        let mut failure = Failure::not_run(Reason::NoBackend, RETRY_DOWN);
-        let targets = self.control.services(order.name.clone()).await;
-        for target in targets.into_iter().take(MAX_ATTEMPTS) {
-            match self.send(order, &target).await {
-                Ok(reply) => return Ok(reply),
-                Err(why) => failure = why,
-            }
-        }
-        Err(failure)
-    }
-
-    /// Makes a call that may not be repeated.
-    fn once(order: &Order) -> Result<Reply, Failure> {
-        if order.key.is_none() {
-            return Err(Failure::not_run(Reason::KeyRequired, Millis::ZERO));
-        }
-        // Without a claim in the platform's store such a call is never sent.
-        Err(Failure::not_run(Reason::StoreDown, RETRY_DOWN))
+    /// Makes the call in a task of its own, which a caller that goes away does not cut.
+    async fn make(&self, order: Order, idempotent: bool, permit: Permit) -> Answer {
+        let (tx, rx) = flume::bounded(1);
+        let calls = self.calls.clone();
+        let control = self.control.clone();
+        let work = async move {
+            let answer = if idempotent {
+                calls.repeatable(&order).await
+            } else {
+                calls.once(order).await
+            };
+            control.release(permit, Tokens::ZERO);
+            let _ = tx.send(answer);
+        };
+        compio::runtime::spawn(work).detach();
+        rx.recv_async().await.unwrap_or(Answer::Unknown)
     }
+}
 
-    async fn send(&self, order: &Order, target: &Target) -> Result<Reply, Failure> {
-        let remaining = order.deadline.since(self.clock.now());
-        if remaining == Millis::ZERO {
-            return Err(Failure::not_run(Reason::DeadlinePassed, Millis::ZERO));
-        }
-        let attempt = AttemptId::random(&mut rand::rng());
-        let call = Call {
-            envelope: self.link.envelope(attempt, remaining),
-            service: order.name.clone(),
-            method: order.method.clone(),
-            key: order.key.clone(),
-            body: order.body.clone(),
-        };
-        match self.link.call(target, call).await {
-            Ok(CallReply::Answered { status, body }) => Ok(answered(status, body)),
-            Ok(CallReply::Refused(refusal)) => Err(refusal.into()),
-            Ok(CallReply::Unknown) | Err(Error::NoAnswer(..)) => Err(unknown()),
-            Err(Error::Connect(..)) => Err(Refusal {
-                reason: Reason::BackendDown,
-                retry: RETRY_DOWN,
-            }
-            .into()),
+fn reply(answer: Answer) -> Result<Reply, Failure> {
+    match answer {
+        Answer::Run { status, body } => Ok(answered(status, body)),
+        Answer::Replay { status, body } => {
+            let mut reply = answered(status, body.unwrap_or_default());
+            let headers = reply.headers_mut();
+            headers.insert(REPLAYED, HeaderValue::from_static("true"));
+            Ok(reply)
         }
+        Answer::NotRun(refusal) => Err(refusal.into()),
+        Answer::Unknown => Err(Failure {
+            reason: Reason::OutcomeUnknown,
+            ran: Ran::Unknown,
+            retry: RETRY_UNKNOWN,
+        }),
     }
 }
 
 fn answered(status: u16, body: Vec<u8>) -> Reply {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut reply = plain(status, body);
-    let kind = hyper::header::HeaderValue::from_static("application/json");
+    let kind = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(CONTENT_TYPE, kind);
     reply
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, kind);
-    reply
-}
-
-fn unknown() -> Failure {
-    Failure {
-        reason: Reason::OutcomeUnknown,
-        ran: Ran::Unknown,
-        retry: RETRY_DOWN,
-    }
 }
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -10,6 +10,7 @@
 use crate::catalogue::follow::Ask;
 use crate::catalogue::follow::Source;
 use crate::catalogue::follow::Update;
+use crate::claims::Holder;
 use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
@@ -20,6 +21,7 @@
 use crate::rpc::message::QuoteReply;
 use crate::types::Millis;
 use crate::types::ModelId;
+use crate::types::MonoTime;
 use crate::types::NodeId;
 use crate::types::Tokens;
 
@@ -87,6 +89,22 @@
         reply.unwrap_or_default()
     }
 
+    /// Asks whether a holder of a claim may still live.
+    pub async fn is_alive(&self, holder: Holder) -> bool {
+        let reply = self.ask(|tx| Message::IsAlive(holder, tx)).await;
+        reply.unwrap_or(true)
+    }
+
+    /// Notes work that a stop must wait for.
+    pub fn work_begun(&self, deadline: MonoTime) {
+        self.tell(Message::WorkBegun(deadline));
+    }
+
+    /// Notes that such work is over.
+    pub fn work_ended(&self) {
+        self.tell(Message::WorkEnded);
+    }
+
     /// Asks which names a caller may use.
     pub async fn names(&self, key: Option<String>) -> Result<Vec<ModelId>, Failure> {
         let reply = self.ask(|tx| Message::Names(key, tx)).await;
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -8,6 +8,7 @@
 use crate::catalogue::follow::Ask;
 use crate::catalogue::follow::Source;
 use crate::catalogue::follow::Update;
+use crate::claims::Holder;
 use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
@@ -21,6 +22,7 @@
 use crate::types::Class;
 use crate::types::Millis;
 use crate::types::ModelId;
+use crate::types::MonoTime;
 use crate::types::NodeId;
 use crate::types::OrgId;
 use crate::types::Tokens;
@@ -89,6 +91,12 @@
     Retry(u32, Sender<Result<(), Refusal>>),
     /// Which agents stand beside this plain service?
     Services(ModelId, Sender<Vec<Target>>),
+    /// Is this life of an entry not known to be over?
+    IsAlive(Holder, Sender<bool>),
+    /// Work began that outlives its request's answer; it should be over soon after this time.
+    WorkBegun(MonoTime),
+    /// Such work is over.
+    WorkEnded,
     /// What are the names that this caller may use?
     Names(Option<String>, Sender<Result<Vec<ModelId>, Failure>>),
     /// Another process tells news of members.
--- a/jujubewind/src/entry/control/placement.rs
+++ b/jujubewind/src/entry/control/placement.rs
@@ -2,6 +2,7 @@
 
 use super::Choice;
 use super::state::State;
+use crate::claims::Holder;
 use crate::entry::Job;
 use crate::entry::request::Helpers;
 use crate::entry::request::Target;
@@ -122,6 +123,14 @@
         targets.collect()
     }
 
+    /// Whether membership knows this life of an entry and does not count it as dead.
+    pub(super) fn is_alive(&self, holder: &Holder) -> bool {
+        let member = self.members.view().get(&holder.node);
+        member.is_some_and(|one| {
+            one.incarnation == holder.incarnation && one.status != membership::Status::Dead
+        })
+    }
+
     fn serving(&self, model: &ModelId) -> Vec<Candidate> {
         let members = self.members.view().candidates(model);
         members.map(candidate).collect()
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -142,6 +142,9 @@
                 drop(reply.send(self.budget.retry(now, attempts)));
             }
             Message::Services(name, reply) => drop(reply.send(self.services(&name))),
+            Message::IsAlive(holder, reply) => drop(reply.send(self.is_alive(&holder))),
+            Message::WorkBegun(deadline) => self.stage.begin(deadline),
+            Message::WorkEnded => self.stage.end(),
             Message::Names(key, reply) => drop(reply.send(self.names(key.as_deref()))),
             Message::Gossip(news, reply) => {
                 self.heard(now, &news);
--- a/jujubewind/src/entry/daemon.rs
+++ b/jujubewind/src/entry/daemon.rs
@@ -8,6 +8,9 @@
 use super::control;
 use super::link::Link;
 use super::peer::PeerServer;
+use super::service::Calls;
+use super::service::Claims;
+use crate::claims::Holder;
 use crate::daemon;
 use crate::http;
 use crate::rpc;
@@ -36,7 +39,16 @@
         node = node,
         addr = listener.local_addr()?
     );
-    let api = Api::new(settings, timer.clock(), link, control);
+    let holder = Holder {
+        node: settings.node.clone(),
+        incarnation,
+    };
+    let claims = match settings.platform {
+        Some(platform) => Some(Claims::start(platform, holder, &timer)?),
+        None => None,
+    };
+    let calls = Calls::new(timer.clone(), link.clone(), control.clone(), claims);
+    let api = Api::new(settings, timer.clock(), link, control, calls);
     compio::runtime::spawn(http::serve(listener, Rc::new(api))).detach();
     let _ = ended.recv_async().await;
     Ok(())
--- a/jujubewind/src/entry/mod.rs
+++ b/jujubewind/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod peer;
 pub mod request;
 mod reservation;
+mod service;
 mod status;
 
 pub use daemon::run;
--- a/jujubewind/src/rpc/connection.rs
+++ b/jujubewind/src/rpc/connection.rs
@@ -1,5 +1,6 @@
 //! Connections to other processes of ours, opened when first needed.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -32,8 +33,12 @@
     /// What the client receives.
     type Resp: DeserializeOwned + 'static;
 
-    /// Starts the task that owns the socket and returns the handle to it.
-    fn spawn(frames: Frames<tarpc::Response<Self::Resp>, tarpc::ClientMessage<Self::Req>>) -> Self;
+    /// Starts the task that owns the socket and returns the handle to it; `closed` is set when
+    /// the task ends.
+    fn spawn(
+        frames: Frames<tarpc::Response<Self::Resp>, tarpc::ClientMessage<Self::Req>>,
+        closed: Rc<Cell<bool>>,
+    ) -> Self;
 }
 
 macro_rules! connection {
@@ -44,9 +49,14 @@
 
             fn spawn(
                 frames: Frames<tarpc::Response<Self::Resp>, tarpc::ClientMessage<Self::Req>>,
+                closed: Rc<Cell<bool>>,
             ) -> Self {
                 let NewClient { client, dispatch } = $client::new(Config::default(), frames);
-                compio::runtime::spawn(dispatch).detach();
+                let task = async move {
+                    let _ = dispatch.await;
+                    closed.set(true);
+                };
+                compio::runtime::spawn(task).detach();
                 client
             }
         }
@@ -56,10 +66,16 @@
 connection!(AgentClient, AgentRequest, AgentResponse);
 connection!(PeerClient, PeerRequest, PeerResponse);
 
+/// A client with word of whether its connection has ended.
+struct Open<C> {
+    client: C,
+    closed: Rc<Cell<bool>>,
+}
+
 /// One open connection for each address; clones share them.
 #[derive(Clone)]
 pub struct Connections<C> {
-    open: Rc<RefCell<HashMap<SocketAddr, C>>>,
+    open: Rc<RefCell<HashMap<SocketAddr, Open<C>>>>,
 }
 
 impl<C: Connection> Default for Connections<C> {
@@ -97,8 +113,11 @@
     }
 
     async fn client(&self, addr: SocketAddr) -> Result<C> {
-        if let Some(client) = self.open.borrow().get(&addr) {
-            return Ok(client.clone());
+        // A call on a connection that has ended would leave a doubt for nothing.
+        if let Some(known) = self.open.borrow().get(&addr)
+            && !known.closed.get()
+        {
+            return Ok(known.client.clone());
         }
         let connecting =
             compio::time::timeout(CONNECT_TIMEOUT.duration(), TcpStream::connect(addr));
@@ -107,8 +126,13 @@
             Err(_) => return Err(Error::Connect(addr, std::io::ErrorKind::TimedOut.into())),
         };
         let _ = stream.set_nodelay(true);
-        let client = C::spawn(frames(stream));
-        self.open.borrow_mut().insert(addr, client.clone());
+        let closed = Rc::default();
+        let client = C::spawn(frames(stream), Rc::clone(&closed));
+        let known = Open {
+            client: client.clone(),
+            closed,
+        };
+        self.open.borrow_mut().insert(addr, known);
         Ok(client)
     }
 }
--- a/jujubewind/src/store/mod.rs
+++ b/jujubewind/src/store/mod.rs
@@ -14,6 +14,7 @@
 mod op;
 mod outcome;
 mod request;
+mod task;
 mod watch;
 
 pub use batch::Batch;
@@ -31,5 +32,6 @@
 pub use op::Write;
 pub use outcome::Cause;
 pub use outcome::Outcome;
+pub use task::Store;
 pub use watch::Notice;
 pub use watch::Watch;
