--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -3,7 +3,10 @@
 mod answer;
 mod caller;
 mod catalogue;
-mod declarations;
+mod claim_crashes;
+mod claims;
+mod declaration;
+mod desk;
 mod failures;
 mod fleet;
 mod groups;
