Publish through the store's one client of the catalogue

Cause: the command and the entry each had keys and calls of the stored catalogue.

Ruled out: keeping both, since two layouts of one store drift apart.

Change: the command uses `catalogue::Remote`; its calls of the publisher wait out the store's rate limit, since a call refused for its rate had no effect and a large first change makes thousands. `jujube status` shows when each entry's revision was last confirmed.

Conclusion: one layout, one client.

--- a/emulator/tests/operators/waiting.rs
+++ b/emulator/tests/operators/waiting.rs
@@ -34,6 +34,7 @@
             incarnation: Incarnation(1),
             domain: "d1".parse().expect("a name"),
             revision: Revision(asked.min(self.limit)),
+            confirmed: None,
             stopping: false,
             members: Vec::new(),
         };
--- a/jujubewind/src/catalogue/mod.rs
+++ b/jujubewind/src/catalogue/mod.rs
@@ -18,7 +18,6 @@
 pub mod follow;
 mod head;
 mod key_hash;
-pub mod layout;
 mod limits;
 mod locate;
 mod page;
--- a/jujubewind/src/catalogue/remote.rs
+++ b/jujubewind/src/catalogue/remote.rs
@@ -12,6 +12,7 @@
 use super::publish::Reply;
 use super::publish::Request;
 use super::publish::Verdict;
+use crate::store::Cause;
 use crate::store::Client;
 use crate::store::Entry;
 use crate::store::Key;
@@ -25,6 +26,9 @@
 /// The pause before a call that failed is made again.
 const PAUSE: Millis = Millis(200);
 
+/// How often a call that the store refused for its rate is repeated; a large first change needs it.
+const RATE_RETRIES: usize = 25;
+
 /// Reads the catalogue from the store and writes changes to it; clones share the client.
 #[derive(Clone, Debug)]
 pub struct Remote {
@@ -44,6 +48,18 @@
         Key::new("catalogue", "head")
     }
 
+    /// The key of a page or part.
+    #[must_use]
+    pub fn text_key(hash: ContentHash) -> Key {
+        Key::new("catalogue/texts", &hash.to_string())
+    }
+
+    /// The key of the replaced head that `revision` had.
+    #[must_use]
+    pub fn history_key(revision: Revision) -> Key {
+        Key::new("catalogue/history", &revision.get().to_string())
+    }
+
     /// The head that a key of the store holds; `None` if it is none.
     #[must_use]
     pub fn head_of(entry: &Entry) -> Option<Head> {
@@ -85,9 +101,10 @@
         match request {
             Request::ReadHead => self.read_head().await,
             Request::ReadHistory(revision) => self.read_history(revision).await,
-            Request::WriteText(hash, text) => self.put(text_key(hash), &text).await,
+            Request::WriteText(hash, text) => self.put(Self::text_key(hash), &text).await,
             Request::WriteHistory(head) => {
-                self.put(history_key(head.revision), &head.encode()).await
+                self.put(Self::history_key(head.revision), &head.encode())
+                    .await
             }
             Request::SwapHead(HeadVersion(expect), head) => {
                 let write = Write {
@@ -96,7 +113,7 @@
                     value: Some(head.encode().into_bytes()),
                     lease: None,
                 };
-                written(&self.client.call(&Op::CompareAndSwap(write)).await)
+                written(&self.write(&Op::CompareAndSwap(write)).await)
             }
         }
     }
@@ -113,7 +130,11 @@
     }
 
     async fn read_history(&self, revision: Revision) -> Reply {
-        match self.client.call(&Op::Get(history_key(revision))).await {
+        match self
+            .client
+            .call(&Op::Get(Self::history_key(revision)))
+            .await
+        {
             Outcome::Found(entry) => Reply::History(entry.as_ref().and_then(Self::head_of)),
             _ => Reply::Failed,
         }
@@ -125,25 +146,31 @@
             value: text.as_bytes().to_vec(),
             lease: None,
         };
-        written(&self.client.call(&op).await)
+        written(&self.write(&op).await)
+    }
+
+    /// Makes a write, again while the store refuses it for its rate: refused writes have no effect.
+    async fn write(&self, op: &Op) -> Outcome {
+        let mut outcome = self.client.call(op).await;
+        for _ in 0..RATE_RETRIES {
+            if outcome != Outcome::NotApplied(Cause::RateLimited) {
+                break;
+            }
+            compio::time::sleep(PAUSE.duration()).await;
+            outcome = self.client.call(op).await;
+        }
+        outcome
     }
 
     async fn text(&self, hash: ContentHash) -> Option<String> {
-        let Outcome::Found(Some(entry)) = self.client.call(&Op::Get(text_key(hash))).await else {
+        let Outcome::Found(Some(entry)) = self.client.call(&Op::Get(Self::text_key(hash))).await
+        else {
             return None;
         };
         String::from_utf8(entry.value).ok()
     }
 }
 
-fn text_key(hash: ContentHash) -> Key {
-    Key::new("catalogue/texts", &hash.to_string())
-}
-
-fn history_key(revision: Revision) -> Key {
-    Key::new("catalogue/history", &revision.get().to_string())
-}
-
 fn written(outcome: &Outcome) -> Reply {
     match outcome {
         Outcome::Applied(_) => Reply::Written,
--- a/jujubewind/src/cli/apply.rs
+++ b/jujubewind/src/cli/apply.rs
@@ -14,7 +14,6 @@
 use super::conflict::ConflictReport;
 use super::options::ApplyOptions;
 use super::output::Report;
-use super::publishing;
 use super::wait;
 use super::wait::WaitReport;
 use crate::catalogue::Catalogue;
@@ -67,11 +66,11 @@
     let tree = Tree::of(&wanted);
     let mut known = tree.texts.clone();
     let stored = match platform.head().await? {
-        Some((_, head)) => platform.stored(&head, &mut known).await?,
+        Some(head) => platform.stored(&head, &mut known).await?,
         None => HashSet::new(),
     };
     let publisher = Publisher::new(change(options), tree, stored);
-    match publishing::publish(&platform, publisher).await {
+    match platform.publish(publisher).await {
         Verdict::Accepted(revision) => {
             let wait = wait_for(revision, options).await?;
             Ok(ApplyReport::Accepted { revision, wait })
--- a/jujubewind/src/cli/diff.rs
+++ b/jujubewind/src/cli/diff.rs
@@ -30,7 +30,7 @@
     let platform = Platform::new(options.platform)?;
     let mut known = Tree::of(&wanted).texts;
     let current = match platform.head().await? {
-        Some((_, head)) => platform.catalogue(&head, &mut known).await?,
+        Some(head) => platform.catalogue(&head, &mut known).await?,
         None => Catalogue::default(),
     };
     Ok(DiffReport {
--- a/jujubewind/src/cli/history.rs
+++ b/jujubewind/src/cli/history.rs
@@ -36,7 +36,7 @@
 /// The platform does not answer or holds no catalogue.
 pub async fn history(options: &HistoryOptions) -> Result<HistoryReport> {
     let platform = Platform::new(options.platform)?;
-    let (_, head) = platform.head().await?.ok_or(Error::NoCatalogue)?;
+    let head = platform.head().await?.ok_or(Error::NoCatalogue)?;
     let mut revision = head.revision;
     let mut changes = vec![HistoryLine::new(head)];
     while changes.len() < options.limit && revision > Revision(1) {
--- a/jujubewind/src/cli/mod.rs
+++ b/jujubewind/src/cli/mod.rs
@@ -12,7 +12,6 @@
 pub mod options;
 pub mod output;
 mod platform;
-mod publishing;
 mod run;
 mod show;
 mod status;
--- a/jujubewind/src/cli/platform.rs
+++ b/jujubewind/src/cli/platform.rs
@@ -12,8 +12,9 @@
 use crate::catalogue::Head;
 use crate::catalogue::Page;
 use crate::catalogue::Part;
-use crate::catalogue::layout;
-use crate::catalogue::publish::HeadVersion;
+use crate::catalogue::Remote;
+use crate::catalogue::publish::Publisher;
+use crate::catalogue::publish::Verdict;
 use crate::store::Client;
 use crate::store::Entry;
 use crate::store::Key;
@@ -27,7 +28,7 @@
 /// How often a read is tried.
 const READS: usize = 3;
 /// The pause before a call is repeated, so that a store at its rate limit can recover.
-pub(super) const PAUSE: Millis = Millis(200);
+const PAUSE: Millis = Millis(200);
 
 /// Pages and parts that are known already and need no call.
 pub type Texts = HashMap<ContentHash, Arc<str>>;
@@ -35,7 +36,7 @@
 /// An operator's view of the store.
 #[derive(Clone, Debug)]
 pub struct Platform {
-    pub(super) client: Client,
+    client: Client,
     addr: SocketAddr,
 }
 
@@ -49,6 +50,11 @@
         Ok(Self { client, addr })
     }
 
+    /// Carries out a change.
+    pub async fn publish(&self, publisher: Publisher) -> Verdict {
+        Remote::new(self.client.clone()).publish(publisher).await
+    }
+
     /// The error for a store that does not answer.
     #[must_use]
     pub const fn down(&self) -> Error {
@@ -59,12 +65,11 @@
     ///
     /// # Errors
     /// The store does not answer, or holds something else.
-    pub async fn head(&self) -> Result<Option<(HeadVersion, Head)>> {
-        let Some(entry) = self.read(layout::head_key()).await? else {
+    pub async fn head(&self) -> Result<Option<Head>> {
+        let Some(entry) = self.read(Remote::head_key()).await? else {
             return Ok(None);
         };
-        let head = decode(&entry).ok_or(Error::BadHead)?;
-        Ok(Some((HeadVersion(entry.version.get()), head)))
+        Remote::head_of(&entry).ok_or(Error::BadHead).map(Some)
     }
 
     /// The head that `revision` had, in force or replaced; `None` if the store has none.
@@ -73,7 +78,7 @@
     /// The store does not answer, or holds something else.
     pub async fn head_of(&self, revision: Revision) -> Result<Option<Head>> {
         match self.head().await? {
-            Some((_, head)) if head.revision == revision => Ok(Some(head)),
+            Some(head) if head.revision == revision => Ok(Some(head)),
             _ => self.past(revision).await,
         }
     }
@@ -83,9 +88,9 @@
     /// # Errors
     /// The store does not answer, or holds something else.
     pub async fn past(&self, revision: Revision) -> Result<Option<Head>> {
-        match self.read(layout::history_key(revision)).await? {
+        match self.read(Remote::history_key(revision)).await? {
             None => Ok(None),
-            Some(entry) => decode(&entry).ok_or(Error::BadHead).map(Some),
+            Some(entry) => Remote::head_of(&entry).ok_or(Error::BadHead).map(Some),
         }
     }
 
@@ -129,7 +134,7 @@
         if let Some(text) = known.get(&hash) {
             return Ok(Arc::clone(text));
         }
-        let entry = self.read(layout::text_key(hash)).await?;
+        let entry = self.read(Remote::text_key(hash)).await?;
         let bytes = entry.map(|entry| entry.value).unwrap_or_default();
         let text = String::from_utf8(bytes).map_err(|_| Error::BadText(hash))?;
         if ContentHash::of(&text) != hash {
@@ -153,7 +158,3 @@
         Err(self.down())
     }
 }
-
-fn decode(entry: &Entry) -> Option<Head> {
-    Head::decode(std::str::from_utf8(&entry.value).ok()?)
-}
--- a/jujubewind/src/cli/show.rs
+++ b/jujubewind/src/cli/show.rs
@@ -32,11 +32,7 @@
 pub async fn show(options: &ShowOptions) -> Result<ShowReport> {
     let platform = Platform::new(options.platform)?;
     let head = match options.revision {
-        None => platform
-            .head()
-            .await?
-            .map(|(_, head)| head)
-            .ok_or(Error::NoCatalogue)?,
+        None => platform.head().await?.ok_or(Error::NoCatalogue)?,
         Some(revision) => {
             let head = platform.head_of(revision).await?;
             head.ok_or(Error::NoRevision(revision))?
--- a/jujubewind/src/cli/status.rs
+++ b/jujubewind/src/cli/status.rs
@@ -16,6 +16,7 @@
 use crate::entry::EntryStatus;
 use crate::entry::MemberStatus;
 use crate::types::DomainId;
+use crate::types::Millis;
 use crate::types::NodeId;
 use crate::types::Revision;
 
@@ -34,6 +35,7 @@
     node: NodeId,
     domain: DomainId,
     revision: Revision,
+    confirmed: Option<Millis>,
     stopping: bool,
 }
 
@@ -102,6 +104,7 @@
             node: status.node,
             domain: status.domain,
             revision: status.revision,
+            confirmed: status.confirmed,
             stopping: status.stopping,
         });
     }
@@ -125,16 +128,7 @@
 impl Display for StatusReport {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         for entry in &self.entries {
-            let state = if entry.stopping {
-                "stopping"
-            } else {
-                "serving"
-            };
-            writeln!(
-                f,
-                "entry {} at {} in {}: revision {}, {state}",
-                entry.node, entry.addr, entry.domain, entry.revision
-            )?;
+            writeln!(f, "{entry}")?;
         }
         for addr in &self.silent {
             writeln!(f, "entry at {addr}: silent")?;
@@ -146,6 +140,21 @@
     }
 }
 
+impl Display for EntryLine {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        let state = if self.stopping { "stopping" } else { "serving" };
+        write!(
+            f,
+            "entry {} at {} in {}: revision {}, ",
+            self.node, self.addr, self.domain, self.revision
+        )?;
+        match self.confirmed {
+            Some(age) => write!(f, "confirmed {age} ago, {state}"),
+            None => write!(f, "never confirmed, {state}"),
+        }
+    }
+}
+
 impl Display for MemberLine {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         let names: Vec<&str> = self.suspected_by.iter().map(NodeId::as_str).collect();
