Explain where a request would go, and wait for real entries

Cause: an operator could not see which entry, limits and agents a request would meet.

Ruled out: asking for a caller's key, which operators must not have; running the request, which would take from limits; counting the refusals of explanations as callers' refusals.

Change: `GET /explain` at the entry takes the steps of a request up to its choice and shows the catalogue entry, class, limits, each agent's estimate and the choice with its reason, never keys; `jujube explain` prints it. The prompt has no text, so cached prefixes play no part. Tests run real entries that follow the platform, with an agent and an engine.

--- a/emulator/tests/operators/site.rs
+++ b/emulator/tests/operators/site.rs
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Where the platform listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.platform.addr
+    }
+
     /// Switches faults of the platform.
     pub fn faults(&self, json: &'static str) {
         let url = format!("{}/faults", self.platform.url());
--- a/jujubewind/src/cli/entry_client.rs
+++ b/jujubewind/src/cli/entry_client.rs
@@ -9,6 +9,7 @@
 use super::Result;
 use crate::entry::EntryStatus;
 use crate::types::Millis;
+use crate::wire::openai::ErrorResponse;
 
 /// The longest wait for one answer.
 const TIMEOUT: Millis = Millis(3_000);
@@ -46,7 +47,7 @@
         match compio::time::timeout(TIMEOUT.duration(), asking).await {
             Ok(Ok((200, body))) => serde_json::from_slice(&body)
                 .map_err(|cause| Error::EntryDown(addr, cause.to_string())),
-            Ok(Ok((status, _))) => Err(Error::EntryDown(addr, format!("status {status}"))),
+            Ok(Ok((status, body))) => Err(refusal(addr, status, &body)),
             Ok(Err(cause)) => Err(Error::EntryDown(addr, cause.to_string())),
             Err(_) => Err(Error::EntryDown(addr, "time ran out".to_owned())),
         }
@@ -59,3 +60,11 @@
         Ok((status, response.bytes().await?.to_vec()))
     }
 }
+
+/// The refusal that the body tells; without one this is no entry of ours.
+fn refusal(addr: SocketAddr, status: u16, body: &[u8]) -> Error {
+    match serde_json::from_slice::<ErrorResponse>(body) {
+        Ok(response) => Error::EntryRefused(addr, response.error.message),
+        Err(_) => Error::EntryDown(addr, format!("status {status}")),
+    }
+}
--- a/jujubewind/src/cli/error.rs
+++ b/jujubewind/src/cli/error.rs
@@ -29,6 +29,9 @@
     /// The entry does not answer.
     #[error("no usable answer from the entry at {0}: {1}; check the address or ask another entry")]
     EntryDown(SocketAddr, String),
+    /// The entry refused the question.
+    #[error("the entry at {0} refuses: {1}")]
+    EntryRefused(SocketAddr, String),
     /// None of the entries answers.
     #[error("none of the entries answers; check the addresses given with --entries")]
     NoEntry,
--- a/jujubewind/src/cli/mod.rs
+++ b/jujubewind/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod entry_client;
 mod error;
 mod exit;
+mod explain;
 mod history;
 pub mod options;
 pub mod output;
--- a/jujubewind/src/cli/options.rs
+++ b/jujubewind/src/cli/options.rs
@@ -10,7 +10,10 @@
 use super::output::Format;
 use crate::catalogue::publish::Base;
 use crate::types::Millis;
+use crate::types::ModelId;
+use crate::types::OrgId;
 use crate::types::Revision;
+use crate::types::Tokens;
 
 /// Checks and publishes the catalogue, and shows how the fleet stands.
 #[derive(Clone, Debug, Bpaf)]
@@ -22,6 +25,9 @@
     /// Show roles, revisions in force, and who leaves or is silent
     #[bpaf(command, footer(EXIT_CODES))]
     Status(#[bpaf(external(status_options))] StatusOptions),
+    /// Show where a request would go, and why
+    #[bpaf(command, footer(EXIT_CODES))]
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
 }
 
 /// What to do with the catalogue.
@@ -145,6 +151,26 @@
     pub entries: Addrs,
 }
 
+/// The options of `explain`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct ExplainOptions {
+    /// The form of the output.
+    #[bpaf(external)]
+    pub format: Format,
+    /// The entry that is asked
+    #[bpaf(argument("ADDR"))]
+    pub entry: SocketAddr,
+    /// The organisation
+    #[bpaf(argument("NAME"))]
+    pub org: OrgId,
+    /// The model or plain service
+    #[bpaf(argument("NAME"))]
+    pub model: ModelId,
+    /// The prompt's length
+    #[bpaf(argument("COUNT"), fallback(Tokens(1_000)), display_fallback)]
+    pub tokens: Tokens,
+}
+
 /// Every command takes it, so that each can be read by a program.
 fn format() -> impl bpaf::Parser<Format> {
     use bpaf::Parser;
--- a/jujubewind/src/cli/run.rs
+++ b/jujubewind/src/cli/run.rs
@@ -7,6 +7,7 @@
 use super::apply;
 use super::check;
 use super::diff;
+use super::explain;
 use super::history;
 use super::options::CatalogueCommand;
 use super::options::Command;
@@ -25,6 +26,7 @@
         match command {
             Command::Catalogue(command) => catalogue(command).await,
             Command::Status(options) => print(options.format, status::status(options).await),
+            Command::Explain(options) => print(options.format, explain::explain(options).await),
         }
     })
 }
--- a/jujubewind/src/entry/api/handler.rs
+++ b/jujubewind/src/entry/api/handler.rs
@@ -76,6 +76,9 @@
             Route::Ready => Ok(self.ready().await),
             Route::Metrics => Ok(plain(StatusCode::OK, self.control.metrics().await)),
             Route::Status => Ok(self.status().await),
+            Route::Explain => Ok(self
+                .explain(id, parts.uri.query().unwrap_or_default())
+                .await),
             Route::Models => self.models(&parts.headers).await,
             Route::Generate(dialect) => {
                 let body = self.body(body).await?;
--- a/jujubewind/src/entry/api/mod.rs
+++ b/jujubewind/src/entry/api/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod dialect;
 mod error_reply;
+mod explain;
 mod generation;
 mod handler;
 mod headers;
--- a/jujubewind/src/entry/api/route.rs
+++ b/jujubewind/src/entry/api/route.rs
@@ -25,6 +25,8 @@
     Ready,
     /// How the entry stands.
     Status,
+    /// Where a request would go.
+    Explain,
     /// The metrics.
     Metrics,
 }
@@ -45,6 +47,7 @@
             ("GET", "/livez") => Some(Self::Live),
             ("GET", "/readyz") => Some(Self::Ready),
             ("GET", "/status") => Some(Self::Status),
+            ("GET", "/explain") => Some(Self::Explain),
             ("GET", "/metrics") => Some(Self::Metrics),
             _ => None,
         }
--- a/jujubewind/src/entry/control/admission.rs
+++ b/jujubewind/src/entry/control/admission.rs
@@ -15,6 +15,7 @@
 use crate::types::ModelId;
 use crate::types::MonoTime;
 use crate::types::OrgId;
+use crate::types::Revision;
 use crate::types::Tokens;
 
 /// When to come back to an entry that has no catalogue yet.
@@ -62,6 +63,18 @@
         Ok(catalogue.names_of(&org).cloned().collect())
     }
 
+    /// The entry under which `org` would use `name`, without a key.
+    pub(super) fn lookup(&self, org: &OrgId, name: &ModelId) -> Result<(Revision, Entry), Failure> {
+        if let Some(refusal) = self.stage.refusal() {
+            return Err(refusal.into());
+        }
+        let none = Failure::not_run(Reason::NoCatalogue, RETRY_NO_CATALOGUE);
+        let catalogue = self.catalogue.as_deref().ok_or(none)?;
+        let unknown = Failure::not_run(Reason::UnknownModel, Millis::ZERO);
+        let entry = catalogue.entry_for(org, name).ok_or(unknown)?;
+        Ok((catalogue.revision(), entry.clone()))
+    }
+
     fn owner(&self, key: Option<&str>) -> Result<(&Catalogue, OrgId), Failure> {
         let none = Failure::not_run(Reason::NoCatalogue, RETRY_NO_CATALOGUE);
         let catalogue = self.catalogue.as_deref().ok_or(none)?;
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -6,6 +6,7 @@
 use super::Choice;
 use super::Permit;
 use super::message::Message;
+use crate::catalogue::Entry;
 use crate::catalogue::follow::Answer;
 use crate::catalogue::follow::Ask;
 use crate::catalogue::follow::Source;
@@ -21,6 +22,8 @@
 use crate::types::Millis;
 use crate::types::ModelId;
 use crate::types::NodeId;
+use crate::types::OrgId;
+use crate::types::Revision;
 use crate::types::Tokens;
 
 /// When to come back to a process that is stopping.
@@ -93,6 +96,12 @@
         reply.unwrap_or_else(|| Err(stopping().into()))
     }
 
+    /// Asks under which entry, of which revision, `org` would use `name`.
+    pub async fn lookup(&self, org: OrgId, name: ModelId) -> Result<(Revision, Entry), Failure> {
+        let reply = self.ask(|tx| Message::Lookup(org, name, tx)).await;
+        reply.unwrap_or_else(|| Err(stopping().into()))
+    }
+
     /// Notes how a request failed.
     pub fn failed(&self, job: &Job, failure: &Failure) {
         crate::event!(
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -23,6 +23,7 @@
 use crate::types::ModelId;
 use crate::types::NodeId;
 use crate::types::OrgId;
+use crate::types::Revision;
 use crate::types::Tokens;
 
 /// A caller's wish before it is admitted.
@@ -91,6 +92,8 @@
     Services(ModelId, Sender<Vec<Target>>),
     /// What are the names that this caller may use?
     Names(Option<String>, Sender<Result<Vec<ModelId>, Failure>>),
+    /// Under which entry would this organisation use this model or service?
+    Lookup(OrgId, ModelId, Sender<Result<(Revision, Entry), Failure>>),
     /// Another process tells news of members.
     Gossip(Box<Gossip>, Sender<Gossip>),
     /// Another process answered to our news.
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -142,6 +142,7 @@
                 drop(reply.send(self.budget.retry(now, attempts)));
             }
             Message::Services(name, reply) => drop(reply.send(self.services(&name))),
+            Message::Lookup(org, name, reply) => drop(reply.send(self.lookup(&org, &name))),
             Message::Names(key, reply) => drop(reply.send(self.names(key.as_deref()))),
             Message::Gossip(news, reply) => {
                 self.heard(now, &news);
--- a/jujubewind/src/entry/mod.rs
+++ b/jujubewind/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod daemon;
 mod driver;
+mod explanation;
 mod failure;
 mod job;
 mod link;
@@ -14,6 +15,10 @@
 mod status;
 
 pub use daemon::run;
+pub use explanation::Answered;
+pub use explanation::Destination;
+pub use explanation::Estimate;
+pub use explanation::Explanation;
 pub use failure::Failure;
 pub use failure::Ran;
 pub use job::Job;
