--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -145,6 +145,7 @@
             Message::IsAlive(holder, reply) => drop(reply.send(self.is_alive(&holder))),
             Message::WorkBegun(deadline) => self.stage.begin(deadline),
             Message::WorkEnded => self.stage.end(),
+            Message::Lookup(org, name, reply) => drop(reply.send(self.lookup(&org, &name))),
             Message::Names(key, reply) => drop(reply.send(self.names(key.as_deref()))),
             Message::Gossip(news, reply) => {
                 self.heard(now, &news);
