Refuse work that reaches an agent in its last moments

Cause: an agent that had drained stopped reading its messages and slept 300 ms so that replies could leave.

Change: the agent goes on answering in those 300 ms; as it is leaving, it refuses. The test now stops the agent once it has the call (its status counts it), which is the case that the test is about; before, the stop raced the call's arrival, and either end was right.

--- a/emulator/tests/system/claims.rs
+++ b/emulator/tests/system/claims.rs
@@ -7,7 +7,6 @@
 use serde_json::json;
 
 use crate::answer::Answer;
-use crate::desk::claims_in;
 use crate::desk::desk;
 use crate::desk::executions;
 use crate::desk::repeat;
@@ -17,13 +16,13 @@
 
 const KEY: &str = "rent-2026-12";
 
-/// Begins a transfer that the service will hold for a while, and waits until it was sent.
+/// Begins a transfer that the service will hold for a while, and waits until the agent has it.
 fn begin(fleet: &Fleet) -> JoinHandle<Answer> {
     fleet.faults("s-service", r#"{"delay_ms": 1500}"#);
     let caller = transfer(fleet, "e1", KEY);
     let call = thread::spawn(move || caller.send());
-    fleet.until("the call is marked", |fleet| {
-        claims_in(fleet, "dispatched") == 1
+    fleet.until("the agent has the call", |fleet| {
+        fleet.get("s-admin", "/status")["attempts"] == 1
     });
     call
 }
--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -117,7 +117,13 @@
             break;
         }
     }
-    timer.sleep(FLUSH).await;
+    // Work that still arrives is refused: were it left unread, nobody could tell that it never ran.
+    let late = async {
+        while let Ok(message) = rx.recv_async().await {
+            daemon.handle(message);
+        }
+    };
+    let _ = compio::time::timeout(FLUSH.duration(), late).await;
     Ok(())
 }
 
