Spend engine time only after it was drawn from the store

Cause: the catalogue's `engine_seconds` bound nothing: the escrow's machine stood without a task, and admission charged no credit.

Ruled out: the limiter's own credit, which has no account in the store; the control task as the owner, since a request that waits for a draw must not hold up gossip and admission; charging measured engine time, which agents do not report yet.

Change: a task owns one escrow for each catalogue entry. A request takes the price of its prompt and its longest answer before it is placed, waits at most 1 s for a draw, or is refused with `no_credit` and a time to come back; at its end it pays for what was written, and nothing if no agent took it. A planned stop returns what is left. The gauge `credit_milliseconds` shows what is drawn and unspent. Without a platform nothing is metered. The tests of one key through two entries now wait until the entries know each other: a holder not yet known is told as unknown, which is true but not the case.

--- a/emulator/tests/system/declaration.rs
+++ b/emulator/tests/system/declaration.rs
@@ -6,7 +6,7 @@
 pub const KEY: &str = "acme-key";
 
 /// One organisation with a model and a plain service.
-pub fn catalogue() -> String {
+pub fn catalogue(engine_seconds: u64) -> String {
     let hash = KeyHash::of(KEY);
     format!(
         "entries:
@@ -19,7 +19,7 @@
       request_burst: 1000
       concurrency: 1000
       token_rate: 100000000
-      engine_seconds: 1000000
+      engine_seconds: {engine_seconds}
       longest_prompt: 1048576
       longest_output: 100000
       default_timeout: 60000
--- a/emulator/tests/system/desk.rs
+++ b/emulator/tests/system/desk.rs
@@ -15,8 +15,10 @@
 /// Two entries and one service with its agent.
 pub fn desk() -> Fleet {
     let fleet = Fleet::new().platform().service("s").entry("e1").entry("e2");
-    for entry in ["e1", "e2"] {
-        fleet.until("the agent is known", |fleet| fleet.agents_known(entry) == 1);
+    for (entry, other) in [("e1", "e2"), ("e2", "e1")] {
+        fleet.until("agent and entries are known", |fleet| {
+            fleet.agents_known(entry) == 1 && fleet.knows(entry, other)
+        });
     }
     fleet
 }
@@ -59,12 +61,19 @@
 
 /// How many claims in the store are in `phase`.
 pub fn claims_in(fleet: &Fleet, phase: &str) -> usize {
-    let range = json!({ "key": encode("claims/"), "range_end": encode("claims0") });
+    let records = records(fleet, "claims");
+    let in_phase = records.iter().filter(|record| record["phase"] == phase);
+    in_phase.count()
+}
+
+/// The records of the store below `topic`.
+pub fn records(fleet: &Fleet, topic: &str) -> Vec<Value> {
+    let (from, to) = (format!("{topic}/"), format!("{topic}0"));
+    let range = json!({ "key": encode(&from), "range_end": encode(&to) });
     let caller = Caller::new(fleet.addr("platform"));
     let answer = caller.post("/v3/kv/range", range.to_string()).send().json();
     let found = answer["kvs"].as_array().cloned().unwrap_or_default();
-    let records = found.iter().map(record);
-    records.filter(|record| record["phase"] == phase).count()
+    found.iter().map(record).collect()
 }
 
 fn record(kv: &Value) -> Value {
--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -60,7 +60,7 @@
             fleet.address(entry);
             fleet.address(&format!("{entry}-peer"));
         }
-        fleet.write_catalogue();
+        fleet.write_catalogue(1_000_000);
         fleet
     }
 
@@ -76,6 +76,12 @@
         self
     }
 
+    /// Sets the engine time of a day for entries that are started from now on.
+    pub fn engine_seconds(self, seconds: u64) -> Self {
+        self.write_catalogue(seconds);
+        self
+    }
+
     /// Starts an engine and its agent.
     pub fn engine(mut self, name: &str) -> Self {
         let addr = self.address(&format!("{name}-engine"));
@@ -217,6 +223,13 @@
         agents.count()
     }
 
+    /// Whether the entry `name` knows the process `other`.
+    pub fn knows(&self, name: &str, other: &str) -> bool {
+        let status = self.get(name, "/status");
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        members.iter().any(|member| member["node"] == other)
+    }
+
     fn agent(&mut self, name: &str, backend: &str, model: &str) {
         let listen = self.address(&format!("{name}-agent"));
         let admin = self.address(&format!("{name}-admin"));
@@ -260,10 +273,11 @@
         path
     }
 
-    fn write_catalogue(&self) {
+    fn write_catalogue(&self, engine_seconds: u64) {
         let dir = self.dir.path().join("catalogue");
-        std::fs::create_dir(&dir).expect("a folder for the catalogue");
-        std::fs::write(dir.join("acme.yaml"), catalogue()).expect("the catalogue can be written");
+        std::fs::create_dir_all(&dir).expect("a folder for the catalogue");
+        std::fs::write(dir.join("acme.yaml"), catalogue(engine_seconds))
+            .expect("the catalogue can be written");
     }
 }
 
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -11,4 +11,5 @@
 mod groups;
 mod process;
 mod settings;
+mod spending;
 mod whole_path;
--- a/jujubewind/src/entry/api/generation.rs
+++ b/jujubewind/src/entry/api/generation.rs
@@ -17,9 +17,12 @@
 use crate::entry::control::Admission;
 use crate::entry::control::Permit;
 use crate::entry::driver::Driver;
+use crate::entry::spending::Spending;
+use crate::entry::spending::price;
 use crate::http::Reply;
 use crate::prefix;
 use crate::refusal::Reason;
+use crate::types::Credit;
 use crate::types::Millis;
 use crate::types::RequestId;
 use crate::types::Tokens;
@@ -73,7 +76,6 @@
         time: Millis,
     ) -> flume::Receiver<crate::entry::caller::Event> {
         let (tx, rx) = flume::bounded(BUFFERED_EVENTS);
-        let control = self.control.clone();
         let admitted = self.clock.now();
         let driver = Driver {
             job,
@@ -81,20 +83,43 @@
             admitted,
             clock: self.clock,
             link: self.link.clone(),
-            control: control.clone(),
+            control: self.control.clone(),
             caller: tx,
             begun: Cell::default(),
+            started: Cell::default(),
             group: RefCell::default(),
         };
-        let work = async move {
-            let written = driver.run().await;
-            control.release(permit, written);
-        };
-        compio::runtime::spawn(work).detach();
+        compio::runtime::spawn(work(driver, permit, self.spending.clone())).detach();
         rx
     }
 }
 
+/// Serves a request within its catalogue entry's credit; without a platform nothing is metered.
+async fn work(driver: Driver, permit: Permit, spending: Option<Spending>) {
+    let control = driver.control.clone();
+    let most = price(permit.prompt, permit.output);
+    let funds = match &spending {
+        None => None,
+        Some(spending) => match spending.spend(&permit.entry, most).await {
+            Ok(funds) => Some((spending, funds)),
+            Err(refusal) => {
+                control.release(permit, Tokens::ZERO);
+                return driver.refuse(refusal.into()).await;
+            }
+        },
+    };
+    let usage = driver.run().await;
+    if let Some((spending, funds)) = funds {
+        let used = if usage.started {
+            price(permit.prompt, usage.output)
+        } else {
+            Credit::ZERO
+        };
+        spending.used(funds, used);
+    }
+    control.release(permit, usage.output);
+}
+
 /// The request's time: what the caller names, within what the catalogue allows.
 pub(super) fn time(named: Option<Millis>, limits: &Limits) -> Millis {
     named
--- a/jujubewind/src/entry/api/handler.rs
+++ b/jujubewind/src/entry/api/handler.rs
@@ -15,6 +15,7 @@
 use crate::entry::control::Control;
 use crate::entry::link::Link;
 use crate::entry::service::Calls;
+use crate::entry::spending::Spending;
 use crate::http;
 use crate::http::Error;
 use crate::http::Handler;
@@ -39,6 +40,7 @@
     pub(super) link: Link,
     pub(super) control: Control,
     pub(super) calls: Calls,
+    pub(super) spending: Option<Spending>,
 }
 
 impl Handler for Api {
@@ -66,6 +68,7 @@
         link: Link,
         control: Control,
         calls: Calls,
+        spending: Option<Spending>,
     ) -> Self {
         Self {
             settings,
@@ -73,6 +76,7 @@
             link,
             control,
             calls,
+            spending,
         }
     }
 
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -19,6 +19,8 @@
 use crate::refusal::Refusal;
 use crate::rpc::message::Gossip;
 use crate::rpc::message::QuoteReply;
+use crate::types::Credit;
+use crate::types::EntryId;
 use crate::types::Millis;
 use crate::types::ModelId;
 use crate::types::MonoTime;
@@ -95,6 +97,11 @@
         reply.unwrap_or(true)
     }
 
+    /// Notes the credit that is drawn and not spent.
+    pub fn credit(&self, entry: EntryId, credit: Credit) {
+        self.tell(Message::Credit(entry, credit));
+    }
+
     /// Notes work that a stop must wait for.
     pub fn work_begun(&self, deadline: MonoTime) {
         self.tell(Message::WorkBegun(deadline));
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -20,6 +20,8 @@
 use crate::rpc::message::Gossip;
 use crate::rpc::message::QuoteReply;
 use crate::types::Class;
+use crate::types::Credit;
+use crate::types::EntryId;
 use crate::types::Millis;
 use crate::types::ModelId;
 use crate::types::MonoTime;
@@ -93,6 +95,8 @@
     Services(ModelId, Sender<Vec<Target>>),
     /// Is this life of an entry not known to be over?
     IsAlive(Holder, Sender<bool>),
+    /// The catalogue entry has so much credit drawn here and not spent.
+    Credit(EntryId, Credit),
     /// Work began that outlives its request's answer; it should be over soon after this time.
     WorkBegun(MonoTime),
     /// Such work is over.
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -143,6 +143,7 @@
             }
             Message::Services(name, reply) => drop(reply.send(self.services(&name))),
             Message::IsAlive(holder, reply) => drop(reply.send(self.is_alive(&holder))),
+            Message::Credit(entry, credit) => self.metrics.credit(&entry, credit),
             Message::WorkBegun(deadline) => self.stage.begin(deadline),
             Message::WorkEnded => self.stage.end(),
             Message::Names(key, reply) => drop(reply.send(self.names(key.as_deref()))),
--- a/jujubewind/src/entry/daemon.rs
+++ b/jujubewind/src/entry/daemon.rs
@@ -10,6 +10,7 @@
 use super::peer::PeerServer;
 use super::service::Calls;
 use super::service::Claims;
+use super::spending::Spending;
 use crate::claims::Holder;
 use crate::daemon;
 use crate::http;
@@ -47,9 +48,22 @@
         Some(platform) => Some(Claims::start(platform, holder, &timer)?),
         None => None,
     };
+    let spending = claims
+        .clone()
+        .map(|claims| Spending::start(claims, &timer, control.clone()));
     let calls = Calls::new(timer.clone(), link.clone(), control.clone(), claims);
-    let api = Api::new(settings, timer.clock(), link, control, calls);
+    let api = Api::new(
+        settings,
+        timer.clock(),
+        link,
+        control,
+        calls,
+        spending.clone(),
+    );
     compio::runtime::spawn(http::serve(listener, Rc::new(api))).detach();
     let _ = ended.recv_async().await;
+    if let Some(spending) = spending {
+        spending.close().await;
+    }
     Ok(())
 }
--- a/jujubewind/src/entry/driver.rs
+++ b/jujubewind/src/entry/driver.rs
@@ -16,6 +16,8 @@
 use super::request::Output;
 use super::request::Target;
 use super::reservation::Reservation;
+use super::usage::Usage;
+use crate::entry::Failure;
 use crate::refusal::Refusal;
 use crate::rpc::Error;
 use crate::rpc::message::CancelReply;
@@ -49,18 +51,20 @@
     pub caller: Sender<Event>,
     /// Whether the caller has its first token.
     pub begun: Cell<bool>,
+    /// Whether an agent took the request, or may have.
+    pub started: Cell<bool>,
     /// The engines held for a prompt beyond one engine.
     pub group: RefCell<Option<Reservation>>,
 }
 
 impl Driver {
-    /// Serves the request to its final answer and tells how many tokens that had.
-    pub async fn run(self) -> Tokens {
+    /// Serves the request to its final answer and tells what it used.
+    pub async fn run(self) -> Usage {
         let (mut machine, first) = match Machine::new() {
             Ok(made) => made,
             Err(error) => {
                 crate::event!(error, "chart_faulty", error = error);
-                return Tokens::ZERO;
+                return Usage::default();
             }
         };
         let mut rng = rand::rng();
@@ -70,7 +74,16 @@
                 outputs.extend(machine.step(input, &mut rng));
             }
         }
-        machine.written()
+        Usage {
+            started: self.started.get(),
+            output: machine.written(),
+        }
+    }
+
+    /// Ends the request before it began.
+    pub async fn refuse(self, failure: Failure) {
+        self.control.failed(&self.job, &failure);
+        let _ = self.caller.send_async(Event::Failed(failure)).await;
     }
 
     /// Carries out one output and returns what came of it.
@@ -175,9 +188,16 @@
             .start(&self.job, &target, attempt, offset, remaining)
             .await
         {
-            Ok(reply) => Input::Started(Some(reply)),
+            Ok(reply) => {
+                let refused = matches!(reply, StartReply::Refused(_));
+                self.started.set(self.started.get() || !refused);
+                Input::Started(Some(reply))
+            }
             Err(Error::Connect(..)) => Input::Unsent,
-            Err(Error::NoAnswer(..)) => Input::Started(None),
+            Err(Error::NoAnswer(..)) => {
+                self.started.set(true);
+                Input::Started(None)
+            }
         }
     }
 
--- a/jujubewind/src/entry/mod.rs
+++ b/jujubewind/src/entry/mod.rs
@@ -12,7 +12,9 @@
 pub mod request;
 mod reservation;
 mod service;
+mod spending;
 mod status;
+mod usage;
 
 pub use daemon::run;
 pub use failure::Failure;
--- a/jujubewind/src/entry/service/claims.rs
+++ b/jujubewind/src/entry/service/claims.rs
@@ -40,8 +40,13 @@
         })
     }
 
-    /// The lease for a new claim; `None` if the store gave none.
-    pub(super) async fn lease(&self) -> Option<LeaseId> {
+    /// The store's task.
+    pub fn store(&self) -> Store {
+        self.store.clone()
+    }
+
+    /// The lease for a new record that must outlast days; `None` if the store gave none.
+    pub async fn lease(&self) -> Option<LeaseId> {
         let (tx, rx) = flume::bounded(1);
         self.leases.send(tx).ok()?;
         rx.recv_async().await.ok().flatten()
--- /dev/null
+++ b/jujubewind/src/entry/spending/funds.rs
@@ -0,0 +1,13 @@
+//! Credit that was taken for one request.
+
+use crate::credit::IntervalId;
+use crate::types::Credit;
+use crate::types::EntryId;
+
+/// Credit that one request may use; what it does not use is given back.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Funds {
+    pub(super) entry: EntryId,
+    pub(super) interval: IntervalId,
+    pub(super) amount: Credit,
+}
--- /dev/null
+++ b/jujubewind/src/entry/spending/spending_task.rs
@@ -0,0 +1,209 @@
+//! The task that owns the credit of all catalogue entries at this process.
+
+use std::collections::BTreeMap;
+
+use flume::Receiver;
+use flume::Sender;
+
+use super::Funds;
+use super::account::Account;
+use super::account::Reply;
+use super::day::today;
+use crate::catalogue::Entry;
+use crate::entry::control::Control;
+use crate::entry::service::Claims;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::store::LeaseId;
+use crate::store::Outcome;
+use crate::timer::TimerService;
+use crate::types::Credit;
+use crate::types::EntryId;
+use crate::types::Millis;
+use crate::types::MonoTime;
+
+/// How often accounts are looked over.
+const TICK: Millis = Millis(100);
+/// The longest wait for credit to be returned at a stop.
+const CLOSE: Millis = Millis(3_000);
+/// Units of credit in an engine-second.
+const SECOND: u64 = 1_000;
+
+/// A message to the task.
+enum Message {
+    /// A request of this entry, with this limit, needs credit.
+    Spend(EntryId, Credit, Credit, Reply),
+    /// A request used so much of its credit.
+    Used(Funds, Credit),
+    /// The store answered about this entry's account.
+    Settled(EntryId, Outcome),
+    /// The lease of new records.
+    Leased(Option<LeaseId>),
+    /// Time has passed.
+    Tick,
+    /// The process stops: return what is left, then answer.
+    Close(Sender<()>),
+}
+
+/// Asks the task that owns the credit; a clone asks the same one.
+#[derive(Clone)]
+pub struct Spending {
+    messages: Sender<Message>,
+}
+
+/// The task's state.
+struct Task {
+    accounts: BTreeMap<EntryId, Account>,
+    claims: Claims,
+    lease: Option<LeaseId>,
+    timer: TimerService,
+    control: Control,
+    messages: Sender<Message>,
+    closing: Option<Sender<()>>,
+}
+
+impl Spending {
+    /// Starts the task over the store of `claims`.
+    pub fn start(claims: Claims, timer: &TimerService, control: Control) -> Self {
+        let (tx, rx) = flume::unbounded();
+        let task = Task {
+            accounts: BTreeMap::new(),
+            claims,
+            lease: None,
+            timer: timer.clone(),
+            control,
+            messages: tx.clone(),
+            closing: None,
+        };
+        compio::runtime::spawn(tick(timer.subscribe(TICK), tx.clone())).detach();
+        compio::runtime::spawn(task.run(rx)).detach();
+        Self { messages: tx }
+    }
+
+    /// Takes `need` from the entry's credit.
+    ///
+    /// # Errors
+    /// There is too little, or none could be drawn in time.
+    pub async fn spend(&self, entry: &Entry, need: Credit) -> Result<Funds, Refusal> {
+        let (tx, rx) = flume::bounded(1);
+        let limit = Credit(entry.limits.engine_seconds.get().saturating_mul(SECOND));
+        let ask = Message::Spend(entry.id.clone(), limit, need, tx);
+        let _ = self.messages.send(ask);
+        let stopping = Refusal {
+            reason: Reason::Stopping,
+            retry: TICK,
+        };
+        rx.recv_async().await.unwrap_or(Err(stopping))
+    }
+
+    /// Settles what a request used of its credit.
+    pub fn used(&self, funds: Funds, used: Credit) {
+        let _ = self.messages.send(Message::Used(funds, used));
+    }
+
+    /// Returns all credit to the store, or gives up after a while.
+    pub async fn close(&self) {
+        let (tx, rx) = flume::bounded(1);
+        if self.messages.send(Message::Close(tx)).is_ok() {
+            let _ = compio::time::timeout(CLOSE.duration(), rx.recv_async()).await;
+        }
+    }
+}
+
+async fn tick(ticks: Receiver<MonoTime>, messages: Sender<Message>) {
+    while ticks.recv_async().await.is_ok() {
+        if messages.send(Message::Tick).is_err() {
+            return;
+        }
+    }
+}
+
+impl Task {
+    async fn run(mut self, messages: Receiver<Message>) {
+        while let Ok(message) = messages.recv_async().await {
+            self.handle(message);
+            if self.accounts.values().all(Account::is_quiet)
+                && let Some(closing) = self.closing.take()
+            {
+                let _ = closing.send(());
+            }
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        let now = self.now();
+        match message {
+            Message::Spend(entry, limit, need, reply) => {
+                let interval = today(&entry, limit, now);
+                let account = self.accounts.entry(entry.clone());
+                let account = account.or_insert_with(|| Account::new(interval.clone()));
+                account.spend(now, interval, need, reply);
+                self.pump(&entry);
+            }
+            Message::Used(funds, used) => {
+                if let Some(account) = self.accounts.get_mut(&funds.entry) {
+                    account.refund(&funds, used);
+                }
+                self.pump(&funds.entry);
+            }
+            Message::Settled(entry, outcome) => {
+                if let Some(account) = self.accounts.get_mut(&entry) {
+                    account.settle(now, outcome);
+                }
+                self.pump(&entry);
+            }
+            Message::Leased(lease) => self.lease = lease,
+            Message::Tick => self.tick(),
+            Message::Close(reply) => {
+                self.closing = Some(reply);
+                self.accounts.values_mut().for_each(Account::stop);
+                self.tick();
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.ask_lease();
+        let entries: Vec<_> = self.accounts.keys().cloned().collect();
+        for entry in entries {
+            self.pump(&entry);
+        }
+    }
+
+    /// Serves who can be served, and makes the account's next call to the store.
+    fn pump(&mut self, entry: &EntryId) {
+        let now = self.now();
+        let Some(account) = self.accounts.get_mut(entry) else {
+            return;
+        };
+        account.serve_waiting(now);
+        self.control.credit(entry.clone(), account.balance());
+        let Some(lease) = self.lease else {
+            return;
+        };
+        if let Some(op) = account.poll(now, lease, &mut rand::rng()) {
+            let store = self.claims.store();
+            let messages = self.messages.clone();
+            let entry = entry.clone();
+            let work = async move {
+                let outcome = store.call(op).await;
+                let _ = messages.send(Message::Settled(entry, outcome));
+            };
+            compio::runtime::spawn(work).detach();
+        }
+    }
+
+    fn ask_lease(&self) {
+        let claims = self.claims.clone();
+        let messages = self.messages.clone();
+        let work = async move {
+            let lease = claims.lease().await;
+            let _ = messages.send(Message::Leased(lease));
+        };
+        compio::runtime::spawn(work).detach();
+    }
+
+    fn now(&self) -> MonoTime {
+        self.timer.clock().now()
+    }
+}
--- a/jujubewind/src/metrics/entry_metrics.rs
+++ b/jujubewind/src/metrics/entry_metrics.rs
@@ -1,7 +1,9 @@
 //! The metrics of an entry.
 
+use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
@@ -9,10 +11,18 @@
 use super::reason_counter::ReasonCounter;
 use crate::refusal::Reason;
 use crate::types::Class;
+use crate::types::Credit;
+use crate::types::EntryId;
 use crate::types::Millis;
 use crate::types::Revision;
 use crate::types::Tokens;
 
+/// The label of a gauge by catalogue entry.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EntryLabel {
+    entry: String,
+}
+
 /// Counters of an entry.
 #[derive(Debug)]
 pub struct EntryMetrics {
@@ -26,6 +36,7 @@
     revision: Gauge,
     age: Gauge,
     members: Gauge,
+    credit: Family<EntryLabel, Gauge>,
 }
 
 impl Default for EntryMetrics {
@@ -40,6 +51,7 @@
         let revision = Gauge::default();
         let age = Gauge::default();
         let members = Gauge::default();
+        let credit = Family::<EntryLabel, Gauge>::default();
         registry.register(
             "refusals",
             "Requests refused or failed, by reason",
@@ -64,6 +76,11 @@
             "Time since the store or a peer last spoke of its revision; -1 if never",
             age.clone(),
         );
+        registry.register(
+            "credit_milliseconds",
+            "Engine time drawn and not spent, by catalogue entry",
+            credit.clone(),
+        );
         registry.register("members", "Members believed to live", members.clone());
         Self {
             registry,
@@ -76,6 +93,7 @@
             revision,
             age,
             members,
+            credit,
         }
     }
 }
@@ -107,6 +125,15 @@
         self.first.observe(prompt, class, span);
     }
 
+    /// Sets the credit that is drawn for a catalogue entry and not spent.
+    pub fn credit(&self, entry: &EntryId, credit: Credit) {
+        let label = EntryLabel {
+            entry: entry.to_string(),
+        };
+        let amount = i64::try_from(credit.get()).unwrap_or(i64::MAX);
+        self.credit.get_or_create(&label).set(amount);
+    }
+
     /// Sets the gauges and gives all metrics as text.
     #[must_use]
     pub fn encode(&self, revision: Revision, age: Option<Millis>, members: usize) -> String {
