--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -37,6 +37,7 @@
     port: u16,
     speed: u32,
     memory: u64,
+    published: bool,
 }
 
 impl Fleet {
@@ -55,6 +56,7 @@
             port: 7_000,
             speed: 20,
             memory: 400_000,
+            published: false,
         };
         for entry in ENTRIES {
             fleet.address(entry);
@@ -102,30 +104,50 @@
         self
     }
 
+    /// Lets entries that are started from now on take the catalogue from the platform alone.
+    pub fn published(mut self) -> Self {
+        self.published = true;
+        self
+    }
+
     /// Starts the platform, which entries started from now on use.
     pub fn platform(mut self) -> Self {
         let addr = self.address("platform");
         let args = words(&["platform", "--listen", &addr.to_string()]);
         self.start("platform", "jujube-emulator", args);
-        self.until("the platform listens", |_| TcpStream::connect(addr).is_ok());
+        self.until("the platform answers", |_| TcpStream::connect(addr).is_ok());
         self
     }
 
     /// Starts an entry and waits until it is ready.
     pub fn entry(mut self, name: &str) -> Self {
+        self.start_entry(name, "d1");
+        self.wait_ready(name);
+        self
+    }
+
+    /// Starts an entry of a failure domain and does not wait for it.
+    pub fn start_entry(&mut self, name: &str, domain: &str) {
         let listen = self.addrs[name];
         let peer = self.addrs[&format!("{name}-peer")];
         let text = format!(
-            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\n{}{}",
-            self.dir.path().join("catalogue").display(),
-            self.platform_line(),
+            "node: {name}\ndomain: {domain}\nlisten: \"{listen}\"\npeer: \"{peer}\"\n{}{}",
+            self.source(),
             self.contacts(),
         );
         let settings = self.write(&format!("{name}.yaml"), &text);
         let args = words(&["--settings", &settings.display().to_string()]);
         self.start(name, "jujube-entry", args);
-        self.wait_ready(name);
-        self
+    }
+
+    /// Where a process listens.
+    pub fn addr(&self, name: &str) -> SocketAddr {
+        self.addrs[name]
+    }
+
+    /// What one process logged.
+    pub fn log(&self, name: &str) -> String {
+        self.processes[name].log()
     }
 
     /// A caller of the entry `name`.
@@ -133,11 +155,6 @@
         Caller::new(self.addrs[name])
     }
 
-    /// Where the process `name` listens.
-    pub fn addr(&self, name: &str) -> SocketAddr {
-        self.addrs[name]
-    }
-
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: Signal) {
         self.processes[name].signal(signal);
@@ -202,9 +219,17 @@
         text
     }
 
-    fn platform_line(&self) -> String {
-        let addr = self.addrs.get("platform");
-        addr.map_or_else(String::new, |addr| format!("platform: \"{addr}\"\n"))
+    /// The settings' lines that say where the catalogue comes from.
+    fn source(&self) -> String {
+        let mut lines = String::new();
+        if let Some(addr) = self.addrs.get("platform") {
+            let _ = writeln!(lines, "platform: \"{addr}\"");
+        }
+        if !self.published {
+            let dir = self.dir.path().join("catalogue");
+            let _ = writeln!(lines, "catalogue: {}", dir.display());
+        }
+        lines
     }
 
     fn contacts(&self) -> String {
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod caller;
+mod catalogue;
 mod claim_crashes;
 mod claims;
 mod declaration;
