--- a/jujubewind/src/entry/mod.rs
+++ b/jujubewind/src/entry/mod.rs
@@ -13,7 +13,9 @@
 pub mod request;
 mod reservation;
 mod service;
+mod spending;
 mod status;
+mod usage;
 
 pub use daemon::run;
 pub use explanation::Answered;
