Catch the stop signals before `up` tells that the system is up

Cause: an interrupt sent as soon as the guide appeared met the default action, since signals are caught only from the first poll of their futures; the test the_whole_system_stays_up_until_it_is_interrupted failed once so. The futures are polled before the guide is printed. The test is unchanged.

--- a/emulator/src/cli/whole.rs
+++ b/emulator/src/cli/whole.rs
@@ -52,10 +52,14 @@
     let runtime = Runtime::new().context("cannot start the runtime")?;
     runtime.block_on(async {
         let system = System::start(&options).await?;
-        print!("{}", Guide(&system));
         let interrupt = pin!(compio::signal::ctrl_c());
         let stop = pin!(jujubewind::daemon::stop_signal());
-        select(interrupt, stop).await;
+        let mut ended = select(interrupt, stop);
+        // Signals are caught from the first poll on, so this stands before the guide.
+        if futures::poll!(&mut ended).is_pending() {
+            print!("{}", Guide(&system));
+            ended.await;
+        }
         Ok(())
     })
 }
