Try slow, early leaving and oversized callers, and the faults without a test

Against the real binaries: a header dripped byte by byte is cut off; a body dripped past `arrival` and a chunked body over the limit are refused as not run and counted by reason; a caller that leaves during an unstreamed answer frees the engine. After each, the engine's memory is free and the agent's gauges of open attempts and reserved tokens are zero. Every reason has its counters in /metrics of entry and agent from the start.

Over HTTP at the stand-ins: the engine's freeze and load lag, the service's delay, the platform's slowness and its lost answers until switched off.

--- a/emulator/tests/common/mod.rs
+++ b/emulator/tests/common/mod.rs
@@ -16,6 +16,9 @@
 use jujubewind::types::Millis;
 use serde_json::Value;
 
+/// How long a call that must not end is watched.
+const MOMENT: std::time::Duration = std::time::Duration::from_millis(200);
+
 /// A listener on a free port.
 pub fn listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a port is free")
@@ -89,6 +92,13 @@
     response.json().await.expect("JSON")
 }
 
+/// Whether `work` has not ended after a moment.
+pub async fn is_pending(work: impl Future + Unpin) -> bool {
+    let moment = std::pin::pin!(compio::time::sleep(MOMENT));
+    let first = futures::future::select(work, moment).await;
+    matches!(first, futures::future::Either::Right(_))
+}
+
 /// Posts JSON and reads the answer as JSON.
 pub async fn post_json(server: &Running, path: &str, body: &Value) -> Value {
     let (_, text) = post(server, path, body).await.expect("an answer");
--- a/emulator/tests/engine_server.rs
+++ b/emulator/tests/engine_server.rs
@@ -5,6 +5,7 @@
 use common::block_on;
 use common::engine;
 use common::get;
+use common::is_pending;
 use common::post;
 use common::post_json;
 use futures::StreamExt;
@@ -192,3 +193,46 @@
 
     assert_eq!(status, StatusCode::BAD_REQUEST);
 }
+
+#[test]
+fn a_frozen_engine_answers_nothing_until_it_thaws() {
+    let server = engine();
+
+    let (is_waiting, answer) = block_on(async {
+        // Five seconds at the engine's speed.
+        post(&server, "/faults", &json!({ "freeze_ms": 100_000 })).await;
+        let body = request("a", "hello", 5, 0);
+        let mut call = Box::pin(post(&server, "/v1/completions", &body));
+        let is_waiting = is_pending(&mut call).await;
+        (is_waiting, call.await)
+    });
+
+    assert!(is_waiting);
+    assert_eq!(
+        text_of(&answer.expect("an answer").1),
+        answer::expected("hello", 5)
+    );
+}
+
+#[test]
+fn the_published_load_is_as_old_as_its_lag() {
+    let server = engine();
+
+    let (fresh, old) = block_on(async {
+        get(&server, "/v1/load").await;
+        slow_down(&server, 1_000.0).await;
+        post(&server, "/faults", &json!({ "load_lag_ms": 0 })).await;
+        let body = request("a", "hello", 5_000, 0);
+        let _stream = open(&server, &body).await;
+        let mut fresh = get(&server, "/v1/load").await;
+        while fresh["running"] == 0 {
+            compio::time::sleep(std::time::Duration::from_millis(20)).await;
+            fresh = get(&server, "/v1/load").await;
+        }
+        post(&server, "/faults", &json!({ "load_lag_ms": 3_600_000 })).await;
+        (fresh, get(&server, "/v1/load").await)
+    });
+
+    assert_eq!((&fresh["running"], &old["running"]), (&json!(1), &json!(0)));
+    assert!(old["free"].as_u64() > fresh["free"].as_u64());
+}
--- a/emulator/tests/platform_server.rs
+++ b/emulator/tests/platform_server.rs
@@ -4,6 +4,7 @@
 
 use common::block_on;
 use common::get;
+use common::is_pending;
 use common::platform;
 use common::post;
 use common::post_json;
@@ -136,3 +137,38 @@
 
     assert_eq!(list["vms"], json!([vm]));
 }
+
+#[test]
+fn a_slow_platform_keeps_calls_waiting() {
+    let server = server();
+
+    let (is_waiting, answer) = block_on(async {
+        post(&server, "/faults", &json!({ "slow_ms": 3_600_000 })).await;
+        let body = put("YQ==");
+        let is_waiting = is_pending(Box::pin(post(&server, "/v3/kv/put", &body))).await;
+        post(&server, "/faults", &json!({ "slow_ms": 0 })).await;
+        (is_waiting, post(&server, "/v3/kv/put", &body).await)
+    });
+
+    assert!(is_waiting);
+    assert_eq!(answer.expect("an answer").0, StatusCode::OK);
+}
+
+#[test]
+fn answers_are_lost_until_the_fault_is_switched_off() {
+    let server = server();
+
+    let (lost, found, read) = block_on(async {
+        post(&server, "/faults", &json!({ "lose_answers": true })).await;
+        let first = post(&server, "/v3/kv/put", &put("YQ==")).await;
+        let second = post(&server, "/v3/kv/put", &put("Yg==")).await;
+        post(&server, "/faults", &json!({ "lose_answers": false })).await;
+        let found = post(&server, "/v3/kv/put", &put("Yw==")).await;
+        let read = post_json(&server, "/v3/kv/range", &json!({ "key": "aw==" })).await;
+        ([first, second], found, read)
+    });
+
+    assert_eq!(lost, [None, None]);
+    assert_eq!(found.expect("an answer").0, StatusCode::OK);
+    assert_eq!(read["kvs"][0]["version"], "3");
+}
--- a/emulator/tests/service_server.rs
+++ b/emulator/tests/service_server.rs
@@ -4,6 +4,7 @@
 
 use common::block_on;
 use common::get;
+use common::is_pending;
 use common::post;
 use common::post_with;
 use common::service;
@@ -51,3 +52,23 @@
     assert_eq!(failed.0, StatusCode::INTERNAL_SERVER_ERROR);
     assert_eq!(counts["executions"]["k1"], 1);
 }
+
+#[test]
+fn a_delayed_call_is_not_executed_yet() {
+    let server = service();
+
+    let (is_waiting, before, after) = block_on(async {
+        post(&server, "/faults", &json!({ "delay_ms": 3_600_000 })).await;
+        let body = json!({});
+        let call = Box::pin(post_with(&server, "/transfer", &body, &KEY));
+        let is_waiting = is_pending(call).await;
+        let before = get(&server, "/counts").await;
+        post(&server, "/faults", &json!({ "delay_ms": 0 })).await;
+        post_with(&server, "/transfer", &json!({}), &KEY).await;
+        (is_waiting, before, get(&server, "/counts").await)
+    });
+
+    assert!(is_waiting);
+    assert_eq!(before, json!({ "executions": {} }));
+    assert_eq!(after, json!({ "executions": { "k1": 1 } }));
+}
--- /dev/null
+++ b/emulator/tests/system/bad_callers.rs
@@ -0,0 +1,157 @@
+//! Callers that are slow, leave early or send too much; nothing of them stays behind.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use jujubewind::refusal::Reason;
+use serde_json::json;
+
+use crate::answer::Answer;
+use crate::caller::read;
+use crate::fleet::Fleet;
+use crate::fleet::KEY;
+
+/// The longest body that the entry takes.
+const BODY: usize = 65_536;
+/// How long the entry waits for a body, in milliseconds.
+const ARRIVAL: u64 = 1_000;
+/// The pause between two bytes of a slow caller.
+const PAUSE: Duration = Duration::from_millis(100);
+
+fn fleet() -> Fleet {
+    let fleet = Fleet::new().bounds(BODY, ARRIVAL).engine("a").entry("e1");
+    fleet.until("the agent is known", |fleet| fleet.agents_known("e1") == 1);
+    fleet
+}
+
+fn head(length: &str) -> String {
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: t\r\nauthorization: Bearer {KEY}\r\n{length}\r\n\r\n"
+    )
+}
+
+/// Sends a byte now and then until the other side has closed.
+fn drip(stream: &TcpStream) -> thread::JoinHandle<()> {
+    let mut stream = stream.try_clone().expect("the socket can be shared");
+    thread::spawn(move || {
+        while stream.write_all(b"x").is_ok() {
+            thread::sleep(PAUSE);
+        }
+    })
+}
+
+fn assert_nothing_held(fleet: &Fleet, free: u64) {
+    fleet.until("the engine is free", |fleet| fleet.free_memory("a") == free);
+    fleet.until("the agent holds nothing", |fleet| {
+        let metrics = fleet.text("a-admin", "/metrics");
+        let has = |line: &str| metrics.lines().any(|known| known == line);
+        has("jujube_agent_open 0") && has("jujube_agent_reserved_tokens 0")
+    });
+}
+
+fn assert_counted(fleet: &Fleet, answer: &Answer, kind: &str) {
+    assert_eq!(
+        (answer.kind().as_str(), answer.ran().as_str()),
+        (kind, "not_run")
+    );
+    let line = format!("jujube_entry_refusals_total{{reason=\"{kind}\"}} 1");
+    let metrics = fleet.text("e1", "/metrics");
+    assert!(metrics.lines().any(|known| known == line), "{metrics}");
+}
+
+#[test]
+fn a_dripped_header_is_cut_off() {
+    let fleet = fleet();
+    let free = fleet.free_memory("a");
+    let mut stream = fleet.caller("e1").connect();
+
+    stream
+        .write_all(b"POST /v1/completions HTTP/1.1\r\nx-slow: ")
+        .expect("writes");
+    let dripping = drip(&stream);
+
+    let mut answer = Vec::new();
+    let ended = stream.read_to_end(&mut answer);
+    let is_reset = ended.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionReset);
+    let text = String::from_utf8_lossy(&answer);
+    assert!(is_reset || !text.contains(" 200 "), "{text}");
+    dripping.join().expect("the other side has closed");
+    assert_nothing_held(&fleet, free);
+}
+
+#[test]
+fn a_dripped_body_is_refused_and_counted() {
+    let fleet = fleet();
+    let free = fleet.free_memory("a");
+    let mut stream = fleet.caller("e1").connect();
+
+    stream
+        .write_all(head("content-length: 50000").as_bytes())
+        .expect("writes");
+    let dripping = drip(&stream);
+    let answer = read(stream);
+
+    assert_counted(&fleet, &answer, "body_too_slow");
+    dripping.join().expect("the other side has closed");
+    assert_nothing_held(&fleet, free);
+}
+
+#[test]
+fn a_chunked_body_over_the_limit_is_refused_and_counted() {
+    let fleet = fleet();
+    let free = fleet.free_memory("a");
+    let mut stream = fleet.caller("e1").connect();
+
+    let size = BODY + 1;
+    let chunk = format!("{size:x}\r\n{}", "x".repeat(size));
+    let request = head("transfer-encoding: chunked") + &chunk;
+    stream.write_all(request.as_bytes()).expect("writes");
+    let answer = read(stream);
+
+    assert_eq!(answer.status, 413, "{}", answer.body);
+    assert_counted(&fleet, &answer, "body_too_large");
+    assert_nothing_held(&fleet, free);
+}
+
+#[test]
+fn a_caller_that_leaves_during_a_whole_answer_frees_the_engine() {
+    let fleet = fleet();
+    let free = fleet.free_memory("a");
+    // At this pace the answer takes longer than the test waits.
+    fleet.faults("a-engine", "{\"slow\": 30}");
+    let wish = json!({"model": "m1", "prompt": "deed ".repeat(4_000), "max_tokens": 1_500});
+    let caller = fleet.caller("e1").post("/v1/completions", wish.to_string());
+    let stream = caller.open().expect("connects");
+    fleet.until("the engine works", |fleet| fleet.free_memory("a") < free);
+
+    drop(stream);
+
+    assert_nothing_held(&fleet, free);
+}
+
+#[test]
+fn every_reason_has_its_counters() {
+    let fleet = fleet();
+
+    let entry = fleet.text("e1", "/metrics");
+    let agent = fleet.text("a-admin", "/metrics");
+
+    for reason in Reason::ALL {
+        let label = format!("{{reason=\"{reason}\"}} 0");
+        assert!(
+            entry.contains(&format!("jujube_entry_refusals_total{label}")),
+            "{reason}"
+        );
+        assert!(
+            entry.contains(&format!("jujube_entry_retries_total{label}")),
+            "{reason}"
+        );
+        assert!(
+            agent.contains(&format!("jujube_agent_refusals_total{label}")),
+            "{reason}"
+        );
+    }
+}
--- a/emulator/tests/system/caller.rs
+++ b/emulator/tests/system/caller.rs
@@ -85,6 +85,13 @@
         }
     }
 
+    /// Connects and sends nothing.
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.addr).expect("connects");
+        stream.set_read_timeout(Some(PATIENCE)).expect("is set");
+        stream
+    }
+
     /// Sends the request and returns the connection unread.
     pub fn open(&self) -> std::io::Result<TcpStream> {
         let mut stream = TcpStream::connect(self.addr)?;
--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -11,11 +11,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use jujubewind::catalogue::KeyHash;
 use nix::sys::signal::Signal;
 use tempfile::TempDir;
 
 use crate::caller::Caller;
+use crate::catalogue::catalogue;
 use crate::process::Process;
 
 /// The key of the test organisation's callers.
@@ -39,6 +39,7 @@
     port: u16,
     speed: u32,
     memory: u64,
+    bounds: String,
 }
 
 impl Fleet {
@@ -57,6 +58,7 @@
             port: 7_000,
             speed: 20,
             memory: 400_000,
+            bounds: String::new(),
         };
         for entry in ENTRIES {
             fleet.address(entry);
@@ -78,6 +80,12 @@
         self
     }
 
+    /// Sets the longest body and the longest wait for it, for entries started from now on.
+    pub fn bounds(mut self, bytes: usize, millis: u64) -> Self {
+        self.bounds = format!("body: {bytes}\narrival: {millis}\n");
+        self
+    }
+
     /// Starts an engine and its agent.
     pub fn engine(mut self, name: &str) -> Self {
         let addr = self.address(&format!("{name}-engine"));
@@ -103,8 +111,9 @@
         let listen = self.addrs[name];
         let peer = self.addrs[&format!("{name}-peer")];
         let text = format!(
-            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\n{}",
+            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\n{}{}",
             self.dir.path().join("catalogue").display(),
+            self.bounds,
             self.contacts(),
         );
         let settings = self.write(&format!("{name}.yaml"), &text);
@@ -155,6 +164,11 @@
         Caller::new(self.addrs[name]).get(path).send().json()
     }
 
+    /// Asks a process with GET for text.
+    pub fn text(&self, name: &str, path: &str) -> String {
+        Caller::new(self.addrs[name]).get(path).send().body
+    }
+
     /// The free KV memory of the engine `name`.
     pub fn free_memory(&self, name: &str) -> u64 {
         let list = self.get(&format!("{name}-engine"), "/v1/sequences");
@@ -251,41 +265,3 @@
 fn words(words: &[&str]) -> Vec<String> {
     words.iter().map(|word| (*word).to_owned()).collect()
 }
-
-fn catalogue() -> String {
-    let hash = KeyHash::of(KEY);
-    format!(
-        "entries:
-  - id: acme.reviews
-    owner: acme
-    class: interactive
-    target: {{models: [m1]}}
-    limits:
-      request_rate: 1000
-      request_burst: 1000
-      concurrency: 1000
-      token_rate: 100000000
-      engine_seconds: 1000000
-      longest_prompt: 1048576
-      longest_output: 100000
-      default_timeout: 60000
-      longest_timeout: 600000
-    keys: [{hash}]
-  - id: acme.desk
-    owner: acme
-    class: urgent
-    target:
-      service:
-        name: desk
-        methods:
-          - {{name: transfers, idempotent: false}}
-          - {{name: balances, idempotent: true}}
-    limits:
-      request_rate: 1000
-      request_burst: 1000
-      concurrency: 1000
-      default_timeout: 5000
-      longest_timeout: 60000
-"
-    )
-}
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -1,7 +1,9 @@
 //! The real binaries together, each its own process on loopback.
 
 mod answer;
+mod bad_callers;
 mod caller;
+mod catalogue;
 mod failures;
 mod fleet;
 mod groups;
