--- a/emulator/tests/system/bad_callers.rs
+++ b/emulator/tests/system/bad_callers.rs
@@ -10,9 +10,10 @@
 use serde_json::json;
 
 use crate::answer::Answer;
+use crate::caller::Caller;
 use crate::caller::read;
+use crate::declaration::KEY;
 use crate::fleet::Fleet;
-use crate::fleet::KEY;
 
 /// The longest body that the entry takes.
 const BODY: usize = 65_536;
@@ -22,7 +23,9 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 fn fleet() -> Fleet {
-    let fleet = Fleet::new().bounds(BODY, ARRIVAL).engine("a").entry("e1");
+    let mut fleet = Fleet::new().engine("a");
+    fleet.bounds = format!("body: {BODY}\narrival: {ARRIVAL}\n");
+    let fleet = fleet.entry("e1");
     fleet.until("the agent is known", |fleet| fleet.agents_known("e1") == 1);
     fleet
 }
@@ -33,6 +36,10 @@
     )
 }
 
+fn metrics(fleet: &Fleet, name: &str) -> String {
+    Caller::new(fleet.addr(name)).get("/metrics").send().body
+}
+
 /// Sends a byte now and then until the other side has closed.
 fn drip(stream: &TcpStream) -> thread::JoinHandle<()> {
     let mut stream = stream.try_clone().expect("the socket can be shared");
@@ -46,8 +53,8 @@
 fn assert_nothing_held(fleet: &Fleet, free: u64) {
     fleet.until("the engine is free", |fleet| fleet.free_memory("a") == free);
     fleet.until("the agent holds nothing", |fleet| {
-        let metrics = fleet.text("a-admin", "/metrics");
-        let has = |line: &str| metrics.lines().any(|known| known == line);
+        let text = metrics(fleet, "a-admin");
+        let has = |line: &str| text.lines().any(|known| known == line);
         has("jujube_agent_open 0") && has("jujube_agent_reserved_tokens 0")
     });
 }
@@ -58,8 +65,8 @@
         (kind, "not_run")
     );
     let line = format!("jujube_entry_refusals_total{{reason=\"{kind}\"}} 1");
-    let metrics = fleet.text("e1", "/metrics");
-    assert!(metrics.lines().any(|known| known == line), "{metrics}");
+    let text = metrics(fleet, "e1");
+    assert!(text.lines().any(|known| known == line), "{text}");
 }
 
 #[test]
@@ -136,8 +143,8 @@
 fn every_reason_has_its_counters() {
     let fleet = fleet();
 
-    let entry = fleet.text("e1", "/metrics");
-    let agent = fleet.text("a-admin", "/metrics");
+    let entry = metrics(&fleet, "e1");
+    let agent = metrics(&fleet, "a-admin");
 
     for reason in Reason::ALL {
         let label = format!("{{reason=\"{reason}\"}} 0");
--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -15,11 +15,9 @@
 use tempfile::TempDir;
 
 use crate::caller::Caller;
-use crate::catalogue::catalogue;
+use crate::declaration::catalogue;
 use crate::process::Process;
 
-/// The key of the test organisation's callers.
-pub const KEY: &str = "acme-key";
 /// The entries a fleet can have; all processes are told where they would be.
 const ENTRIES: [&str; 3] = ["e1", "e2", "e3"];
 /// How long a test waits for a condition before it fails.
@@ -39,7 +37,8 @@
     port: u16,
     speed: u32,
     memory: u64,
-    bounds: String,
+    published: bool,
+    pub bounds: String,
 }
 
 impl Fleet {
@@ -58,6 +57,7 @@
             port: 7_000,
             speed: 20,
             memory: 400_000,
+            published: false,
             bounds: String::new(),
         };
         for entry in ENTRIES {
@@ -80,12 +80,6 @@
         self
     }
 
-    /// Sets the longest body and the longest wait for it, for entries started from now on.
-    pub fn bounds(mut self, bytes: usize, millis: u64) -> Self {
-        self.bounds = format!("body: {bytes}\narrival: {millis}\n");
-        self
-    }
-
     /// Starts an engine and its agent.
     pub fn engine(mut self, name: &str) -> Self {
         let addr = self.address(&format!("{name}-engine"));
@@ -106,21 +100,50 @@
         self
     }
 
+    /// Lets entries that are started from now on take the catalogue from the platform alone.
+    pub fn published(mut self) -> Self {
+        self.published = true;
+        self
+    }
+
+    /// Starts the platform, which entries started from now on use.
+    pub fn platform(mut self) -> Self {
+        let addr = self.address("platform");
+        let args = words(&["platform", "--listen", &addr.to_string()]);
+        self.start("platform", "jujube-emulator", args);
+        self.until("the platform answers", |_| TcpStream::connect(addr).is_ok());
+        self
+    }
+
     /// Starts an entry and waits until it is ready.
     pub fn entry(mut self, name: &str) -> Self {
+        self.start_entry(name, "d1");
+        self.wait_ready(name);
+        self
+    }
+
+    /// Starts an entry of a failure domain and does not wait for it.
+    pub fn start_entry(&mut self, name: &str, domain: &str) {
         let listen = self.addrs[name];
         let peer = self.addrs[&format!("{name}-peer")];
         let text = format!(
-            "node: {name}\ndomain: d1\nlisten: \"{listen}\"\npeer: \"{peer}\"\ncatalogue: {}\n{}{}",
-            self.dir.path().join("catalogue").display(),
-            self.bounds,
+            "node: {name}\ndomain: {domain}\nlisten: \"{listen}\"\npeer: \"{peer}\"\n{}{}",
+            self.source() + &self.bounds,
             self.contacts(),
         );
         let settings = self.write(&format!("{name}.yaml"), &text);
         let args = words(&["--settings", &settings.display().to_string()]);
         self.start(name, "jujube-entry", args);
-        self.wait_ready(name);
-        self
+    }
+
+    /// Where a process listens.
+    pub fn addr(&self, name: &str) -> SocketAddr {
+        self.addrs[name]
+    }
+
+    /// What one process logged.
+    pub fn log(&self, name: &str) -> String {
+        self.processes[name].log()
     }
 
     /// A caller of the entry `name`.
@@ -164,11 +187,6 @@
         Caller::new(self.addrs[name]).get(path).send().json()
     }
 
-    /// Asks a process with GET for text.
-    pub fn text(&self, name: &str, path: &str) -> String {
-        Caller::new(self.addrs[name]).get(path).send().body
-    }
-
     /// The free KV memory of the engine `name`.
     pub fn free_memory(&self, name: &str) -> u64 {
         let list = self.get(&format!("{name}-engine"), "/v1/sequences");
@@ -176,7 +194,7 @@
     }
 
     /// Waits until `holds`, or fails with the logs.
-    pub fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+    pub fn until(&self, what: &str, mut holds: impl FnMut(&Self) -> bool) {
         let start = Instant::now();
         while !holds(self) {
             assert!(
@@ -197,6 +215,19 @@
         text
     }
 
+    /// The settings' lines that say where the catalogue comes from.
+    fn source(&self) -> String {
+        let mut lines = String::new();
+        if let Some(addr) = self.addrs.get("platform") {
+            let _ = writeln!(lines, "platform: \"{addr}\"");
+        }
+        if !self.published {
+            let dir = self.dir.path().join("catalogue");
+            let _ = writeln!(lines, "catalogue: {}", dir.display());
+        }
+        lines
+    }
+
     fn contacts(&self) -> String {
         let peers =
             ENTRIES.map(|entry| format!("  - \"{}\"\n", self.addrs[&format!("{entry}-peer")]));
@@ -234,7 +265,8 @@
         self.processes.insert(name.to_owned(), process);
     }
 
-    fn wait_ready(&self, name: &str) {
+    /// Waits until the process whose routes `name` has is ready.
+    pub fn wait_ready(&self, name: &str) {
         let addr = self.addrs[name];
         self.until(&format!("{name} ready"), |_| {
             TcpStream::connect(addr).is_ok()
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -6,6 +6,12 @@
 use super::Choice;
 use super::Permit;
 use super::message::Message;
+use crate::catalogue::Entry;
+use crate::catalogue::follow::Answer;
+use crate::catalogue::follow::Ask;
+use crate::catalogue::follow::Source;
+use crate::catalogue::follow::Update;
+use crate::claims::Holder;
 use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
@@ -16,7 +22,10 @@
 use crate::rpc::message::QuoteReply;
 use crate::types::Millis;
 use crate::types::ModelId;
+use crate::types::MonoTime;
 use crate::types::NodeId;
+use crate::types::OrgId;
+use crate::types::Revision;
 use crate::types::Tokens;
 
 /// When to come back to a process that is stopping.
@@ -83,12 +92,34 @@
         reply.unwrap_or_default()
     }
 
+    /// Asks whether a holder of a claim may still live.
+    pub async fn is_alive(&self, holder: Holder) -> bool {
+        let reply = self.ask(|tx| Message::IsAlive(holder, tx)).await;
+        reply.unwrap_or(true)
+    }
+
+    /// Notes work that a stop must wait for.
+    pub fn work_begun(&self, deadline: MonoTime) {
+        self.tell(Message::WorkBegun(deadline));
+    }
+
+    /// Notes that such work is over.
+    pub fn work_ended(&self) {
+        self.tell(Message::WorkEnded);
+    }
+
     /// Asks which names a caller may use.
     pub async fn names(&self, key: Option<String>) -> Result<Vec<ModelId>, Failure> {
         let reply = self.ask(|tx| Message::Names(key, tx)).await;
         reply.unwrap_or_else(|| Err(stopping().into()))
     }
 
+    /// Asks under which entry, of which revision, `org` would use `name`.
+    pub async fn lookup(&self, org: OrgId, name: ModelId) -> Result<(Revision, Entry), Failure> {
+        let reply = self.ask(|tx| Message::Lookup(org, name, tx)).await;
+        reply.unwrap_or_else(|| Err(stopping().into()))
+    }
+
     /// Notes how a request failed.
     pub fn failed(&self, job: &Job, failure: &Failure) {
         crate::event!(
@@ -145,6 +176,17 @@
         self.ask(|tx| Message::Gossip(Box::new(news), tx)).await
     }
 
+    /// Answers another process's question about the catalogue.
+    pub async fn catalogue(&self, ask: Ask) -> Answer {
+        let answer = self.ask(|tx| Message::Catalogue(ask, tx)).await;
+        answer.unwrap_or(Answer::Silence)
+    }
+
+    /// Hands in a newer revision of the catalogue.
+    pub fn offer(&self, source: Source, update: Update) {
+        self.tell(Message::Offered(source, Box::new(update)));
+    }
+
     /// Asks whether the entry is ready for callers.
     pub async fn ready(&self) -> bool {
         self.ask(Message::Ready).await.unwrap_or(false)
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -3,6 +3,12 @@
 use flume::Sender;
 
 use crate::catalogue::Entry;
+use crate::catalogue::Head;
+use crate::catalogue::follow::Answer;
+use crate::catalogue::follow::Ask;
+use crate::catalogue::follow::Source;
+use crate::catalogue::follow::Update;
+use crate::claims::Holder;
 use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
@@ -16,8 +22,10 @@
 use crate::types::Class;
 use crate::types::Millis;
 use crate::types::ModelId;
+use crate::types::MonoTime;
 use crate::types::NodeId;
 use crate::types::OrgId;
+use crate::types::Revision;
 use crate::types::Tokens;
 
 /// A caller's wish before it is admitted.
@@ -84,12 +92,30 @@
     Retry(u32, Sender<Result<(), Refusal>>),
     /// Which agents stand beside this plain service?
     Services(ModelId, Sender<Vec<Target>>),
+    /// Is this life of an entry not known to be over?
+    IsAlive(Holder, Sender<bool>),
+    /// Work began that outlives its request's answer; it should be over soon after this time.
+    WorkBegun(MonoTime),
+    /// Such work is over.
+    WorkEnded,
     /// What are the names that this caller may use?
     Names(Option<String>, Sender<Result<Vec<ModelId>, Failure>>),
+    /// Under which entry would this organisation use this model or service?
+    Lookup(OrgId, ModelId, Sender<Result<(Revision, Entry), Failure>>),
     /// Another process tells news of members.
     Gossip(Box<Gossip>, Sender<Gossip>),
     /// Another process answered to our news.
     Answered(Box<Gossip>),
+    /// Another process asks for the catalogue.
+    Catalogue(Ask, Sender<Answer>),
+    /// Another process passes on a newer revision.
+    Offered(Source, Box<Update>),
+    /// The store or another process answered our question about the catalogue.
+    CatalogueAnswer(Source, Answer),
+    /// The reader of the failure domain saw this head in the store.
+    StoreHead(Option<Head>),
+    /// It is time to look after questions about the catalogue.
+    Follow,
     /// Time has passed.
     Tick,
     /// The process was asked to stop.
--- a/jujubewind/src/entry/control/placement.rs
+++ b/jujubewind/src/entry/control/placement.rs
@@ -2,6 +2,7 @@
 
 use super::Choice;
 use super::state::State;
+use crate::claims::Holder;
 use crate::entry::Job;
 use crate::entry::request::Helpers;
 use crate::entry::request::Target;
@@ -30,14 +31,7 @@
         excluded: &[NodeId],
     ) -> Result<Vec<Target>, Refusal> {
         let members = self.serving(&job.model);
-        let request = Request {
-            org: &job.org,
-            model: &job.model,
-            class: job.class,
-            prompt: job.prompt,
-            parts: usize::try_from(parts).unwrap_or(usize::MAX),
-            blocks: &job.blocks,
-        };
+        let request = request(job, parts);
         let nodes = self
             .router
             .choose(&members, &request, excluded, &mut self.rng);
@@ -58,7 +52,10 @@
         if parts > 1 {
             return self.pick_group(job, parts, quotes, &offers);
         }
-        match self.router.pick(job.class, &offers, &mut self.rng) {
+        match self
+            .router
+            .pick(&request(job, parts), &offers, &mut self.rng)
+        {
             Some(place) => Ok(Choice::Target(quotes[place].0.clone())),
             None => self.split(job, quotes),
         }
@@ -126,6 +123,14 @@
         targets.collect()
     }
 
+    /// Whether membership knows this life of an entry and does not count it as dead.
+    pub(super) fn is_alive(&self, holder: &Holder) -> bool {
+        let member = self.members.view().get(&holder.node);
+        member.is_some_and(|one| {
+            one.incarnation == holder.incarnation && one.status != membership::Status::Dead
+        })
+    }
+
     fn serving(&self, model: &ModelId) -> Vec<Candidate> {
         let members = self.members.view().candidates(model);
         members.map(candidate).collect()
@@ -142,6 +147,17 @@
     }
 }
 
+fn request(job: &Job, parts: u64) -> Request<'_> {
+    Request {
+        org: &job.org,
+        model: &job.model,
+        class: job.class,
+        prompt: job.prompt,
+        parts: usize::try_from(parts).unwrap_or(usize::MAX),
+        blocks: &job.blocks,
+    }
+}
+
 fn candidate(from: membership::Candidate<'_>) -> Candidate {
     Candidate {
         node: from.member.node.clone(),
--- a/jujubewind/tests/catalogue/fleet.rs
+++ b/jujubewind/tests/catalogue/fleet.rs
@@ -13,6 +13,7 @@
 use jujubewind::catalogue::follow::Source;
 use jujubewind::catalogue::follow::Update;
 use jujubewind::catalogue::follow::children;
+use jujubewind::types::Millis;
 use jujubewind::types::MonoTime;
 use jujubewind::types::NodeId;
 use jujubewind::types::Revision;
@@ -64,6 +65,8 @@
     pub gossip: bool,
     /// Calls that the store got, watches left out.
     pub store_calls: u64,
+    /// Calls that the store got in each second.
+    pub calls_by_second: BTreeMap<u64, u64>,
     rng: SmallRng,
     now: u64,
     number: u64,
@@ -89,6 +92,7 @@
             loss: 0.0,
             gossip: true,
             store_calls: 0,
+            calls_by_second: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             now: 0,
             number: 0,
@@ -125,6 +129,11 @@
     pub fn publish(&mut self, head: Head, texts: BTreeMap<ContentHash, Arc<str>>) {
         self.texts.extend(texts);
         self.head = Some(head);
+        self.open_watches();
+    }
+
+    /// Lets the reader of each failure domain see the head, as when its watch begins.
+    pub fn open_watches(&mut self) {
         for reader in 0..DOMAINS {
             self.watch(reader);
         }
@@ -229,7 +238,8 @@
         self.members[member].ticks += 1;
         let outputs = if ticks == 0 {
             let peers: Vec<NodeId> = (0..3).map(|_| node(self.any())).collect();
-            self.members[member].follower.boot(now, &peers)
+            let spread = Millis(self.rng.random_range(0..1_000));
+            self.members[member].follower.boot(now, &peers, spread)
         } else {
             self.members[member].follower.tick(now)
         };
@@ -283,6 +293,7 @@
             }
         };
         self.store_calls += calls as u64;
+        *self.calls_by_second.entry(self.now / 1_000).or_default() += calls as u64;
         self.send_after(5, member, Event::Answer(Source::Store, answer));
     }
 }
