--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -38,6 +38,7 @@
     speed: u32,
     memory: u64,
     published: bool,
+    pub bounds: String,
 }
 
 impl Fleet {
@@ -57,6 +58,7 @@
             speed: 20,
             memory: 400_000,
             published: false,
+            bounds: String::new(),
         };
         for entry in ENTRIES {
             fleet.address(entry);
@@ -132,7 +134,7 @@
         let peer = self.addrs[&format!("{name}-peer")];
         let text = format!(
             "node: {name}\ndomain: {domain}\nlisten: \"{listen}\"\npeer: \"{peer}\"\n{}{}",
-            self.source(),
+            self.source() + &self.bounds,
             self.contacts(),
         );
         let settings = self.write(&format!("{name}.yaml"), &text);
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! The real binaries together, each its own process on loopback.
 
 mod answer;
+mod bad_callers;
 mod caller;
 mod catalogue;
 mod claim_crashes;
