--- a/emulator/tests/system/catalogue.rs
+++ b/emulator/tests/system/catalogue.rs
@@ -9,7 +9,6 @@
 use jujubewind::catalogue::ContentHash;
 use jujubewind::catalogue::KeyHash;
 use jujubewind::catalogue::Page;
-use jujubewind::catalogue::Remote;
 use jujubewind::catalogue::Source;
 use jujubewind::catalogue::Tree;
 use jujubewind::catalogue::UnixTime;
@@ -17,18 +16,15 @@
 use jujubewind::catalogue::publish::Change;
 use jujubewind::catalogue::publish::Publisher;
 use jujubewind::catalogue::publish::Verdict;
-use jujubewind::store::Client;
+use jujubewind::cli;
+use jujubewind::cli::Platform;
 use jujubewind::types::ChangeId;
-use jujubewind::types::Millis;
 use jujubewind::types::Revision;
 use nix::sys::signal::Signal;
 
 use crate::fleet::Fleet;
 use crate::fleet::KEY;
 
-/// The longest wait for the store.
-const TIMEOUT: Millis = Millis(2_000);
-
 /// A catalogue in which the test organisation may use this model.
 fn allowing(model: &str) -> Tree {
     let hash = KeyHash::of(KEY);
@@ -73,8 +69,8 @@
     };
     let publisher = Publisher::new(change, tree, HashSet::new());
     let work = async {
-        let client = Client::new(fleet.addr("platform"), TIMEOUT).expect("a client");
-        Remote::new(client).publish(publisher).await
+        let platform = Platform::new(fleet.addr("platform")).expect("a client");
+        cli::publish(&platform, publisher).await
     };
     let verdict = Runtime::new().expect("a runtime").block_on(work);
     match verdict {
--- a/jujubewind/src/catalogue/remote.rs
+++ b/jujubewind/src/catalogue/remote.rs
@@ -6,26 +6,13 @@
 use super::Head;
 use super::follow::Answer;
 use super::follow::Ask;
-use super::publish::HeadVersion;
-use super::publish::Output;
-use super::publish::Publisher;
-use super::publish::Reply;
-use super::publish::Request;
-use super::publish::Verdict;
+use super::layout;
 use crate::store::Client;
 use crate::store::Entry;
-use crate::store::Key;
 use crate::store::Op;
 use crate::store::Outcome;
-use crate::store::Version;
-use crate::store::Write;
-use crate::types::Millis;
-use crate::types::Revision;
 
-/// The pause before a call that failed is made again.
-const PAUSE: Millis = Millis(200);
-
-/// Reads the catalogue from the store and writes changes to it; clones share the client.
+/// Reads the catalogue from the store; clones share the client.
 #[derive(Clone, Debug)]
 pub struct Remote {
     client: Client,
@@ -38,12 +25,6 @@
         Self { client }
     }
 
-    /// The key of the head.
-    #[must_use]
-    pub fn head_key() -> Key {
-        Key::new("catalogue", "head")
-    }
-
     /// The head that a key of the store holds; `None` if it is none.
     #[must_use]
     pub fn head_of(entry: &Entry) -> Option<Head> {
@@ -53,7 +34,7 @@
     /// Answers a follower's question; one call for a head, one for each text.
     pub async fn answer(&self, ask: &Ask) -> Answer {
         match ask {
-            Ask::Head => match self.client.call(&Op::Get(Self::head_key())).await {
+            Ask::Head => match self.client.call(&Op::Get(layout::head_key())).await {
                 Outcome::Found(entry) => Answer::Head(entry.as_ref().and_then(Self::head_of)),
                 _ => Answer::Silence,
             },
@@ -64,91 +45,11 @@
         }
     }
 
-    /// Carries out a publisher's calls to the end.
-    pub async fn publish(&self, mut publisher: Publisher) -> Verdict {
-        let mut output = publisher.begin();
-        loop {
-            let request = match output {
-                Output::Done(verdict) => return verdict,
-                Output::Ask(request) => request,
-            };
-            let reply = self.call(request).await;
-            if matches!(reply, Reply::Failed | Reply::Unknown) {
-                compio::time::sleep(PAUSE.duration()).await;
-            }
-            output = publisher.handle(reply);
-        }
-    }
-
-    /// Makes one call of a publisher.
-    pub async fn call(&self, request: Request) -> Reply {
-        match request {
-            Request::ReadHead => self.read_head().await,
-            Request::ReadHistory(revision) => self.read_history(revision).await,
-            Request::WriteText(hash, text) => self.put(text_key(hash), &text).await,
-            Request::WriteHistory(head) => {
-                self.put(history_key(head.revision), &head.encode()).await
-            }
-            Request::SwapHead(HeadVersion(expect), head) => {
-                let write = Write {
-                    key: Self::head_key(),
-                    expect: Version(expect),
-                    value: Some(head.encode().into_bytes()),
-                    lease: None,
-                };
-                written(&self.client.call(&Op::CompareAndSwap(write)).await)
-            }
-        }
-    }
-
-    async fn read_head(&self) -> Reply {
-        match self.client.call(&Op::Get(Self::head_key())).await {
-            Outcome::Found(None) => Reply::Head(None),
-            Outcome::Found(Some(entry)) => match Self::head_of(&entry) {
-                Some(head) => Reply::Head(Some((HeadVersion(entry.version.get()), head))),
-                None => Reply::Failed,
-            },
-            _ => Reply::Failed,
-        }
-    }
-
-    async fn read_history(&self, revision: Revision) -> Reply {
-        match self.client.call(&Op::Get(history_key(revision))).await {
-            Outcome::Found(entry) => Reply::History(entry.as_ref().and_then(Self::head_of)),
-            _ => Reply::Failed,
-        }
-    }
-
-    async fn put(&self, key: Key, text: &str) -> Reply {
-        let op = Op::Put {
-            key,
-            value: text.as_bytes().to_vec(),
-            lease: None,
-        };
-        written(&self.client.call(&op).await)
-    }
-
     async fn text(&self, hash: ContentHash) -> Option<String> {
-        let Outcome::Found(Some(entry)) = self.client.call(&Op::Get(text_key(hash))).await else {
+        let Outcome::Found(Some(entry)) = self.client.call(&Op::Get(layout::text_key(hash))).await
+        else {
             return None;
         };
         String::from_utf8(entry.value).ok()
     }
 }
-
-fn text_key(hash: ContentHash) -> Key {
-    Key::new("catalogue/texts", &hash.to_string())
-}
-
-fn history_key(revision: Revision) -> Key {
-    Key::new("catalogue/history", &revision.get().to_string())
-}
-
-fn written(outcome: &Outcome) -> Reply {
-    match outcome {
-        Outcome::Applied(_) => Reply::Written,
-        Outcome::Conflict(_) => Reply::Changed,
-        Outcome::NotApplied(_) => Reply::Failed,
-        _ => Reply::Unknown,
-    }
-}
--- a/jujubewind/src/cli/mod.rs
+++ b/jujubewind/src/cli/mod.rs
@@ -26,5 +26,6 @@
 pub use options::Command;
 pub use options::command;
 pub use platform::Platform;
+pub use publishing::publish;
 pub use run::run;
 pub use warning::Warning;
--- a/jujubewind/src/entry/control/reader.rs
+++ b/jujubewind/src/entry/control/reader.rs
@@ -7,6 +7,7 @@
 use crate::catalogue::Remote;
 use crate::catalogue::follow::Answer;
 use crate::catalogue::follow::Ask;
+use crate::catalogue::layout;
 use crate::lease::LeaseHolder;
 use crate::lease::LeaseTerms;
 use crate::settings::EntrySettings;
@@ -120,7 +121,7 @@
         }
         if self.watch.is_none() {
             crate::event!(info, "reading_store", domain = self.domain);
-            self.watch = Some(Watch::start(self.client.clone(), Remote::head_key()));
+            self.watch = Some(Watch::start(self.client.clone(), layout::head_key()));
             self.next = now;
         }
         while let Some(notice) = self.watch.as_ref().and_then(Watch::try_next) {
