--- a/emulator/tests/system/catalogue.rs
+++ b/emulator/tests/system/catalogue.rs
@@ -9,6 +9,7 @@
 use jujubewind::catalogue::ContentHash;
 use jujubewind::catalogue::KeyHash;
 use jujubewind::catalogue::Page;
+use jujubewind::catalogue::Remote;
 use jujubewind::catalogue::Source;
 use jujubewind::catalogue::Tree;
 use jujubewind::catalogue::UnixTime;
@@ -16,14 +17,17 @@
 use jujubewind::catalogue::publish::Change;
 use jujubewind::catalogue::publish::Publisher;
 use jujubewind::catalogue::publish::Verdict;
-use jujubewind::cli;
-use jujubewind::cli::Platform;
+use jujubewind::store::Client;
 use jujubewind::types::ChangeId;
+use jujubewind::types::Millis;
 use jujubewind::types::Revision;
 use nix::sys::signal::Signal;
 
+use crate::declaration::KEY;
 use crate::fleet::Fleet;
-use crate::fleet::KEY;
+
+/// The longest wait for the store.
+const TIMEOUT: Millis = Millis(2_000);
 
 /// A catalogue in which the test organisation may use this model.
 fn allowing(model: &str) -> Tree {
@@ -69,8 +73,8 @@
     };
     let publisher = Publisher::new(change, tree, HashSet::new());
     let work = async {
-        let platform = Platform::new(fleet.addr("platform")).expect("a client");
-        cli::publish(&platform, publisher).await
+        let client = Client::new(fleet.addr("platform"), TIMEOUT).expect("a client");
+        Remote::new(client).publish(publisher).await
     };
     let verdict = Runtime::new().expect("a runtime").block_on(work);
     match verdict {
@@ -81,7 +85,7 @@
 
 /// Three entries in two failure domains, with the first revision in force.
 fn fleet() -> Fleet {
-    let mut fleet = Fleet::new().platform();
+    let mut fleet = Fleet::new().platform().published();
     publish(&fleet, allowing("m1"));
     for (entry, domain) in [("e1", "d1"), ("e2", "d1"), ("e3", "d2")] {
         fleet.start_entry(entry, domain);
@@ -134,7 +138,7 @@
 
 #[test]
 fn an_entry_without_a_catalogue_refuses_with_a_time_to_come_back() {
-    let mut fleet = Fleet::new().platform();
+    let mut fleet = Fleet::new().platform().published();
     fleet.start_entry("e1", "d1");
     fleet.until("the entry answers", |fleet| {
         fleet.caller("e1").get("/livez").send().status == 200
--- a/emulator/tests/system/declarations.rs
+++ b/emulator/tests/system/declaration.rs
@@ -1,10 +1,11 @@
-//! The declarations of the test organisation.
+//! The catalogue of the fleets under test.
 
 use jujubewind::catalogue::KeyHash;
 
-use crate::fleet::KEY;
+/// The key of the test organisation's callers.
+pub const KEY: &str = "acme-key";
 
-/// A catalogue file with a model and a plain service.
+/// One organisation with a model and a plain service.
 pub fn catalogue() -> String {
     let hash = KeyHash::of(KEY);
     format!(
--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -15,11 +15,9 @@
 use tempfile::TempDir;
 
 use crate::caller::Caller;
-use crate::declarations::catalogue;
+use crate::declaration::catalogue;
 use crate::process::Process;
 
-/// The key of the test organisation's callers.
-pub const KEY: &str = "acme-key";
 /// The entries a fleet can have; all processes are told where they would be.
 const ENTRIES: [&str; 3] = ["e1", "e2", "e3"];
 /// How long a test waits for a condition before it fails.
@@ -39,6 +37,7 @@
     port: u16,
     speed: u32,
     memory: u64,
+    published: bool,
 }
 
 impl Fleet {
@@ -57,6 +56,7 @@
             port: 7_000,
             speed: 20,
             memory: 400_000,
+            published: false,
         };
         for entry in ENTRIES {
             fleet.address(entry);
@@ -98,7 +98,13 @@
         self
     }
 
-    /// Starts the platform; entries that are started from now on take the catalogue from it.
+    /// Lets entries that are started from now on take the catalogue from the platform alone.
+    pub fn published(mut self) -> Self {
+        self.published = true;
+        self
+    }
+
+    /// Starts the platform, which entries started from now on use.
     pub fn platform(mut self) -> Self {
         let addr = self.address("platform");
         let args = words(&["platform", "--listen", &addr.to_string()]);
@@ -119,7 +125,7 @@
         let listen = self.addrs[name];
         let peer = self.addrs[&format!("{name}-peer")];
         let text = format!(
-            "node: {name}\ndomain: {domain}\nlisten: \"{listen}\"\npeer: \"{peer}\"\n{}\n{}",
+            "node: {name}\ndomain: {domain}\nlisten: \"{listen}\"\npeer: \"{peer}\"\n{}{}",
             self.source(),
             self.contacts(),
         );
@@ -186,7 +192,7 @@
     }
 
     /// Waits until `holds`, or fails with the logs.
-    pub fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+    pub fn until(&self, what: &str, mut holds: impl FnMut(&Self) -> bool) {
         let start = Instant::now();
         while !holds(self) {
             assert!(
@@ -207,12 +213,17 @@
         text
     }
 
-    /// The settings' line that says where the catalogue comes from.
+    /// The settings' lines that say where the catalogue comes from.
     fn source(&self) -> String {
-        match self.addrs.get("platform") {
-            Some(addr) => format!("platform: \"{addr}\""),
-            None => format!("catalogue: {}", self.dir.path().join("catalogue").display()),
+        let mut lines = String::new();
+        if let Some(addr) = self.addrs.get("platform") {
+            let _ = writeln!(lines, "platform: \"{addr}\"");
+        }
+        if !self.published {
+            let dir = self.dir.path().join("catalogue");
+            let _ = writeln!(lines, "catalogue: {}", dir.display());
         }
+        lines
     }
 
     fn contacts(&self) -> String {
@@ -252,7 +263,8 @@
         self.processes.insert(name.to_owned(), process);
     }
 
-    fn wait_ready(&self, name: &str) {
+    /// Waits until the process whose routes `name` has is ready.
+    pub fn wait_ready(&self, name: &str) {
         let addr = self.addrs[name];
         self.until(&format!("{name} ready"), |_| {
             TcpStream::connect(addr).is_ok()
