Name entries that a wait leaves out, and test large changes

Ruled out: taking the entries from one entry's members, which carry no address of the callers' side.

Change: a warning names entries that the others know and nobody waits for. A test publishes thirty organisations at a store that takes 20 writes a second; tests of `catalogue::Diff` by itself.

--- a/emulator/tests/operators/failures.rs
+++ b/emulator/tests/operators/failures.rs
@@ -108,3 +108,16 @@
 
     assert_snapshot!(finding.stderr);
 }
+
+#[test]
+fn a_large_change_waits_out_the_rate_limit() {
+    let site = Site::with_writes(20);
+    let owners = (0..30).map(|number| format!("office-{number}"));
+    let entries: Vec<String> = owners
+        .map(|owner| entry(&format!("{owner}.reviews"), &owner, 3))
+        .collect();
+
+    let finding = site.operator("anna").declares(&entries).apply("--base 0");
+
+    assert_eq!(finding.exits(0).stdout, "accepted: revision 1\n");
+}
--- a/emulator/tests/operators/fleet.rs
+++ b/emulator/tests/operators/fleet.rs
@@ -65,9 +65,14 @@
         addrs.join(",")
     }
 
+    /// The address of the first entry.
+    pub fn first(&self) -> SocketAddr {
+        self.at(ENTRIES[0])
+    }
+
     /// Asks the first entry to explain.
     pub fn explain(&self, words: &str) -> Finding {
-        let explain = Jujube::new("explain").with(&format!("--entry {}", self.at(ENTRIES[0])));
+        let explain = Jujube::new("explain").with(&format!("--entry {}", self.first()));
         explain.with(words).run()
     }
 
--- a/emulator/tests/operators/fleet_status.rs
+++ b/emulator/tests/operators/fleet_status.rs
@@ -43,6 +43,26 @@
     assert_eq!(revisions, [2, 2]);
 }
 
+#[test]
+fn an_entry_that_nobody_waits_for_is_named() {
+    let fleet = served();
+    let operator = fleet
+        .site
+        .operator("bela")
+        .declares(&[entry("a1", "office-a", 4)]);
+    fleet.until("the first entry knows the second", || {
+        fleet.status("").stdout.contains("entry e2 in d1")
+    });
+
+    let words = format!("--base 1 --wait --entries {}", fleet.first());
+    let finding = operator.apply(&words).exits(0);
+
+    assert!(
+        finding.stderr.contains("entry e2 is not waited for"),
+        "{finding:?}"
+    );
+}
+
 #[test]
 fn a_status_tells_roles_and_who_stops() {
     let fleet = served();
--- a/emulator/tests/operators/site.rs
+++ b/emulator/tests/operators/site.rs
@@ -19,9 +19,21 @@
 impl Site {
     /// A platform without a catalogue.
     pub fn new() -> Self {
+        Self::with(PlatformOptions::default())
+    }
+
+    /// A platform that takes so many writes a second.
+    pub fn with_writes(writes: u64) -> Self {
+        Self::with(PlatformOptions {
+            writes,
+            ..PlatformOptions::default()
+        })
+    }
+
+    fn with(options: PlatformOptions) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let platform = Running::start(listener, |listener| {
-            jujube_emulator::platform::serve(listener, PlatformOptions::default())
+            jujube_emulator::platform::serve(listener, options)
         });
         Self {
             platform: platform.expect("the platform starts"),
--- a/jujubewind/src/cli/wait.rs
+++ b/jujubewind/src/cli/wait.rs
@@ -1,5 +1,6 @@
 //! Waiting until a revision is in force at every entry.
 
+use std::collections::BTreeSet;
 use std::fmt::Display;
 use std::fmt::Formatter;
 use std::net::SocketAddr;
@@ -8,9 +9,13 @@
 use serde::Serialize;
 
 use super::Result;
+use super::Warning;
 use super::entry_client::EntryClient;
 use super::options::Wait;
+use crate::entry::EntryStatus;
+use crate::membership::Role;
 use crate::types::Millis;
+use crate::types::NodeId;
 use crate::types::Revision;
 
 /// How often the entries are asked.
@@ -43,12 +48,15 @@
     let start = Instant::now();
     let mut seen = None;
     loop {
-        let behind = behind(&client, revision, &options.entries.0).await;
+        let statuses = ask(&client, &options.entries.0).await;
+        let behind = behind(revision, &statuses);
         let took = Millis(u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX));
         if behind.is_empty() || took >= options.timeout {
-            let everywhere = behind.is_empty();
+            if behind.is_empty() {
+                warn_of_unnamed(&statuses);
+            }
             return Ok(WaitReport {
-                everywhere,
+                everywhere: behind.is_empty(),
                 took,
                 behind,
             });
@@ -61,18 +69,38 @@
     }
 }
 
-async fn behind(client: &EntryClient, revision: Revision, addrs: &[SocketAddr]) -> Vec<Behind> {
-    let asks = addrs.iter().map(async |addr| {
-        let status = client.status(*addr).await;
-        let revision = status.ok().map(|status| status.revision);
-        Behind {
-            entry: *addr,
-            revision,
-        }
+/// What an entry answered, or nothing.
+type Answer = (SocketAddr, Option<EntryStatus>);
+
+async fn ask(client: &EntryClient, addrs: &[SocketAddr]) -> Vec<Answer> {
+    let asks = addrs
+        .iter()
+        .map(async |addr| (*addr, client.status(*addr).await.ok()));
+    futures::future::join_all(asks).await
+}
+
+fn behind(revision: Revision, answers: &[Answer]) -> Vec<Behind> {
+    let lines = answers.iter().map(|(addr, status)| Behind {
+        entry: *addr,
+        revision: status.as_ref().map(|status| status.revision),
     });
-    let mut answers = futures::future::join_all(asks).await;
-    answers.retain(|one| one.revision.is_none_or(|known| known < revision));
-    answers
+    lines
+        .filter(|one| one.revision.is_none_or(|known| known < revision))
+        .collect()
+}
+
+/// Entries that the others know, but whose revision nobody asked for.
+fn warn_of_unnamed(answers: &[Answer]) {
+    let statuses = || answers.iter().filter_map(|(_, status)| status.as_ref());
+    let named: BTreeSet<&NodeId> = statuses().map(|status| &status.node).collect();
+    let members = statuses().flat_map(|status| &status.members);
+    let entries: BTreeSet<&NodeId> = members
+        .filter(|member| member.role == Role::Entry.as_str() && !member.leaving)
+        .map(|member| &member.node)
+        .collect();
+    for node in entries.difference(&named) {
+        Warning::Unnamed((*node).clone()).print();
+    }
 }
 
 /// One line each time something changed, so that it reads well in a log too.
--- a/jujubewind/src/cli/warning.rs
+++ b/jujubewind/src/cli/warning.rs
@@ -4,11 +4,15 @@
 use std::fmt::Formatter;
 use std::net::SocketAddr;
 
+use crate::types::NodeId;
+
 /// A remark on stderr.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Warning {
     /// Without a base, a change made since the operator looked is overwritten.
     NoBase,
+    /// The entries know another entry that nobody waits for.
+    Unnamed(NodeId),
     /// An entry did not answer.
     Silent(SocketAddr),
 }
@@ -20,6 +24,10 @@
                 "without --base REVISION this overwrites what others changed since you looked; \
                  pass the revision that `jujube catalogue diff` printed",
             ),
+            Self::Unnamed(node) => write!(
+                f,
+                "entry {node} is not waited for; name its address with --entries too"
+            ),
             Self::Silent(addr) => write!(f, "the entry at {addr} does not answer"),
         }
     }
--- a/jujubewind/tests/catalogue/main.rs
+++ b/jujubewind/tests/catalogue/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the catalogue.
 
+mod differences;
 mod examples;
 mod fixture;
 mod fleet;
