--- a/emulator/tests/system/catalogue.rs
+++ b/emulator/tests/system/catalogue.rs
@@ -23,8 +23,8 @@
 use jujubewind::types::Revision;
 use nix::sys::signal::Signal;
 
+use crate::declaration::KEY;
 use crate::fleet::Fleet;
-use crate::fleet::KEY;
 
 /// The longest wait for the store.
 const TIMEOUT: Millis = Millis(2_000);
@@ -85,7 +85,7 @@
 
 /// Three entries in two failure domains, with the first revision in force.
 fn fleet() -> Fleet {
-    let mut fleet = Fleet::new().platform();
+    let mut fleet = Fleet::new().platform().published();
     publish(&fleet, allowing("m1"));
     for (entry, domain) in [("e1", "d1"), ("e2", "d1"), ("e3", "d2")] {
         fleet.start_entry(entry, domain);
@@ -138,7 +138,7 @@
 
 #[test]
 fn an_entry_without_a_catalogue_refuses_with_a_time_to_come_back() {
-    let mut fleet = Fleet::new().platform();
+    let mut fleet = Fleet::new().platform().published();
     fleet.start_entry("e1", "d1");
     fleet.until("the entry answers", |fleet| {
         fleet.caller("e1").get("/livez").send().status == 200
