Convict requests in the daemons, and let suspects run alone

Cause: the register of suspects was kept and gossiped, but no entry asked it and no agent reported a crash, so a poisonous request went from engine to engine for as long as its caller sent it.

Ruled out: judging at admission only, since an attempt that crashes an engine is placed again by the same request; a counter of deaths at the agent, which counts a crash twice when stream and listing both tell of it. The engine's own start number names each death once. Running suspects on any agent: each would stop taking other work meanwhile.

Change: entries judge at each placement and report crashes and completions; a quote says whether the attempt runs alone; agents run such attempts one after another with nothing else, refuse other work meanwhile, and send copies of a request that crashed alone back to be judged. Suspects of a model share two agents. An agent whose engine is gone refuses at once.

Not yet: suspects that need several engines run as before.

--- a/emulator/tests/system/caller.rs
+++ b/emulator/tests/system/caller.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::answer::Answer;
-use crate::fleet::KEY;
+use crate::declarations::KEY;
 
 /// The longest a test waits for any answer.
 const PATIENCE: Duration = Duration::from_secs(60);
--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -11,17 +11,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use jujubewind::catalogue::KeyHash;
 use nix::sys::signal::Signal;
 use tempfile::TempDir;
 
 use crate::caller::Caller;
+use crate::declarations::catalogue;
 use crate::process::Process;
 
-/// The key of the test organisation's callers.
-pub const KEY: &str = "acme-key";
-/// The entries a fleet can have; all processes are told where they would be.
-const ENTRIES: [&str; 3] = ["e1", "e2", "e3"];
+/// The entries a fleet can have if nothing else is said.
+const ENTRIES: usize = 3;
 /// How long a test waits for a condition before it fails.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// How often a condition is looked at.
@@ -32,6 +30,7 @@
 /// Processes by name, their addresses, and how each is started.
 pub struct Fleet {
     ip: Ipv4Addr,
+    entries: Vec<String>,
     dir: TempDir,
     processes: BTreeMap<String, Process>,
     commands: BTreeMap<String, (String, Vec<String>)>,
@@ -44,12 +43,18 @@
 impl Fleet {
     /// A fleet without processes.
     pub fn new() -> Self {
+        Self::with_entries(ENTRIES)
+    }
+
+    /// A fleet that can have entries `e1` to `e<count>`; all processes are told where those would be.
+    pub fn with_entries(count: usize) -> Self {
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let [high, low] = u16::try_from(std::process::id() % 0xfffe)
             .unwrap_or(1)
             .to_be_bytes();
         let mut fleet = Self {
             ip: Ipv4Addr::new(127, high.max(1), low, number),
+            entries: (1..=count).map(|number| format!("e{number}")).collect(),
             dir: TempDir::new().expect("a folder for the settings"),
             processes: BTreeMap::new(),
             commands: BTreeMap::new(),
@@ -58,8 +63,8 @@
             speed: 20,
             memory: 400_000,
         };
-        for entry in ENTRIES {
-            fleet.address(entry);
+        for entry in fleet.entries.clone() {
+            fleet.address(&entry);
             fleet.address(&format!("{entry}-peer"));
         }
         fleet.write_catalogue();
@@ -119,6 +124,12 @@
         Caller::new(self.addrs[name])
     }
 
+    /// The number by which the kernel knows a process.
+    #[allow(dead_code, reason = "the measurement of daemons uses it")]
+    pub fn pid(&self, name: &str) -> u32 {
+        self.processes[name].pid()
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: Signal) {
         self.processes[name].signal(signal);
@@ -161,6 +172,14 @@
         list["free"].as_u64().unwrap_or(0)
     }
 
+    /// Whether the engine `name` has a sequence.
+    pub fn works(&self, name: &str) -> bool {
+        let list = self.get(&format!("{name}-engine"), "/v1/sequences");
+        list["sequences"]
+            .as_array()
+            .is_some_and(|sequences| !sequences.is_empty())
+    }
+
     /// Waits until `holds`, or fails with the logs.
     pub fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
         let start = Instant::now();
@@ -184,9 +203,11 @@
     }
 
     fn contacts(&self) -> String {
-        let peers =
-            ENTRIES.map(|entry| format!("  - \"{}\"\n", self.addrs[&format!("{entry}-peer")]));
-        format!("entries:\n{}", peers.concat())
+        let names = self.entries.iter().map(|entry| format!("{entry}-peer"));
+        let peers: Vec<String> = names
+            .map(|name| format!("\"{}\"", self.addrs[&name]))
+            .collect();
+        format!("entries: [{}]\n", peers.join(", "))
     }
 
     /// How many agents the entry `name` knows and believes to live.
@@ -251,41 +272,3 @@
 fn words(words: &[&str]) -> Vec<String> {
     words.iter().map(|word| (*word).to_owned()).collect()
 }
-
-fn catalogue() -> String {
-    let hash = KeyHash::of(KEY);
-    format!(
-        "entries:
-  - id: acme.reviews
-    owner: acme
-    class: interactive
-    target: {{models: [m1]}}
-    limits:
-      request_rate: 1000
-      request_burst: 1000
-      concurrency: 1000
-      token_rate: 100000000
-      engine_seconds: 1000000
-      longest_prompt: 1048576
-      longest_output: 100000
-      default_timeout: 60000
-      longest_timeout: 600000
-    keys: [{hash}]
-  - id: acme.desk
-    owner: acme
-    class: urgent
-    target:
-      service:
-        name: desk
-        methods:
-          - {{name: transfers, idempotent: false}}
-          - {{name: balances, idempotent: true}}
-    limits:
-      request_rate: 1000
-      request_burst: 1000
-      concurrency: 1000
-      default_timeout: 5000
-      longest_timeout: 60000
-"
-    )
-}
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -2,9 +2,11 @@
 
 mod answer;
 mod caller;
+mod declarations;
 mod failures;
 mod fleet;
 mod groups;
+mod poison;
 mod process;
 mod settings;
 mod whole_path;
--- a/emulator/tests/system/process.rs
+++ b/emulator/tests/system/process.rs
@@ -40,9 +40,15 @@
         Self { child, log }
     }
 
+    /// The number by which the kernel knows it.
+    #[allow(dead_code, reason = "the measurement of daemons uses it")]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("a pid is small"));
+        let pid = Pid::from_raw(i32::try_from(self.pid()).expect("a pid is small"));
         nix::sys::signal::kill(pid, signal).expect("the process exists");
     }
 
--- a/jujubewind/src/agent/attempt.rs
+++ b/jujubewind/src/agent/attempt.rs
@@ -1,11 +1,13 @@
 //! One attempt that the agent holds, with the part of the answer that is there.
 
+use crate::conviction::Crash;
 use crate::refusal::Refusal;
 use crate::rpc::message::Chunk;
 use crate::rpc::message::Finish;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::Start;
 use crate::types::AttemptId;
+use crate::types::Incarnation;
 use crate::types::MonoTime;
 use crate::types::Tokens;
 
@@ -44,8 +46,8 @@
     Whole(Finish, Tokens),
     /// The engine failed, or died.
     Failed {
-        /// Whether its process is gone.
-        died: bool,
+        /// Its death, if it died while it had the attempt.
+        crash: Option<Crash>,
     },
     /// It never ran.
     Refused(Refusal),
@@ -64,6 +66,10 @@
     pub read: bool,
     /// The engine's name of the exported KV cache, while paused.
     pub export: Option<String>,
+    /// The start number of the engine that was given it.
+    pub life: Option<Incarnation>,
+    /// When its time is over.
+    pub deadline: MonoTime,
     tokens: Vec<String>,
     ending: Option<Ending>,
 }
@@ -73,6 +79,8 @@
     #[must_use]
     pub fn new(start: Start, now: MonoTime) -> Self {
         Self {
+            life: None,
+            deadline: now.after(start.quote.envelope.remaining),
             start,
             phase: Phase::Waiting,
             touched: now,
@@ -89,6 +97,13 @@
         self.start.quote.envelope.attempt
     }
 
+    /// Whether both ask for the same.
+    #[must_use]
+    pub fn is_copy(&self, other: &Self) -> bool {
+        let shape = |one: &Self| (one.start.quote.org.clone(), one.start.quote.model.clone());
+        shape(self) == shape(other) && self.start.text == other.start.text
+    }
+
     /// Whether it is not over.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -147,7 +162,9 @@
             }));
         }
         match &self.ending {
-            Some(Ending::Failed { died }) => Some(PullReply::EngineFailed { died: *died }),
+            Some(Ending::Failed { crash }) => Some(PullReply::EngineFailed {
+                crash: crash.clone(),
+            }),
             Some(Ending::Refused(refusal)) => Some(PullReply::Refused(refusal.clone())),
             _ => None,
         }
--- a/jujubewind/src/agent/core.rs
+++ b/jujubewind/src/agent/core.rs
@@ -1,11 +1,14 @@
 //! The agent's decisions, apart from sockets and clocks.
 
+mod suspects;
+
 use std::collections::BTreeMap;
 
 use super::Attempt;
 use super::Command;
 use super::EngineEvent;
 use super::Phase;
+use super::Quarantine;
 use super::attempt::Ending;
 use super::attempt::Step;
 use super::cached_blocks::CachedBlocks;
@@ -42,6 +45,8 @@
 const LINGER: Millis = Millis(10_000);
 /// When to come back to an agent that is full.
 const RETRY_FULL: Millis = Millis(500);
+/// When to come back to an agent whose engine is gone.
+const RETRY_DOWN: Millis = Millis(500);
 /// When to come back to a fleet whose agent is leaving.
 const RETRY_LEAVING: Millis = Millis(100);
 /// Clock drift and network delay allowed for when an attempt's age is compared with our uptime.
@@ -58,7 +63,9 @@
     attempts: BTreeMap<AttemptId, Attempt>,
     calls: Calls,
     fenced: BTreeMap<AttemptId, MonoTime>,
+    quarantine: Quarantine,
     engine: Option<Incarnation>,
+    down: bool,
     strays: Vec<String>,
     leaving: bool,
 }
@@ -81,7 +88,9 @@
             attempts: BTreeMap::new(),
             calls: Calls::default(),
             fenced: BTreeMap::new(),
+            quarantine: Quarantine::default(),
             engine: None,
+            down: false,
             strays: Vec::new(),
             leaving: false,
         })
@@ -153,6 +162,9 @@
         if self.fenced.contains_key(&id) {
             return Some(refusal(Reason::Cancelled, Millis::ZERO));
         }
+        if !self.quarantine.is_empty() && !self.scheduler.holds(id) {
+            return Some(refusal(Reason::QueueFull, RETRY_FULL));
+        }
         self.scheduler.hold(now, id, ask.amount, ask.span).err()
     }
 
@@ -179,7 +191,9 @@
             return (StartReply::Refused(refusal), Vec::new());
         }
         let job = self.job(&start.quote);
-        if let Err(refusal) = self.scheduler.admit(now, job) {
+        if start.quote.alone {
+            self.quarantine.push(id);
+        } else if let Err(refusal) = self.scheduler.admit(now, job) {
             return (StartReply::Refused(refusal), Vec::new());
         }
         self.attempts.insert(id, Attempt::new(start, now));
@@ -268,9 +282,10 @@
         let mut commands = match event {
             EngineEvent::Token { offset, text } => return self.token(now, id, offset, text),
             EngineEvent::End { finish, count } => self.whole(now, id, finish, count),
-            EngineEvent::Failed { died } => {
+            EngineEvent::Failed { life } => self.failed(now, id, life),
+            EngineEvent::Refused => {
                 self.scheduler.ended(now, id);
-                self.finish(now, id, Step::Fail, Ending::Failed { died })
+                self.finish(now, id, Step::Fail, Ending::Failed { crash: None })
             }
             EngineEvent::Paused { handle } => self.paused(now, id, handle),
             EngineEvent::Stopped => {
@@ -320,7 +335,7 @@
     /// Ends an attempt whose tokens have a gap or a wrong count.
     fn broken(&mut self, now: MonoTime, id: AttemptId) -> Vec<Command> {
         self.scheduler.cancel(now, id);
-        let mut commands = self.finish(now, id, Step::Fail, Ending::Failed { died: false });
+        let mut commands = self.finish(now, id, Step::Fail, Ending::Failed { crash: None });
         commands.extend(self.schedule(now));
         commands
     }
@@ -342,12 +357,15 @@
             .retain(|_, a| a.is_open() || now < a.touched.after(LINGER));
         self.calls.prune(now);
         self.fenced.retain(|_, until| now < *until);
-        self.schedule(now)
+        let mut commands = self.expire_quarantine(now);
+        commands.extend(self.schedule(now));
+        commands
     }
 
     /// Compares what the engine lists with what is held here; a new engine start number means
     /// that it lost all it had.
     pub fn reconcile(&mut self, now: MonoTime, listing: &Listing) -> Vec<Command> {
+        self.down = false;
         if self
             .engine
             .replace(listing.incarnation)
@@ -381,8 +399,8 @@
 
     /// Carries the scheduler's actions over to the attempts.
     fn schedule(&mut self, now: MonoTime) -> Vec<Command> {
+        let mut commands = self.take_turn(now);
         let actions = self.scheduler.poll(now);
-        let mut commands = Vec::new();
         for action in actions {
             commands.extend(self.act(now, action));
         }
@@ -404,9 +422,7 @@
             Action::Expire { attempt, refusal } => {
                 self.finish(now, attempt, Step::Refuse, Ending::Refused(refusal))
             }
-            Action::Lost { attempt } => {
-                self.finish(now, attempt, Step::Fail, Ending::Failed { died: true })
-            }
+            Action::Lost { attempt } => self.lost(now, attempt),
         }
     }
 
@@ -417,6 +433,7 @@
         if let Some(phase) = self.chart.next(attempt.phase, Step::Submit) {
             attempt.phase = phase;
         }
+        attempt.life = self.engine.filter(|_| !self.down);
         vec![Command::Submit(Box::new(attempt.start.clone()), priority)]
     }
 
@@ -439,7 +456,15 @@
         if ask.envelope.remaining == Millis::ZERO {
             return Some(refusal(Reason::DeadlinePassed, Millis::ZERO));
         }
-        None
+        if self.down && !ask.alone {
+            return Some(refusal(Reason::BackendDown, RETRY_DOWN));
+        }
+        let taken = if ask.alone {
+            self.quarantine.is_full()
+        } else {
+            !self.quarantine.is_empty()
+        };
+        taken.then(|| refusal(Reason::QueueFull, RETRY_FULL))
     }
 
     fn job(&self, ask: &Quote) -> Job {
@@ -459,8 +484,9 @@
         let Some(attempt) = self.attempts.get_mut(&id) else {
             return Vec::new();
         };
+        let crashed = matches!(&ending, Ending::Failed { crash: Some(_) });
         let ending = match (attempt.phase, ending) {
-            (Phase::Running, Ending::Refused(_)) => Ending::Failed { died: false },
+            (Phase::Running, Ending::Refused(_)) => Ending::Failed { crash: None },
             (_, ending) => ending,
         };
         if let Some(phase) = self.chart.next(attempt.phase, step) {
@@ -469,7 +495,11 @@
             attempt.end(ending);
         }
         let dropped = attempt.export.take().map(Command::Drop);
-        dropped.into_iter().chain([Command::Wake(id)]).collect()
+        let mut commands: Vec<Command> = dropped.into_iter().chain([Command::Wake(id)]).collect();
+        if crashed {
+            commands.extend(self.refuse_copies(now, id));
+        }
+        commands
     }
 }
 
--- a/jujubewind/src/agent/engine_client.rs
+++ b/jujubewind/src/agent/engine_client.rs
@@ -18,6 +18,7 @@
 use crate::rpc::message::Start;
 use crate::scheduler::PART_TTL;
 use crate::types::AttemptId;
+use crate::types::Incarnation;
 use crate::types::Tokens;
 use crate::wire::engine::CacheEvents;
 use crate::wire::engine::CancelRequest;
@@ -68,8 +69,9 @@
             }
         };
         if !ended {
-            let died = self.sequences().await.is_err();
-            self.report(attempt, EngineEvent::Failed { died }).await;
+            let listed = self.sequences().await;
+            let life = listed.ok().map(|list| Incarnation(list.incarnation));
+            self.report(attempt, EngineEvent::Failed { life }).await;
         }
     }
 
@@ -151,8 +153,7 @@
     /// Ends an attempt whose KV cache could not be moved.
     async fn give_up(&self, attempt: AttemptId, error: &Error) {
         crate::event!(warn, "kv_move_failed", attempt = attempt, error = error);
-        self.report(attempt, EngineEvent::Failed { died: false })
-            .await;
+        self.report(attempt, EngineEvent::Refused).await;
         self.clone().cancel(attempt).await;
     }
 
--- a/jujubewind/src/agent/event.rs
+++ b/jujubewind/src/agent/event.rs
@@ -1,6 +1,7 @@
 //! What the engine tells its agent about an attempt.
 
 use crate::rpc::message::Finish;
+use crate::types::Incarnation;
 use crate::types::Tokens;
 
 /// News of one attempt from the engine.
@@ -29,7 +30,9 @@
     Stopped,
     /// The engine broke off.
     Failed {
-        /// Whether its process is gone, rather than refusing.
-        died: bool,
+        /// The start number under which it answers now; `None` if it does not answer.
+        life: Option<Incarnation>,
     },
+    /// The engine refused an order for the attempt.
+    Refused,
 }
--- a/jujubewind/src/agent/mod.rs
+++ b/jujubewind/src/agent/mod.rs
@@ -12,6 +12,7 @@
 mod event;
 mod listing;
 mod message;
+mod quarantine;
 mod server;
 mod service_client;
 
@@ -22,3 +23,4 @@
 pub use attempt::Phase;
 pub use daemon::run;
 pub use event::EngineEvent;
+pub use quarantine::Quarantine;
--- a/jujubewind/src/conviction/crash.rs
+++ b/jujubewind/src/conviction/crash.rs
@@ -6,13 +6,13 @@
 use crate::types::NodeId;
 
 crate::data! {
-    /// A death of a backend server, numbered by the agent beside it.
+    /// A death of a backend server, as the agent beside it knows it.
     pub struct Crash {
         /// The agent.
         pub node: NodeId,
         /// Its start number.
         pub incarnation: Incarnation,
-        /// How many deaths it had seen in this life before.
+        /// The start number of the backend server that died.
         pub number: u64,
     }
 }
--- a/jujubewind/src/entry/api/generation.rs
+++ b/jujubewind/src/entry/api/generation.rs
@@ -12,6 +12,7 @@
 use super::handler::Api;
 use super::headers;
 use crate::catalogue::Limits;
+use crate::conviction::Fingerprint;
 use crate::entry::Failure;
 use crate::entry::Job;
 use crate::entry::control::Admission;
@@ -104,12 +105,14 @@
 
 fn job(request: RequestId, permit: &Permit, wish: Wish) -> Job {
     let blocks = prefix::block_hashes(&wish.text);
+    let print = Fingerprint::of(&permit.org, &wish.model, &wish.text);
     Job {
         request,
         org: permit.org.clone(),
         entry: permit.entry.id.clone(),
         model: wish.model,
         class: permit.entry.class,
+        print,
         prompt: permit.prompt,
         output: permit.output,
         text: wish.text,
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -10,6 +10,7 @@
 use crate::catalogue::follow::Ask;
 use crate::catalogue::follow::Source;
 use crate::catalogue::follow::Update;
+use crate::conviction::Crash;
 use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
@@ -121,7 +122,21 @@
             prompt = job.prompt,
             output = tokens,
         );
-        self.tell(Message::Served(tokens));
+        self.tell(Message::Served(job.print, tokens));
+    }
+
+    /// Notes that a backend server died with the request, which ran `alone` there or not.
+    pub fn crashed(&self, job: &Job, crash: Crash, alone: bool) {
+        crate::event!(
+            warn,
+            "backend_crashed",
+            request = job.request,
+            print = job.print,
+            node = crash.node,
+            number = crash.number,
+            alone = alone,
+        );
+        self.tell(Message::Crashed(job.print, crash, alone));
     }
 
     /// Notes the time to an answer's first token.
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -8,6 +8,8 @@
 use crate::catalogue::follow::Ask;
 use crate::catalogue::follow::Source;
 use crate::catalogue::follow::Update;
+use crate::conviction::Crash;
+use crate::conviction::Fingerprint;
 use crate::entry::EntryStatus;
 use crate::entry::Failure;
 use crate::entry::Job;
@@ -116,7 +118,9 @@
     /// A request was refused or failed for this reason.
     Failed(Reason),
     /// An answer with so many tokens came to its end.
-    Served(Tokens),
+    Served(Fingerprint, Tokens),
+    /// A backend server died with a request, which ran alone there or not.
+    Crashed(Fingerprint, Crash, bool),
     /// A prompt's first token came after this time.
     FirstToken(Tokens, Class, Millis),
     /// A frame of another attempt was dropped.
--- a/jujubewind/src/entry/control/placement.rs
+++ b/jujubewind/src/entry/control/placement.rs
@@ -2,10 +2,12 @@
 
 use super::Choice;
 use super::state::State;
+use crate::conviction::Verdict;
 use crate::entry::Job;
 use crate::entry::request::Helpers;
 use crate::entry::request::Target;
 use crate::membership;
+use crate::membership::weight;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::routing::Candidate;
@@ -20,6 +22,8 @@
 
 /// When to come back when nobody serves a model.
 const RETRY_NO_BACKEND: Millis = Millis(1_000);
+/// The agents among which suspects of one model are shared out.
+const QUARANTINES: usize = 2;
 
 impl State {
     /// The agents to ask for an estimate.
@@ -29,6 +33,15 @@
         parts: u64,
         excluded: &[NodeId],
     ) -> Result<Vec<Target>, Refusal> {
+        let now = self.now();
+        let alone = match self.members.register().verdict(now, job.print) {
+            Verdict::Run => false,
+            Verdict::Alone => true,
+            Verdict::Refuse(refusal) => return Err(refusal),
+        };
+        if alone && parts == 1 {
+            return self.quarantines(job, excluded);
+        }
         let members = self.serving(&job.model);
         let request = request(job, parts);
         let nodes = self
@@ -40,6 +53,29 @@
         Ok(nodes.iter().filter_map(|node| self.target(node)).collect())
     }
 
+    /// The few agents on which all entries let this model's suspects run, so that the others go on
+    /// with all else.
+    fn quarantines(&self, job: &Job, excluded: &[NodeId]) -> Result<Vec<Target>, Refusal> {
+        let view = self.members.view();
+        let usable = view.candidates(&job.model).filter(|one| {
+            !one.member.leaving && !one.suspect && !excluded.contains(&one.member.node)
+        });
+        let mut nodes: Vec<&NodeId> = usable.map(|one| &one.member.node).collect();
+        nodes.sort_unstable_by_key(|node| weight(job.model.as_str(), node.as_str()));
+        let targets = nodes.into_iter().rev().take(QUARANTINES);
+        let targets: Vec<Target> = targets
+            .filter_map(|node| self.target(node))
+            .map(|target| Target {
+                alone: true,
+                ..target
+            })
+            .collect();
+        if targets.is_empty() {
+            return Err(no_backend());
+        }
+        Ok(targets)
+    }
+
     /// The best of the estimates; if all refused, the refusal that ends soonest.
     pub(super) fn pick(
         &mut self,
@@ -129,7 +165,7 @@
 
     fn target(&self, node: &NodeId) -> Option<Target> {
         let member = self.members.view().get(node)?;
-        Some(Target::alone(node.clone(), member.addr))
+        Some(Target::single(node.clone(), member.addr))
     }
 
     fn domain(&self, node: &NodeId) -> DomainId {
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -163,7 +163,16 @@
             Message::Stop => self.stop(now),
             Message::Failed(reason) => self.metrics.refused(reason),
             Message::Retried(reason) => self.metrics.retried(reason),
-            Message::Served(tokens) => self.metrics.served(tokens),
+            Message::Served(print, tokens) => {
+                self.metrics.served(tokens);
+                self.members.register_mut().completed(print);
+                self.tell_suspects(now);
+            }
+            Message::Crashed(print, crash, alone) => {
+                let register = self.members.register_mut();
+                register.crashed(now, print, &crash, alone);
+                self.tell_suspects(now);
+            }
             Message::FirstToken(prompt, class, span) => {
                 self.metrics.first_token(prompt, class, span);
             }
@@ -184,6 +193,12 @@
         self.stand();
     }
 
+    /// Tells others at once of what changed about suspects.
+    fn tell_suspects(&mut self, now: MonoTime) {
+        let messages = self.members.urgent(now);
+        self.send(messages);
+    }
+
     fn stop(&mut self, now: MonoTime) {
         crate::event!(info, "stopping", node = self.settings.node);
         self.stage.stop(now, self.settings.grace);
--- a/jujubewind/src/entry/driver.rs
+++ b/jujubewind/src/entry/driver.rs
@@ -188,13 +188,14 @@
             .as_ref()
             .is_some_and(Reservation::is_lost)
         {
-            return Input::Pulled(Some(PullReply::EngineFailed { died: false }));
+            return Input::Pulled(Some(PullReply::EngineFailed { crash: None }));
         }
-        Input::Pulled(
-            self.link
-                .pull(&target, attempt, offset, self.remaining())
-                .await,
-        )
+        let pull = self.link.pull(&target, attempt, offset, self.remaining());
+        let reply = pull.await;
+        if let Some(PullReply::EngineFailed { crash: Some(crash) }) = &reply {
+            self.control.crashed(&self.job, crash.clone(), target.alone);
+        }
+        Input::Pulled(reply)
     }
 
     /// Sends a fence without waiting for its answer.
--- a/jujubewind/src/entry/job.rs
+++ b/jujubewind/src/entry/job.rs
@@ -1,5 +1,6 @@
 //! One request as the entry serves it.
 
+use crate::conviction::Fingerprint;
 use crate::prefix;
 use crate::rpc::message::Envelope;
 use crate::rpc::message::Quote;
@@ -23,6 +24,8 @@
     pub model: ModelId,
     /// The class of work.
     pub class: Class,
+    /// By which it is known when it is sent again.
+    pub print: Fingerprint,
     /// The prompt's text.
     pub text: String,
     /// The prompt's length.
@@ -43,6 +46,7 @@
             entry: self.entry.clone(),
             model: self.model.clone(),
             class: self.class,
+            print: self.print,
             text: String::new(),
             prompt: self.prompt,
             output: self.output,
@@ -56,9 +60,10 @@
         self.prompt.saturating_add(self.output)
     }
 
-    /// The shape of the request for an agent, one of `parts` that share it.
+    /// The shape of the request for an agent, one of `parts` that share it; `alone`
+    /// if nothing else may run with it.
     #[must_use]
-    pub fn quote(&self, envelope: Envelope, parts: u64) -> Quote {
+    pub fn quote(&self, envelope: Envelope, parts: u64, alone: bool) -> Quote {
         Quote {
             envelope,
             model: self.model.clone(),
@@ -67,6 +72,7 @@
             prompt: self.prompt,
             output: self.output,
             parts,
+            alone: alone && parts == 1,
             marks: prefix::marks(&self.blocks),
         }
     }
--- a/jujubewind/src/entry/link.rs
+++ b/jujubewind/src/entry/link.rs
@@ -103,7 +103,7 @@
         remaining: Millis,
     ) -> Option<(Target, QuoteReply)> {
         let nobody = AttemptId::from_number(0);
-        let ask = job.quote(self.envelope(nobody, remaining), parts);
+        let ask = job.quote(self.envelope(nobody, remaining), parts, target.alone);
         let timeout = remaining.min(QUOTE_TIMEOUT);
         let call = async |agent: &AgentClient, context| agent.quote(context, ask).await;
         let reply = self.agents.call(target.addr, timeout, call).await.ok()?;
@@ -130,7 +130,11 @@
         remaining: Millis,
     ) -> Result<StartReply, Error> {
         let order = Start {
-            quote: job.quote(self.envelope(attempt, remaining), target.parts()),
+            quote: job.quote(
+                self.envelope(attempt, remaining),
+                target.parts(),
+                target.alone,
+            ),
             text: job.text.clone(),
             offset,
         };
--- a/jujubewind/src/entry/request/machine.rs
+++ b/jujubewind/src/entry/request/machine.rs
@@ -130,7 +130,8 @@
 
     /// Half an answer is worth a wait within the request's time; nothing else is held back.
     fn wait_or_give_up(&mut self, refusal: &Refusal) -> Vec<Output> {
-        if self.offset == Tokens::ZERO || refusal.retry == Millis::ZERO {
+        let futile = refusal.retry == Millis::ZERO || refusal.reason == Reason::Convicted;
+        if self.offset == Tokens::ZERO || futile {
             return self.give_up(refusal.reason, refusal.retry);
         }
         vec![Output::Wait(refusal.retry)]
--- a/jujubewind/src/entry/request/target.rs
+++ b/jujubewind/src/entry/request/target.rs
@@ -12,6 +12,8 @@
     pub node: NodeId,
     /// Its address.
     pub addr: SocketAddr,
+    /// Whether the request runs alone there.
+    pub alone: bool,
     /// The group it leads, if the prompt needs several engines.
     pub group: Option<Box<Helpers>>,
 }
@@ -26,12 +28,13 @@
 }
 
 impl Target {
-    /// An agent alone.
+    /// A single agent.
     #[must_use]
-    pub fn alone(node: NodeId, addr: SocketAddr) -> Self {
+    pub fn single(node: NodeId, addr: SocketAddr) -> Self {
         Self {
             node,
             addr,
+            alone: false,
             group: None,
         }
     }
--- a/jujubewind/src/membership/mod.rs
+++ b/jujubewind/src/membership/mod.rs
@@ -32,6 +32,7 @@
 pub use machine::Machine;
 pub use member::Member;
 pub use outgoing::Outgoing;
+pub use rendezvous::weight;
 pub use role::Role;
 pub use seed::Seed;
 pub use status::Status;
--- a/jujubewind/src/membership/rendezvous.rs
+++ b/jujubewind/src/membership/rendezvous.rs
@@ -7,7 +7,7 @@
 
 /// The weight of `option` for `key`; the highest wins.
 #[must_use]
-pub(super) fn weight(key: &str, option: &str) -> u64 {
+pub fn weight(key: &str, option: &str) -> u64 {
     let joined = [key.as_bytes(), &[0], option.as_bytes()].concat();
     rapidhash_v3(&joined)
 }
--- a/jujubewind/src/rpc/message/pull.rs
+++ b/jujubewind/src/rpc/message/pull.rs
@@ -1,6 +1,7 @@
 //! Fetching an answer's tokens from an agent.
 
 use super::Envelope;
+use crate::conviction::Crash;
 use crate::refusal::Refusal;
 use crate::types::AttemptId;
 use crate::types::Millis;
@@ -49,8 +50,8 @@
         Refused(Refusal),
         /// The engine failed; tokens already sent stay valid.
         EngineFailed {
-            /// Whether the engine process died, rather than refused.
-            died: bool,
+            /// The engine's death, if it died while it had the attempt.
+            crash: Option<Crash>,
         },
     }
 }
--- a/jujubewind/src/rpc/message/quote.rs
+++ b/jujubewind/src/rpc/message/quote.rs
@@ -26,6 +26,8 @@
         pub output: Tokens,
         /// The engines that share the prompt; more than one for a group.
         pub parts: u64,
+        /// Whether nothing else may run on the engine with it.
+        pub alone: bool,
         /// Marks of the prompt's blocks, by which a cache hit is known.
         pub marks: Vec<Mark>,
     }
--- a/jujubewind/tests/request.rs
+++ b/jujubewind/tests/request.rs
@@ -104,7 +104,7 @@
             return Err(refusal(Reason::NoBackend));
         }
         let chosen = free[self.rng.random_range(0..free.len())].clone();
-        Ok(Target::alone(chosen, ([127, 0, 0, 1], 1).into()))
+        Ok(Target::single(chosen, ([127, 0, 0, 1], 1).into()))
     }
 
     fn start(&mut self, attempt: AttemptId) -> Input {
@@ -152,7 +152,7 @@
             }
             _ => {
                 self.fates.insert(attempt, Fate::Ran);
-                Some(PullReply::EngineFailed { died: true })
+                Some(PullReply::EngineFailed { crash: None })
             }
         }
     }
