--- a/emulator/tests/system/fleet.rs
+++ b/emulator/tests/system/fleet.rs
@@ -18,8 +18,8 @@
 use crate::declaration::catalogue;
 use crate::process::Process;
 
-/// The entries a fleet can have; all processes are told where they would be.
-const ENTRIES: [&str; 3] = ["e1", "e2", "e3"];
+/// The entries a fleet can have if nothing else is said.
+const ENTRIES: usize = 3;
 /// How long a test waits for a condition before it fails.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// How often a condition is looked at.
@@ -30,6 +30,7 @@
 /// Processes by name, their addresses, and how each is started.
 pub struct Fleet {
     ip: Ipv4Addr,
+    entries: Vec<String>,
     dir: TempDir,
     processes: BTreeMap<String, Process>,
     commands: BTreeMap<String, (String, Vec<String>)>,
@@ -44,12 +45,18 @@
 impl Fleet {
     /// A fleet without processes.
     pub fn new() -> Self {
+        Self::with_entries(ENTRIES)
+    }
+
+    /// A fleet that can have entries `e1` to `e<count>`; all processes are told where those would be.
+    pub fn with_entries(count: usize) -> Self {
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let [high, low] = u16::try_from(std::process::id() % 0xfffe)
             .unwrap_or(1)
             .to_be_bytes();
         let mut fleet = Self {
             ip: Ipv4Addr::new(127, high.max(1), low, number),
+            entries: (1..=count).map(|number| format!("e{number}")).collect(),
             dir: TempDir::new().expect("a folder for the settings"),
             processes: BTreeMap::new(),
             commands: BTreeMap::new(),
@@ -60,8 +67,8 @@
             published: false,
             bounds: String::new(),
         };
-        for entry in ENTRIES {
-            fleet.address(entry);
+        for entry in fleet.entries.clone() {
+            fleet.address(&entry);
             fleet.address(&format!("{entry}-peer"));
         }
         fleet.write_catalogue(1_000_000);
@@ -157,6 +164,12 @@
         Caller::new(self.addrs[name])
     }
 
+    /// The number by which the kernel knows a process.
+    #[allow(dead_code, reason = "the measurement of daemons uses it")]
+    pub fn pid(&self, name: &str) -> u32 {
+        self.processes[name].pid()
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: Signal) {
         self.processes[name].signal(signal);
@@ -199,6 +212,14 @@
         list["free"].as_u64().unwrap_or(0)
     }
 
+    /// Whether the engine `name` has a sequence.
+    pub fn works(&self, name: &str) -> bool {
+        let list = self.get(&format!("{name}-engine"), "/v1/sequences");
+        list["sequences"]
+            .as_array()
+            .is_some_and(|sequences| !sequences.is_empty())
+    }
+
     /// Waits until `holds`, or fails with the logs.
     pub fn until(&self, what: &str, mut holds: impl FnMut(&Self) -> bool) {
         let start = Instant::now();
@@ -235,9 +256,11 @@
     }
 
     fn contacts(&self) -> String {
-        let peers =
-            ENTRIES.map(|entry| format!("  - \"{}\"\n", self.addrs[&format!("{entry}-peer")]));
-        format!("entries:\n{}", peers.concat())
+        let names = self.entries.iter().map(|entry| format!("{entry}-peer"));
+        let peers: Vec<String> = names
+            .map(|name| format!("\"{}\"", self.addrs[&name]))
+            .collect();
+        format!("entries: [{}]\n", peers.join(", "))
     }
 
     /// How many agents the entry `name` knows and believes to live.
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -11,6 +11,7 @@
 mod failures;
 mod fleet;
 mod groups;
+mod poison;
 mod process;
 mod settings;
 mod spending;
--- a/jujubewind/src/entry/api/explain.rs
+++ b/jujubewind/src/entry/api/explain.rs
@@ -5,6 +5,7 @@
 use super::error_reply::error_reply;
 use super::handler::Api;
 use crate::catalogue::Entry;
+use crate::conviction::Fingerprint;
 use crate::entry::Answered;
 use crate::entry::Destination;
 use crate::entry::Estimate;
@@ -138,6 +139,7 @@
 fn job(request: RequestId, query: &Query, entry: &Entry) -> Job {
     Job {
         request,
+        print: Fingerprint::of(&query.org, &query.model, ""),
         org: query.org.clone(),
         entry: entry.id.clone(),
         model: query.model.clone(),
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -30,6 +30,7 @@
 use crate::routing;
 use crate::routing::Router;
 use crate::rpc::GossipLink;
+use crate::rpc::message::Gossip;
 use crate::settings::EntrySettings;
 use crate::timer::TimerService;
 use crate::types::Incarnation;
@@ -152,11 +153,7 @@
                 self.heard(now, &news);
                 drop(reply.send(self.members.receive(now, &news)));
             }
-            Message::Answered(news) => {
-                self.heard(now, &news);
-                let messages = self.members.answered(now, &news);
-                self.send(messages);
-            }
+            Message::Answered(news) => self.answered(now, &news),
             Message::Catalogue(ask, reply) => {
                 drop(reply.send(self.following.follower.answer(&ask)));
             }
@@ -168,7 +165,16 @@
             Message::Stop => self.stop(now),
             Message::Failed(reason) => self.metrics.refused(reason),
             Message::Retried(reason) => self.metrics.retried(reason),
-            Message::Served(tokens) => self.metrics.served(tokens),
+            Message::Served(print, tokens) => {
+                self.metrics.served(tokens);
+                self.members.register_mut().completed(print);
+                self.tell_suspects(now);
+            }
+            Message::Crashed(print, crash, alone) => {
+                let register = self.members.register_mut();
+                register.crashed(now, print, &crash, alone);
+                self.tell_suspects(now);
+            }
             Message::FirstToken(prompt, class, span) => {
                 self.metrics.first_token(prompt, class, span);
             }
@@ -182,6 +188,13 @@
         }
     }
 
+    /// Takes the answer to our own news.
+    fn answered(&mut self, now: MonoTime, news: &Gossip) {
+        self.heard(now, news);
+        let messages = self.members.answered(now, news);
+        self.send(messages);
+    }
+
     fn tick(&mut self, now: MonoTime) {
         let messages = self.members.tick(now);
         self.send(messages);
@@ -189,6 +202,12 @@
         self.stand();
     }
 
+    /// Tells others at once of what changed about suspects.
+    fn tell_suspects(&mut self, now: MonoTime) {
+        let messages = self.members.urgent(now);
+        self.send(messages);
+    }
+
     fn stop(&mut self, now: MonoTime) {
         crate::event!(info, "stopping", node = self.settings.node);
         self.stage.stop(now, self.settings.grace);
