Prove planned stops with real binaries, and make entries ready only once they know an agent

Cause: no run showed that replacing every process in turn cuts no answer. Entries called themselves ready before they knew any agent.

Ruled out: a replacement that goes on as soon as the new process is ready; its entries may still hold the old one for leaving, and then nobody serves (seen: 503 no_backend). It waits until the agent is known to serve.

--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -9,4 +9,5 @@
 mod poison;
 mod process;
 mod settings;
+mod stops;
 mod whole_path;
--- /dev/null
+++ b/emulator/tests/system/stops.rs
@@ -0,0 +1,141 @@
+//! Planned stops under load: twice in succession, with callers still sending, and of every process.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+
+use jujube_emulator::engine::core::answer::expected;
+use nix::sys::signal::Signal;
+
+use crate::answer::Answer;
+use crate::caller::Caller;
+use crate::fleet::Fleet;
+
+/// The length of each answer.
+const TOKENS: u64 = 300;
+/// Callers at a time.
+const CALLERS: u64 = 6;
+/// Threads that go on sending.
+const SENDERS: u64 = 3;
+
+fn fleet(entries: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new().speed(10).engine("a").engine("b");
+    for entry in entries {
+        fleet = fleet.entry(entry);
+    }
+    for entry in entries {
+        until_known(&fleet, entry);
+    }
+    fleet
+}
+
+fn until_known(fleet: &Fleet, entry: &str) {
+    fleet.until("both agents are known to serve", |fleet| {
+        let status = fleet.get(entry, "/status");
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let serve = members
+            .iter()
+            .filter(|m| m["role"] == "agent" && m["suspect"] == false && m["leaving"] == false);
+        serve.count() == 2
+    });
+}
+
+fn prompt(number: u64) -> String {
+    format!("bundle of mutations {number} ").repeat(100)
+}
+
+fn start(fleet: &Fleet, numbers: std::ops::Range<u64>) -> Vec<(u64, JoinHandle<Answer>)> {
+    let send = |number| {
+        let caller = fleet.caller("e1").complete(&prompt(number), TOKENS);
+        (number, thread::spawn(move || caller.send()))
+    };
+    numbers.map(send).collect()
+}
+
+fn is_ready(caller: &Caller) -> bool {
+    caller.clone().get("/readyz").send().status == 200
+}
+
+/// Sends one request after another to an entry that is ready; returns what was not whole.
+fn keep_sending(entries: [Caller; 2], sender: u64, stop: Arc<AtomicBool>) -> JoinHandle<Faults> {
+    thread::spawn(move || {
+        let mut faults = Faults::default();
+        while !stop.load(Ordering::Relaxed) {
+            let Some(entry) = entries.iter().find(|entry| is_ready(entry)) else {
+                continue;
+            };
+            let text = prompt(sender);
+            let answer = entry.clone().complete(&text, TOKENS).send();
+            faults.sent += 1;
+            if answer.text() != expected(&text, TOKENS) || !answer.is_whole() {
+                faults
+                    .cut
+                    .push(format!("{} {}", answer.status, answer.body));
+            }
+        }
+        faults
+    })
+}
+
+/// What a sender saw.
+#[derive(Debug, Default)]
+struct Faults {
+    sent: usize,
+    cut: Vec<String>,
+}
+
+#[test]
+fn an_entry_stopped_twice_serves_what_still_comes() {
+    let mut fleet = fleet(&["e1"]);
+    let mut answers = start(&fleet, 0..CALLERS);
+    fleet.until("an engine works", |fleet| {
+        fleet.sequences("a") + fleet.sequences("b") > 0
+    });
+
+    fleet.signal("e1", Signal::SIGTERM);
+    fleet.signal("e1", Signal::SIGTERM);
+    fleet.until("readiness fails", |fleet| !is_ready(&fleet.caller("e1")));
+    answers.extend(start(&fleet, CALLERS..2 * CALLERS));
+
+    for (number, answer) in answers {
+        let answer = answer.join().expect("the caller ends");
+        assert!(answer.is_whole(), "{}\n{}", answer.body, fleet.logs());
+        assert_eq!(answer.text(), expected(&prompt(number), TOKENS));
+    }
+    assert!(fleet.wait("e1"), "the entry ends by itself");
+}
+
+#[test]
+fn replacing_every_process_in_turn_cuts_no_answer() {
+    let mut fleet = fleet(&["e1", "e2"]);
+    let stop = Arc::new(AtomicBool::new(false));
+    let senders: Vec<_> = (0..SENDERS)
+        .map(|sender| {
+            let entries = [fleet.caller("e1"), fleet.caller("e2")];
+            keep_sending(entries, sender, stop.clone())
+        })
+        .collect();
+
+    for (process, admin) in [
+        ("a-agent", "a-admin"),
+        ("b-agent", "b-admin"),
+        ("e1", "e1"),
+        ("e2", "e2"),
+    ] {
+        fleet.signal(process, Signal::SIGTERM);
+        assert!(fleet.wait(process), "{process} ends by itself");
+        fleet.restart(process);
+        fleet.wait_ready(admin);
+        until_known(&fleet, "e1");
+        until_known(&fleet, "e2");
+    }
+    stop.store(true, Ordering::Relaxed);
+
+    for sender in senders {
+        let faults = sender.join().expect("the sender ends");
+        assert!(faults.sent > 0, "a sender sent nothing\n{}", fleet.logs());
+        assert!(faults.cut.is_empty(), "{faults:?}\n{}", fleet.logs());
+    }
+}
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -33,9 +33,13 @@
 use crate::settings::EntrySettings;
 use crate::timer::TimerService;
 use crate::types::Incarnation;
+use crate::types::Millis;
 use crate::types::MonoTime;
 use crate::types::Revision;
 
+/// How long a starting entry waits to hear of an agent before it is ready without any.
+const ACQUAINTANCE: Millis = Millis(10_000);
+
 /// The shared state; each part is a decision machine of its own.
 pub(super) struct State {
     pub(super) settings: EntrySettings,
@@ -177,10 +181,7 @@
                 self.metrics.first_token(prompt, class, span);
             }
             Message::Dropped => self.metrics.dropped(),
-            Message::Ready(reply) => {
-                let ready = self.catalogue.is_some() && self.stage.is_serving();
-                let _ = reply.send(ready);
-            }
+            Message::Ready(reply) => drop(reply.send(self.is_ready(now))),
             Message::Status(reply) => drop(reply.send(self.status())),
             Message::Metrics(reply) => drop(reply.send(self.metrics_text())),
         }
@@ -193,6 +194,13 @@
         self.stand();
     }
 
+    /// Whether callers can be served; an entry that has just started first learns of agents.
+    fn is_ready(&self, now: MonoTime) -> bool {
+        let knows = self.members.view().agents().next().is_some();
+        let waited = now.since(MonoTime::ZERO) >= ACQUAINTANCE;
+        self.catalogue.is_some() && self.stage.is_serving() && (knows || waited)
+    }
+
     /// Tells others at once of what changed about suspects.
     fn tell_suspects(&mut self, now: MonoTime) {
         let messages = self.members.urgent(now);
