--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -15,4 +15,5 @@
 mod process;
 mod settings;
 mod spending;
+mod stops;
 mod whole_path;
