Hear of leaving backend servers from the platform's list, and let no stop of an agent cut long work

Ruled out: a reader in each entry, which takes 410 reads each period. Change: the holder of a failure domain's reader lease reads the list every 3 s; leaving spreads by gossip, and an agent that hears of itself refuses new work. The default of drain is the longest timeout a catalogue may allow; work ends by its own deadline before. Without the wiring the test cannot pass, as nothing tells the agent; that was not run.

--- /dev/null
+++ b/emulator/tests/system/leaving.rs
@@ -0,0 +1,61 @@
+//! A backend server that the platform's lagging list tells is leaving.
+
+use jujube_emulator::engine::core::answer::expected;
+use serde_json::json;
+
+use crate::fleet::Fleet;
+
+/// Two engines; the entry `e2` cannot hear the platform, `e1` can.
+fn one_entry_hears_the_list() -> Fleet {
+    let fleet = Fleet::new().engine("a").engine("b");
+    let fleet = fleet.entry("e2").platform().entry("e1");
+    fleet.until("both agents are known", |fleet| {
+        fleet.agents_known("e1") == 2 && fleet.agents_known("e2") == 2
+    });
+    fleet
+}
+
+fn list_a_as_leaving(fleet: &Fleet) {
+    let vm = |name: &str, state: &str| {
+        let addr = fleet.addr(&format!("{name}-agent")).to_string();
+        json!({"name": name, "addr": addr, "domain": "d1", "role": "agent", "state": state})
+    };
+    let list = json!({"as_of_ms": 0, "vms": [vm("a", "leaving"), vm("b", "live")]});
+    let answer = fleet
+        .caller("platform")
+        .post("/v1/vms", list.to_string())
+        .send();
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+/// Each prompt stores blocks in the cache of the engine that reads it.
+fn blocks_seen(fleet: &Fleet, name: &str) -> u64 {
+    let events = fleet.get(&format!("{name}-engine"), "/v1/cache/events?after=0");
+    events["last"].as_u64().expect("a number")
+}
+
+#[test]
+fn a_listed_backend_server_receives_no_new_work_even_from_an_entry_that_cannot_hear_the_list() {
+    let fleet = one_entry_hears_the_list();
+
+    list_a_as_leaving(&fleet);
+    fleet.until("the agent refuses work", |fleet| {
+        fleet.get("a-admin", "/status")["leaving"] == true
+    });
+    let before = blocks_seen(&fleet, "a");
+    for number in 0..8 {
+        let prompt = format!("audit summary {number} ").repeat(400);
+        let entry = if number % 2 == 0 { "e1" } else { "e2" };
+        let answer = fleet.caller(entry).complete(&prompt, 5).send();
+        assert_eq!(
+            answer.text(),
+            expected(&prompt, 5),
+            "{}\n{}",
+            answer.body,
+            fleet.logs()
+        );
+    }
+
+    assert_eq!(blocks_seen(&fleet, "a"), before);
+    assert!(blocks_seen(&fleet, "b") > 0);
+}
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -11,6 +11,7 @@
 mod failures;
 mod fleet;
 mod groups;
+mod leaving;
 mod poison;
 mod process;
 mod settings;
--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -328,6 +328,7 @@
             self.beat = now;
             let messages = self.members.tick(now);
             self.send(messages);
+            self.heed_list();
         }
         let commands = self.core.tick(now);
         self.execute(now, commands);
@@ -404,6 +405,14 @@
         }
     }
 
+    /// Refuses new work once entries tell that the platform lists this VM as leaving.
+    fn heed_list(&mut self) {
+        if self.members.is_leaving() && !self.core.leaving() {
+            crate::event!(info, "listed_as_leaving", node = self.settings.node);
+            self.core.leave();
+        }
+    }
+
     fn send(&self, messages: Vec<Outgoing>) {
         let replies = self.messages.clone();
         self.gossip.send(messages, move |answer| {
--- a/jujubewind/src/catalogue/mod.rs
+++ b/jujubewind/src/catalogue/mod.rs
@@ -45,6 +45,7 @@
 pub use head::UnixTime;
 pub use key_hash::KeyHash;
 pub use limits::Limits;
+pub use limits::MAX_TIMEOUT;
 pub use page::Page;
 pub use part::Part;
 pub use problem::Problem;
--- a/jujubewind/src/entry/control/message.rs
+++ b/jujubewind/src/entry/control/message.rs
@@ -17,6 +17,7 @@
 use crate::entry::request::Target;
 use crate::limits::Charge;
 use crate::limits::Rates;
+use crate::membership::Seed;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::rpc::message::Gossip;
@@ -122,6 +123,8 @@
     StoreHead(Option<Head>),
     /// It is time to look after questions about the catalogue.
     Follow,
+    /// The platform lists these VMs.
+    VmList(Vec<Seed>),
     /// Time has passed.
     Tick,
     /// The process was asked to stop.
--- a/jujubewind/src/entry/control/reader.rs
+++ b/jujubewind/src/entry/control/reader.rs
@@ -9,6 +9,7 @@
 use crate::catalogue::follow::Ask;
 use crate::lease::LeaseHolder;
 use crate::lease::LeaseTerms;
+use crate::membership::Seed;
 use crate::settings::EntrySettings;
 use crate::store::Client;
 use crate::store::Notice;
@@ -25,6 +26,8 @@
 const PERIOD: Millis = Millis(100);
 /// How often the reader reads the head, for a watch that fell silent.
 const READING: Millis = Millis(1_000);
+/// How often the reader reads the platform's list of VMs.
+const LISTING: Millis = Millis(3_000);
 /// How long the lease lasts.
 const LEASE: Millis = Millis(2_000);
 
@@ -43,6 +46,8 @@
     watch: Option<Watch>,
     /// When the head is read next.
     next: MonoTime,
+    /// When the list of VMs is read next.
+    listing: MonoTime,
 }
 
 /// Starts the task; what it receives says whether this entry stands for the lease.
@@ -65,6 +70,7 @@
         ending: false,
         watch: None,
         next: MonoTime::ZERO,
+        listing: MonoTime::ZERO,
     };
     let (tx, rx) = flume::unbounded();
     compio::runtime::spawn(reader.run(timer.subscribe(PERIOD), rx)).detach();
@@ -132,6 +138,21 @@
                 let _ = self.messages.send(Message::StoreHead(head));
             }
         }
+        if now >= self.listing {
+            self.listing = now.after(LISTING);
+            self.list_vms().await;
+        }
+    }
+
+    /// Tells membership of the platform's list; a line that cannot be read is passed over.
+    async fn list_vms(&self) {
+        match self.client.vms().await {
+            Ok(list) => {
+                let seeds = list.vms.iter().filter_map(|vm| Seed::try_from(vm).ok());
+                let _ = self.messages.send(Message::VmList(seeds.collect()));
+            }
+            Err(error) => crate::event!(warn, "vm_list_unread", error = error),
+        }
     }
 
     fn take(&mut self, now: MonoTime, notice: &Notice) {
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -165,6 +165,7 @@
             Message::CatalogueAnswer(source, answer) => self.learnt(now, &source, answer),
             Message::StoreHead(head) => self.store_head(now, head),
             Message::Follow => self.follow(now),
+            Message::VmList(seeds) => self.listed(now, &seeds),
             Message::Tick => self.tick(now),
             Message::Stop => self.stop(now),
             Message::Failed(reason) => self.metrics.refused(reason),
@@ -196,6 +197,12 @@
         self.send(messages);
     }
 
+    /// Takes the platform's list, one lagging witness among others.
+    fn listed(&mut self, now: MonoTime, seeds: &[Seed]) {
+        let messages = self.members.vm_list(now, seeds);
+        self.send(messages);
+    }
+
     fn tick(&mut self, now: MonoTime) {
         let messages = self.members.tick(now);
         self.send(messages);
--- a/jujubewind/src/settings/agent_settings.rs
+++ b/jujubewind/src/settings/agent_settings.rs
@@ -102,7 +102,7 @@
 }
 
 const fn default_drain() -> Millis {
-    Millis(120_000)
+    crate::catalogue::MAX_TIMEOUT
 }
 
 const fn default_log() -> log::LevelFilter {
