--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -1,5 +1,9 @@
 //! The agent's task: it owns the state, and everything else tells it what happens.
 
+mod backend;
+mod standing;
+mod waiting;
+
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -8,7 +12,6 @@
 use flume::Sender;
 use rand::Rng;
 
-use super::Command;
 use super::Core;
 use super::admin::Admin;
 use super::engine_client::EngineClient;
@@ -19,7 +22,6 @@
 use crate::http;
 use crate::membership::Machine;
 use crate::membership::Member;
-use crate::membership::Outgoing;
 use crate::membership::Role;
 use crate::membership::Seed;
 use crate::membership::limits::PERIOD;
@@ -29,12 +31,6 @@
 use crate::rpc;
 use crate::rpc::Agent;
 use crate::rpc::GossipLink;
-use crate::rpc::message::AgentStatus;
-use crate::rpc::message::Call;
-use crate::rpc::message::CallReply;
-use crate::rpc::message::Chunk;
-use crate::rpc::message::Hold;
-use crate::rpc::message::HoldReply;
 use crate::rpc::message::Pull;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::StartReply;
@@ -46,8 +42,6 @@
 use crate::types::Incarnation;
 use crate::types::Millis;
 use crate::types::MonoTime;
-use crate::wire::engine::CacheChange;
-use crate::wire::engine::CacheEvents;
 
 /// How often attempts are looked over.
 const TICK: Millis = Millis(50);
@@ -239,90 +233,6 @@
         }
     }
 
-    /// Refuses new work; a second request to stop changes nothing.
-    fn leave(&mut self, now: MonoTime) {
-        if self.stop_at.is_none() {
-            crate::event!(
-                info,
-                "leaving",
-                node = self.settings.node,
-                open = self.core.open()
-            );
-            self.core.leave();
-            let notices = self.members.leave(now);
-            self.send(notices);
-            self.stop_at = Some(now.after(self.settings.drain));
-        }
-    }
-
-    /// Whether a stop was asked for and nothing is left to wait for.
-    fn drained(&self) -> bool {
-        let Some(stop_at) = self.stop_at else {
-            return false;
-        };
-        let quiet = self.core.open() == 0 && self.waiters.is_empty() && !self.core.unread();
-        quiet || self.clock.now() >= stop_at
-    }
-
-    fn pull(&mut self, now: MonoTime, pull: Pull, reply: Sender<PullReply>) {
-        if let Some(answer) = self.core.pull(now, &pull) {
-            let _ = reply.send(answer);
-            return;
-        }
-        let until = now.after(pull.wait);
-        let waiter = Waiter { pull, reply, until };
-        self.waiters.insert(waiter.pull.envelope.attempt, waiter);
-    }
-
-    /// Holds a part at the scheduler, then at the engine; both must agree.
-    fn hold(&mut self, now: MonoTime, ask: &Hold, reply: Sender<HoldReply>) {
-        let Client::Engine(client) = &self.client else {
-            let _ = reply.send(HoldReply::Refused(no_engine()));
-            return;
-        };
-        if let Some(refusal) = self.core.hold(now, ask) {
-            self.metrics.refused(refusal.reason);
-            let _ = reply.send(HoldReply::Refused(refusal));
-            return;
-        }
-        let client = client.clone();
-        let messages = self.messages.clone();
-        let (attempt, amount) = (ask.envelope.attempt, ask.amount);
-        let work = async move {
-            if client.hold(attempt, amount).await {
-                let _ = reply.send(HoldReply::Held);
-                return;
-            }
-            let _ = messages.send(Message::Unheld(attempt));
-            let _ = reply.send(HoldReply::Refused(Refusal {
-                reason: Reason::NoMemory,
-                retry: HOLD_RETRY,
-            }));
-        };
-        compio::runtime::spawn(work).detach();
-    }
-
-    fn call(&mut self, call: Call, reply: Sender<CallReply>) {
-        let Client::Service(client) = &self.client else {
-            let _ = reply.send(CallReply::Refused(no_engine()));
-            return;
-        };
-        if let Some(refusal) = self.core.begin_call(&call) {
-            self.metrics.refused(refusal.reason);
-            let _ = reply.send(CallReply::Refused(refusal));
-            return;
-        }
-        let client = client.clone();
-        let messages = self.messages.clone();
-        let work = async move {
-            let answer = client.call(&call).await;
-            let _ = reply.send(answer);
-            let ended = Message::CallEnded(call.envelope.attempt);
-            let _ = messages.send_async(ended).await;
-        };
-        compio::runtime::spawn(work).detach();
-    }
-
     fn tick(&mut self, now: MonoTime) {
         if now >= self.beat.after(PERIOD) {
             self.beat = now;
@@ -342,96 +252,6 @@
             }
         }
     }
-
-    fn answer_late_waiters(&mut self, now: MonoTime) {
-        let late: Vec<AttemptId> = self
-            .waiters
-            .iter()
-            .filter(|(_, waiter)| now >= waiter.until)
-            .map(|(attempt, _)| *attempt)
-            .collect();
-        for attempt in late {
-            if let Some(waiter) = self.waiters.remove(&attempt) {
-                let empty = Chunk {
-                    attempt,
-                    offset: waiter.pull.offset,
-                    tokens: Vec::new(),
-                    end: None,
-                };
-                let _ = waiter.reply.send(PullReply::Chunk(empty));
-            }
-        }
-    }
-
-    fn execute(&mut self, now: MonoTime, commands: Vec<Command>) {
-        for command in commands {
-            match command {
-                Command::Wake(attempt) => {
-                    if let Some(waiter) = self.waiters.remove(&attempt) {
-                        self.pull(now, waiter.pull, waiter.reply);
-                    }
-                }
-                order => self.order(order),
-            }
-        }
-    }
-
-    /// Sends an order to the engine; its outcome comes back as a message.
-    fn order(&self, order: Command) {
-        let Client::Engine(client) = &self.client else {
-            return;
-        };
-        let client = client.clone();
-        let work = async move {
-            match order {
-                Command::Submit(start, priority) => client.generate(*start, priority).await,
-                Command::Export(attempt) => client.export(attempt).await,
-                Command::Import(attempt, handle) => client.import(attempt, handle).await,
-                Command::Drop(handle) => client.drop_handle(handle).await,
-                Command::Stop(attempt) => client.cancel(attempt).await,
-                Command::Release(attempt) => client.release(attempt).await,
-                Command::Wake(_) => {}
-            }
-        };
-        compio::runtime::spawn(work).detach();
-    }
-
-    /// Takes the engine's cache events, whose numbers tell of gaps.
-    fn cached(&mut self, events: &CacheEvents) {
-        let cached = self.core.cached();
-        for event in &events.events {
-            let stored = event.kind == CacheChange::Stored;
-            cached.note(event.seq, event.block.0, stored);
-        }
-    }
-
-    /// Refuses new work once entries tell that the platform lists this VM as leaving.
-    fn heed_list(&mut self) {
-        if self.members.is_leaving() && !self.core.leaving() {
-            crate::event!(info, "listed_as_leaving", node = self.settings.node);
-            self.core.leave();
-        }
-    }
-
-    fn send(&self, messages: Vec<Outgoing>) {
-        let replies = self.messages.clone();
-        self.gossip.send(messages, move |answer| {
-            let _ = replies.send(Message::Answered(Box::new(answer)));
-        });
-    }
-
-    fn status(&self) -> AgentStatus {
-        AgentStatus {
-            node: self.settings.node.clone(),
-            incarnation: self.incarnation,
-            domain: self.settings.domain.clone(),
-            models: self.settings.models.clone(),
-            leaving: self.core.leaving(),
-            attempts: self.core.open() as u64,
-            reserved: self.core.reserved(),
-            capacity: self.settings.memory,
-        }
-    }
 }
 
 /// What is asked of the backend server is not what it does.
