--- a/jujubewind/src/agent/admin.rs
+++ b/jujubewind/src/agent/admin.rs
@@ -12,6 +12,7 @@
 use crate::http::Reply;
 use crate::http::json;
 use crate::http::plain;
+use crate::util::query;
 
 /// Answers `/livez`, `/readyz`, `/metrics` and `/status`.
 #[derive(Clone, Debug)]
@@ -25,28 +26,24 @@
         Self { messages }
     }
 
-    async fn ask<T>(&self, message: impl FnOnce(Sender<T>) -> Message) -> Option<T> {
-        let (tx, rx) = flume::bounded(1);
-        self.messages.send_async(message(tx)).await.ok()?;
-        rx.recv_async().await.ok()
-    }
-
     async fn ready(&self) -> Reply {
-        match self.ask(Message::Status).await {
+        match query(&self.messages, Message::Status).await {
             Some(status) if !status.leaving => plain(StatusCode::OK, "ready\n"),
             _ => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         }
     }
 
     async fn status(&self) -> Reply {
-        match self.ask(Message::Status).await {
+        match query(&self.messages, Message::Status).await {
             Some(status) => json(StatusCode::OK, &status),
             None => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
         }
     }
 
     async fn metrics(&self) -> Reply {
-        let text = self.ask(Message::Metrics).await.unwrap_or_default();
+        let text = query(&self.messages, Message::Metrics)
+            .await
+            .unwrap_or_default();
         plain(StatusCode::OK, text)
     }
 }
--- a/jujubewind/src/agent/server.rs
+++ b/jujubewind/src/agent/server.rs
@@ -22,6 +22,7 @@
 use crate::rpc::message::Start;
 use crate::rpc::message::StartReply;
 use crate::types::Millis;
+use crate::util::query;
 
 /// Answers calls by asking the agent's task.
 #[derive(Clone, Debug)]
@@ -34,51 +35,45 @@
     pub fn new(messages: Sender<Message>) -> Self {
         Self { messages }
     }
-
-    async fn ask<T>(&self, message: impl FnOnce(Sender<T>) -> Message) -> Option<T> {
-        let (tx, rx) = flume::bounded(1);
-        self.messages.send_async(message(tx)).await.ok()?;
-        rx.recv_async().await.ok()
-    }
 }
 
 impl Agent for Server {
     async fn quote(self, _: Context, ask: Quote) -> QuoteReply {
-        let reply = self.ask(|tx| Message::Quote(ask, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Quote(ask, tx)).await;
         reply.unwrap_or_else(|| QuoteReply::Refused(stopping()))
     }
 
     async fn hold(self, _: Context, ask: Hold) -> HoldReply {
-        let reply = self.ask(|tx| Message::Hold(ask, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Hold(ask, tx)).await;
         reply.unwrap_or_else(|| HoldReply::Refused(stopping()))
     }
 
     async fn start(self, _: Context, order: Start) -> StartReply {
-        let reply = self.ask(|tx| Message::Start(Box::new(order), tx)).await;
+        let reply = query(&self.messages, |tx| Message::Start(Box::new(order), tx)).await;
         reply.unwrap_or_else(|| StartReply::Refused(stopping()))
     }
 
     async fn pull(self, _: Context, ask: Pull) -> PullReply {
-        let reply = self.ask(|tx| Message::Pull(ask, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Pull(ask, tx)).await;
         reply.unwrap_or(PullReply::Unknown)
     }
 
     async fn cancel(self, _: Context, ask: Cancel) -> CancelReply {
-        let reply = self.ask(|tx| Message::Cancel(ask, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Cancel(ask, tx)).await;
         reply.unwrap_or(CancelReply::Unknown)
     }
 
     async fn call(self, _: Context, order: Call) -> CallReply {
-        let reply = self.ask(|tx| Message::Call(order, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Call(order, tx)).await;
         reply.unwrap_or(CallReply::Unknown)
     }
 
     async fn gossip(self, _: Context, news: Gossip) -> Option<Gossip> {
-        self.ask(|tx| Message::Gossip(Box::new(news), tx)).await
+        query(&self.messages, |tx| Message::Gossip(Box::new(news), tx)).await
     }
 
     async fn status(self, _: Context) -> Option<AgentStatus> {
-        self.ask(Message::Status).await
+        query(&self.messages, Message::Status).await
     }
 }
 
--- a/jujubewind/src/entry/control/handle.rs
+++ b/jujubewind/src/entry/control/handle.rs
@@ -30,6 +30,7 @@
 use crate::types::OrgId;
 use crate::types::Revision;
 use crate::types::Tokens;
+use crate::util::query;
 
 /// When to come back to a process that is stopping.
 const RETRY_STOPPING: Millis = Millis(100);
@@ -48,7 +49,7 @@
 
     /// Asks whether a request may be served.
     pub async fn admit(&self, admission: Admission) -> Result<Permit, Failure> {
-        let reply = self.ask(|tx| Message::Admit(admission, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Admit(admission, tx)).await;
         reply.unwrap_or_else(|| Err(stopping().into()))
     }
 
@@ -65,9 +66,10 @@
         excluded: Vec<NodeId>,
     ) -> Result<Vec<Target>, Refusal> {
         let job = Box::new(job.shape());
-        let reply = self
-            .ask(|tx| Message::Candidates(job, parts, excluded, tx))
-            .await;
+        let reply = query(&self.messages, |tx| {
+            Message::Candidates(job, parts, excluded, tx)
+        })
+        .await;
         reply.unwrap_or_else(|| Err(stopping()))
     }
 
@@ -79,25 +81,25 @@
         quotes: Vec<(Target, QuoteReply)>,
     ) -> Result<Choice, Refusal> {
         let job = Box::new(job.shape());
-        let reply = self.ask(|tx| Message::Pick(job, parts, quotes, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Pick(job, parts, quotes, tx)).await;
         reply.unwrap_or_else(|| Err(stopping()))
     }
 
     /// Asks the retry budget for one more attempt of a request that has made `attempts`.
     pub async fn retry(&self, attempts: u32) -> Result<(), Refusal> {
-        let reply = self.ask(|tx| Message::Retry(attempts, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Retry(attempts, tx)).await;
         reply.unwrap_or_else(|| Err(stopping()))
     }
 
     /// Asks which agents stand beside a plain service.
     pub async fn services(&self, name: ModelId) -> Vec<Target> {
-        let reply = self.ask(|tx| Message::Services(name, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Services(name, tx)).await;
         reply.unwrap_or_default()
     }
 
     /// Asks whether a holder of a claim may still live.
     pub async fn is_alive(&self, holder: Holder) -> bool {
-        let reply = self.ask(|tx| Message::IsAlive(holder, tx)).await;
+        let reply = query(&self.messages, |tx| Message::IsAlive(holder, tx)).await;
         reply.unwrap_or(true)
     }
 
@@ -118,13 +120,13 @@
 
     /// Asks which names a caller may use.
     pub async fn names(&self, key: Option<String>) -> Result<Vec<ModelId>, Failure> {
-        let reply = self.ask(|tx| Message::Names(key, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Names(key, tx)).await;
         reply.unwrap_or_else(|| Err(stopping().into()))
     }
 
     /// Asks under which entry, of which revision, `org` would use `name`.
     pub async fn lookup(&self, org: OrgId, name: ModelId) -> Result<(Revision, Entry), Failure> {
-        let reply = self.ask(|tx| Message::Lookup(org, name, tx)).await;
+        let reply = query(&self.messages, |tx| Message::Lookup(org, name, tx)).await;
         reply.unwrap_or_else(|| Err(stopping().into()))
     }
 
@@ -190,17 +192,17 @@
 
     /// Asks how the entry stands.
     pub async fn status(&self) -> Option<EntryStatus> {
-        self.ask(Message::Status).await
+        query(&self.messages, Message::Status).await
     }
 
     /// Takes news of members and answers with ours; `None` when the process is stopping.
     pub async fn gossip(&self, news: Gossip) -> Option<Gossip> {
-        self.ask(|tx| Message::Gossip(Box::new(news), tx)).await
+        query(&self.messages, |tx| Message::Gossip(Box::new(news), tx)).await
     }
 
     /// Answers another process's question about the catalogue.
     pub async fn catalogue(&self, ask: Ask) -> Answer {
-        let answer = self.ask(|tx| Message::Catalogue(ask, tx)).await;
+        let answer = query(&self.messages, |tx| Message::Catalogue(ask, tx)).await;
         answer.unwrap_or(Answer::Silence)
     }
 
@@ -211,23 +213,19 @@
 
     /// Asks whether the entry is ready for callers.
     pub async fn ready(&self) -> bool {
-        self.ask(Message::Ready).await.unwrap_or(false)
+        query(&self.messages, Message::Ready).await.unwrap_or(false)
     }
 
     /// Asks for the metrics as text.
     pub async fn metrics(&self) -> String {
-        self.ask(Message::Metrics).await.unwrap_or_default()
+        query(&self.messages, Message::Metrics)
+            .await
+            .unwrap_or_default()
     }
 
     fn tell(&self, message: Message) {
         let _ = self.messages.send(message);
     }
-
-    async fn ask<T>(&self, message: impl FnOnce(Sender<T>) -> Message) -> Option<T> {
-        let (tx, rx) = flume::bounded(1);
-        self.messages.send(message(tx)).ok()?;
-        rx.recv_async().await.ok()
-    }
 }
 
 fn stopping() -> Refusal {
--- a/jujubewind/src/util/mod.rs
+++ b/jujubewind/src/util/mod.rs
@@ -1,4 +1,7 @@
 //! Small helpers that belong to no topic.
 
+mod query;
 #[macro_use]
 pub mod derive;
+
+pub use query::query;
