Let the agent stop by the same machine as the entry

Cause: the agent had a stop of its own (a time and a flush of 300 ms) beside lifecycle, which the entry uses; the two had already differed once, when an agent in its last 300 ms left calls unread. Ruled out: a second chart for agents; their limits differ, the phases do not. Change: lifecycle::Stage holds the typestate for both; the load counts attempts, calls, waiting entries and unread ends. The driver of a claim keeps an input when a later output has none (read, not seen to fail). Conclusion: one way to stop; the settings stay.

--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -20,6 +20,7 @@
 use super::service_client::ServiceClient;
 use crate::daemon;
 use crate::http;
+use crate::lifecycle::Stage;
 use crate::membership::Machine;
 use crate::membership::Member;
 use crate::membership::Role;
@@ -48,9 +49,6 @@
 /// How often the engine is asked what it runs.
 const LIST_EVERY: Millis = Millis(500);
 
-/// What the last replies are given to leave the process.
-const FLUSH: Millis = Millis(300);
-
 /// When to ask again for a part that the engine has no room for yet.
 const HOLD_RETRY: Millis = Millis(50);
 
@@ -78,7 +76,8 @@
     messages: Sender<Message>,
     listed: MonoTime,
     metrics: AgentMetrics,
-    stop_at: Option<MonoTime>,
+    stage: Stage,
+    stop_at: MonoTime,
     members: Machine,
     gossip: GossipLink,
     beat: MonoTime,
@@ -107,17 +106,10 @@
     let mut daemon = Daemon::new(settings, timer.clock(), tx)?;
     while let Ok(message) = rx.recv_async().await {
         daemon.handle(message);
-        if daemon.drained() {
+        if daemon.stage.is_over() {
             break;
         }
     }
-    // Work that still arrives is refused: were it left unread, nobody could tell that it never ran.
-    let late = async {
-        while let Ok(message) = rx.recv_async().await {
-            daemon.handle(message);
-        }
-    };
-    let _ = compio::time::timeout(FLUSH.duration(), late).await;
     Ok(())
 }
 
@@ -169,7 +161,8 @@
             messages,
             listed: MonoTime::ZERO,
             metrics: AgentMetrics::default(),
-            stop_at: None,
+            stage: Stage::serving(),
+            stop_at: MonoTime::NEVER,
             members,
             gossip: GossipLink::default(),
             beat: MonoTime::ZERO,
@@ -243,6 +236,7 @@
         let commands = self.core.tick(now);
         self.execute(now, commands);
         self.answer_late_waiters(now);
+        self.drain(now);
         if now >= self.listed.after(LIST_EVERY) {
             self.listed = now;
             if let Client::Engine(client) = &self.client {
--- a/jujubewind/src/agent/daemon/standing.rs
+++ b/jujubewind/src/agent/daemon/standing.rs
@@ -2,6 +2,8 @@
 
 use super::Daemon;
 use crate::agent::message::Message;
+use crate::lifecycle::DrainLimits;
+use crate::lifecycle::Load;
 use crate::membership::Outgoing;
 use crate::rpc::message::AgentStatus;
 use crate::types::MonoTime;
@@ -37,26 +39,25 @@
 
     /// Refuses new work; a second request to stop changes nothing.
     pub(super) fn leave(&mut self, now: MonoTime) {
-        if self.stop_at.is_none() {
-            crate::event!(
-                info,
-                "leaving",
-                node = self.settings.node,
-                open = self.core.open()
-            );
+        if self.stage.is_serving() {
+            let open = self.core.open();
+            crate::event!(info, "leaving", node = self.settings.node, open = open);
             self.core.leave();
             let notices = self.members.leave(now);
             self.send(notices);
-            self.stop_at = Some(now.after(self.settings.drain));
+            self.stop_at = now.after(self.settings.drain);
         }
+        self.stage.stop(now, DrainLimits::agent());
     }
 
-    /// Whether a stop was asked for and nothing is left to wait for.
-    pub(super) fn drained(&self) -> bool {
-        let Some(stop_at) = self.stop_at else {
-            return false;
+    /// Moves a stop on; until it is over, work that still arrives is answered with a refusal, since
+    /// silence would leave its entry in doubt.
+    pub(super) fn drain(&mut self, now: MonoTime) {
+        let unread = usize::from(self.core.unread());
+        let load = Load {
+            open: self.core.open() + self.waiters.len() + unread,
+            deadline: self.stop_at,
         };
-        let quiet = self.core.open() == 0 && self.waiters.is_empty() && !self.core.unread();
-        quiet || self.clock.now() >= stop_at
+        self.stage.tick(now, load);
     }
 }
--- a/jujubewind/src/entry/control/admission.rs
+++ b/jujubewind/src/entry/control/admission.rs
@@ -44,7 +44,7 @@
         let permit = self.permit(org, entry, admission);
         self.limiter.admit(now, &permit.charge, &permit.rates)?;
         self.budget.request();
-        self.stage
+        self.load
             .begin(now.after(permit.entry.limits.longest_timeout));
         Ok(permit)
     }
@@ -54,7 +54,7 @@
         let used = permit.prompt.saturating_add(output);
         self.limiter
             .finish(&permit.charge, &permit.rates, used, Credit::ZERO);
-        self.stage.end();
+        self.load.end();
     }
 
     /// The names that the owner of `key` may use.
--- a/jujubewind/src/entry/control/mod.rs
+++ b/jujubewind/src/entry/control/mod.rs
@@ -6,7 +6,6 @@
 mod message;
 mod placement;
 mod reader;
-mod stage;
 mod state;
 mod tasks;
 
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -12,11 +12,13 @@
 use super::follow;
 use super::follow::Following;
 use super::message::Message;
-use super::stage::Stage;
 use super::tasks;
 use crate::catalogue::Catalogue;
 use crate::entry::EntryStatus;
 use crate::entry::MemberStatus;
+use crate::lifecycle::DrainLimits;
+use crate::lifecycle::Load;
+use crate::lifecycle::Stage;
 use crate::limits::Limiter;
 use crate::membership::Machine;
 use crate::membership::Member;
@@ -51,6 +53,7 @@
     pub(super) budget: RetryBudget,
     pub(super) metrics: EntryMetrics,
     pub(super) stage: Stage,
+    pub(super) load: Load,
     pub(super) rng: StdRng,
     pub(super) following: Following,
     timer: TimerService,
@@ -117,6 +120,7 @@
             budget: RetryBudget::new(retry::Settings::default()),
             metrics: EntryMetrics::default(),
             stage: Stage::serving(),
+            load: Load::NONE,
             settings,
             catalogue,
             rng,
@@ -149,8 +153,8 @@
             Message::Services(name, reply) => drop(reply.send(self.services(&name))),
             Message::IsAlive(holder, reply) => drop(reply.send(self.is_alive(&holder))),
             Message::Credit(entry, credit) => self.metrics.credit(&entry, credit),
-            Message::WorkBegun(deadline) => self.stage.begin(deadline),
-            Message::WorkEnded => self.stage.end(),
+            Message::WorkBegun(deadline) => self.load.begin(deadline),
+            Message::WorkEnded => self.load.end(),
             Message::Lookup(org, name, reply) => drop(reply.send(self.lookup(&org, &name))),
             Message::Names(key, reply) => drop(reply.send(self.names(key.as_deref()))),
             Message::Gossip(news, reply) => {
@@ -206,7 +210,7 @@
     fn tick(&mut self, now: MonoTime) {
         let messages = self.members.tick(now);
         self.send(messages);
-        self.stage.tick(now);
+        self.stage.tick(now, self.load);
         self.stand();
     }
 
@@ -225,7 +229,8 @@
 
     fn stop(&mut self, now: MonoTime) {
         crate::event!(info, "stopping", node = self.settings.node);
-        self.stage.stop(now, self.settings.grace);
+        self.stage
+            .stop(now, DrainLimits::entry(self.settings.grace));
         self.stand();
         let notices = self.members.leave(now);
         self.send(notices);
--- a/jujubewind/src/entry/service/once.rs
+++ b/jujubewind/src/entry/service/once.rs
@@ -76,7 +76,7 @@
         while let Some(input) = next.take() {
             self.notice_absence();
             for output in self.machine.step(self.now(), input) {
-                next = self.act(output).await;
+                next = self.act(output).await.or(next);
             }
         }
         control.work_ended();
--- a/jujubewind/src/lifecycle/load.rs
+++ b/jujubewind/src/lifecycle/load.rs
@@ -17,4 +17,15 @@
         open: 0,
         deadline: MonoTime::ZERO,
     };
+
+    /// Notes a request that is taken and ends at `deadline` at the latest.
+    pub fn begin(&mut self, deadline: MonoTime) {
+        self.open += 1;
+        self.deadline = self.deadline.max(deadline);
+    }
+
+    /// Notes that a request is over.
+    pub fn end(&mut self) {
+        self.open = self.open.saturating_sub(1);
+    }
 }
--- a/jujubewind/src/lifecycle/mod.rs
+++ b/jujubewind/src/lifecycle/mod.rs
@@ -6,6 +6,7 @@
 mod drain_limits;
 mod drain_phase;
 mod load;
+mod stage;
 
 pub use daemon::Daemon;
 pub use daemon::Draining;
@@ -17,6 +18,7 @@
 pub use drain_limits::DrainLimits;
 pub use drain_phase::DrainPhase;
 pub use load::Load;
+pub use stage::Stage;
 
 use crate::chart;
 
--- a/jujubewind/src/entry/control/stage.rs
+++ b/jujubewind/src/lifecycle/stage.rs
@@ -1,16 +1,15 @@
-//! Where the entry stands in its life, with the requests in hand.
+//! Where a daemon stands in its life, as one value that its task can hold.
 
-use crate::lifecycle::Daemon;
-use crate::lifecycle::DrainLimits;
-use crate::lifecycle::Draining;
-use crate::lifecycle::Load;
-use crate::lifecycle::Serving;
-use crate::lifecycle::Stopped;
+use super::Daemon;
+use super::DrainLimits;
+use super::Draining;
+use super::Load;
+use super::Serving;
+use super::Stopped;
 use crate::refusal::Refusal;
-use crate::types::Millis;
 use crate::types::MonoTime;
 
-/// The phases of the daemon's typestate, as one value that a task can hold.
+/// The phases of the daemon's typestate.
 #[derive(Debug)]
 enum Phase {
     Serving(Daemon<Serving>),
@@ -18,58 +17,46 @@
     Stopped(#[allow(dead_code, reason = "kept for its type")] Daemon<Stopped>),
 }
 
-/// The daemon's phase and its load.
+/// The daemon's phase.
 #[derive(Debug)]
-pub(super) struct Stage {
+pub struct Stage {
     phase: Option<Phase>,
-    load: Load,
 }
 
 impl Stage {
     /// A daemon that takes requests.
-    pub(super) fn serving() -> Self {
+    #[must_use]
+    pub fn serving() -> Self {
         Self {
             phase: Some(Phase::Serving(Daemon::new().serve())),
-            load: Load::NONE,
         }
     }
 
     /// Whether readiness holds.
-    pub(super) fn is_serving(&self) -> bool {
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
         matches!(self.phase, Some(Phase::Serving(_)))
     }
 
     /// Whether nothing is left to do.
-    pub(super) fn is_over(&self) -> bool {
+    #[must_use]
+    pub fn is_over(&self) -> bool {
         matches!(self.phase, Some(Phase::Stopped(_)) | None)
     }
 
     /// Why a new request is refused; `None` while it is taken.
-    pub(super) fn refusal(&self) -> Option<Refusal> {
+    #[must_use]
+    pub fn refusal(&self) -> Option<Refusal> {
         match &self.phase {
             Some(Phase::Draining(daemon)) => daemon.refusal(),
             _ => None,
         }
     }
 
-    /// Notes a request that is taken and ends at `deadline` at the latest.
-    pub(super) fn begin(&mut self, deadline: MonoTime) {
-        self.load.open += 1;
-        self.load.deadline = self.load.deadline.max(deadline);
-    }
-
-    /// Notes that a request is over.
-    pub(super) fn end(&mut self) {
-        self.load.open = self.load.open.saturating_sub(1);
-    }
-
     /// Begins the stop; a second signal changes nothing.
-    pub(super) fn stop(&mut self, now: MonoTime, grace: Millis) {
+    pub fn stop(&mut self, now: MonoTime, limits: DrainLimits) {
         self.phase = match self.phase.take() {
-            Some(Phase::Serving(daemon)) => daemon
-                .drain(now, DrainLimits::entry(grace))
-                .map(Phase::Draining)
-                .ok(),
+            Some(Phase::Serving(daemon)) => daemon.drain(now, limits).map(Phase::Draining).ok(),
             Some(Phase::Draining(mut daemon)) => {
                 daemon.stop_again();
                 Some(Phase::Draining(daemon))
@@ -78,10 +65,10 @@
         };
     }
 
-    /// Moves a stop on.
-    pub(super) fn tick(&mut self, now: MonoTime) {
+    /// Moves a stop on with the work in hand.
+    pub fn tick(&mut self, now: MonoTime, load: Load) {
         self.phase = match self.phase.take() {
-            Some(Phase::Draining(daemon)) => Some(match daemon.tick(now, self.load) {
+            Some(Phase::Draining(daemon)) => Some(match daemon.tick(now, load) {
                 Ok(stopped) => Phase::Stopped(stopped),
                 Err(draining) => Phase::Draining(draining),
             }),
