Give a request's doubts a type, and drop a setting that nothing read

Cause: entry/request/machine.rs kept two fields that must agree (what ran, which attempts are in doubt); and the entry's setting budget was documented, checked and never used, the catalogue's default_timeout holds. Ruled out: keeping the key as an alias, which would go on promising what it does not do. Conclusion: what a request may say of itself is derived in one place.

--- a/emulator/src/embedded/system.rs
+++ b/emulator/src/embedded/system.rs
@@ -139,7 +139,6 @@
             catalogue: Some(self.catalogue.path().to_owned()),
             body: jujubewind::types::Bytes(16 << 20),
             arrival: Millis(20_000),
-            budget: Millis(60_000),
             grace: Millis(5_000),
             log: log::LevelFilter::Info,
         };
--- a/jujubewind/src/entry/request/machine.rs
+++ b/jujubewind/src/entry/request/machine.rs
@@ -7,12 +7,11 @@
 use super::Phase;
 use super::Step;
 use super::Target;
+use super::doubts::Doubts;
 use crate::chart::StateChart;
 use crate::entry::Failure;
-use crate::entry::Ran;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
-use crate::rpc::message::CancelReply;
 use crate::rpc::message::Chunk;
 use crate::rpc::message::PullReply;
 use crate::rpc::message::StartReply;
@@ -38,8 +37,7 @@
     attempts: u32,
     strikes: u32,
     offset: Tokens,
-    ran: Ran,
-    doubted: Vec<AttemptId>,
+    doubts: Doubts,
     last: Refusal,
 }
 
@@ -58,8 +56,7 @@
             attempts: 0,
             strikes: 0,
             offset: Tokens::ZERO,
-            ran: Ran::NotRun,
-            doubted: Vec::new(),
+            doubts: Doubts::default(),
             last: Refusal {
                 reason: Reason::NoBackend,
                 retry: RETRY_FAILED,
@@ -87,7 +84,10 @@
     pub fn step(&mut self, input: Input, rng: &mut impl Rng) -> Vec<Output> {
         match (self.phase, input) {
             (Phase::Ended, _) => Vec::new(),
-            (_, Input::Fenced(attempt, reply)) => self.fenced(attempt, reply),
+            (_, Input::Fenced(attempt, reply)) => {
+                self.doubts.settle(attempt, reply);
+                Vec::new()
+            }
             (_, Input::Expired) => self.give_up(Reason::DeadlinePassed, Millis::ZERO),
             (_, Input::Abandoned) => self.give_up(Reason::Cancelled, Millis::ZERO),
             (Phase::Placing, Input::Placed(Ok(target))) => self.start(target, rng),
@@ -190,7 +190,7 @@
             }
             Some(reply @ (PullReply::Unknown | PullReply::EngineFailed { .. })) => {
                 if reply != PullReply::Unknown {
-                    self.ran = Ran::Ran;
+                    self.doubts.confirm();
                 }
                 self.last = Refusal {
                     reason: Reason::BackendDown,
@@ -218,7 +218,7 @@
             .saturating_add(Tokens(chunk.tokens.len() as u64));
         let mut outputs = Vec::new();
         if !chunk.tokens.is_empty() || chunk.end.is_some() {
-            self.ran = Ran::Ran;
+            self.doubts.confirm();
         }
         if !chunk.tokens.is_empty() {
             outputs.push(Output::Emit(chunk.tokens));
@@ -276,14 +276,14 @@
         let mut outputs = Vec::new();
         if let Some((target, attempt)) = self.current.take() {
             if self.phase == Phase::Starting {
-                self.doubt_attempt(attempt);
+                self.doubts.raise(attempt);
             }
             outputs.push(Output::Cancel { target, attempt });
         }
         self.advance(Step::GiveUp);
         outputs.push(Output::Fail(Failure {
             reason,
-            ran: self.ran,
+            ran: self.doubts.ran(),
             retry,
         }));
         outputs
@@ -292,40 +292,14 @@
     /// Notes that the current attempt may have run.
     fn doubt(&mut self) {
         if let Some((_, attempt)) = self.current {
-            self.doubt_attempt(attempt);
-        }
-    }
-
-    fn doubt_attempt(&mut self, attempt: AttemptId) {
-        if !self.doubted.contains(&attempt) {
-            self.doubted.push(attempt);
-        }
-        if self.ran == Ran::NotRun {
-            self.ran = Ran::Unknown;
-        }
-    }
-
-    /// Clears a doubt that an agent has settled.
-    fn fenced(&mut self, attempt: AttemptId, reply: CancelReply) -> Vec<Output> {
-        match reply {
-            CancelReply::NotRun => self.clear(attempt),
-            CancelReply::Ran => self.ran = Ran::Ran,
-            CancelReply::Unknown => {}
+            self.doubts.raise(attempt);
         }
-        Vec::new()
     }
 
     /// Notes that the agent says the current attempt never ran.
     fn settle(&mut self) {
         if let Some((_, attempt)) = self.current {
-            self.clear(attempt);
-        }
-    }
-
-    fn clear(&mut self, attempt: AttemptId) {
-        self.doubted.retain(|id| *id != attempt);
-        if self.ran == Ran::Unknown && self.doubted.is_empty() {
-            self.ran = Ran::NotRun;
+            self.doubts.clear(attempt);
         }
     }
 
--- a/jujubewind/src/entry/request/mod.rs
+++ b/jujubewind/src/entry/request/mod.rs
@@ -1,5 +1,6 @@
 //! The decisions of one request: where it goes, what is retried, when it is given up.
 
+mod doubts;
 mod input;
 mod machine;
 mod output;
--- a/jujubewind/src/settings/entry_settings.rs
+++ b/jujubewind/src/settings/entry_settings.rs
@@ -41,9 +41,6 @@
     /// The longest wait for a whole request to arrive.
     #[serde(default = "default_arrival")]
     pub arrival: Millis,
-    /// The time of a request that names none.
-    #[serde(default = "default_budget")]
-    pub budget: Millis,
     /// How long a stop goes on accepting after readiness fails.
     #[serde(default = "default_grace")]
     pub grace: Millis,
@@ -64,13 +61,6 @@
                 "write 1 or more milliseconds",
             ));
         }
-        if self.budget == Millis::ZERO {
-            return Err(Error::value(
-                "budget",
-                &self.budget,
-                "write 1 or more milliseconds",
-            ));
-        }
         if self.platform.is_none() && self.catalogue.is_none() {
             return Err(Error::value(
                 "platform",
@@ -90,10 +80,6 @@
     Millis(20_000)
 }
 
-const fn default_budget() -> Millis {
-    Millis(60_000)
-}
-
 const fn default_grace() -> Millis {
     Millis(5_000)
 }
