Leave out of a quote what follows from a mark's place

Ruled out: fewer marks, which would tell a cached prefix less well. Change: a quote carries hashes only; prefix::cached reads them by place. The test now holds the error for every length of a held prefix, where it held the distance of neighbouring marks before.

--- a/jujubewind/src/agent/cached_blocks.rs
+++ b/jujubewind/src/agent/cached_blocks.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use crate::prefix::Mark;
+use crate::prefix;
 use crate::types::Tokens;
 
 /// Blocks that the engine is believed to hold, learnt from its late and gapped events.
@@ -36,10 +36,7 @@
 
     /// How much of a prompt with these marks is cached, at the least.
     #[must_use]
-    pub fn prefix(&self, marks: &[Mark]) -> Tokens {
-        let cached = marks
-            .iter()
-            .take_while(|mark| self.blocks.contains(&mark.hash));
-        cached.last().map_or(Tokens::ZERO, |mark| mark.end)
+    pub fn prefix(&self, marks: &[u64]) -> Tokens {
+        prefix::cached(marks, |mark| self.blocks.contains(&mark))
     }
 }
--- a/jujubewind/src/rpc/message/quote.rs
+++ b/jujubewind/src/rpc/message/quote.rs
@@ -1,7 +1,6 @@
 //! Asking an agent when a request would be served.
 
 use super::Envelope;
-use crate::prefix::Mark;
 use crate::refusal::Refusal;
 use crate::types::Class;
 use crate::types::Millis;
@@ -29,7 +28,7 @@
         /// Whether nothing else may run on the engine with it.
         pub alone: bool,
         /// Marks of the prompt's blocks, by which a cache hit is known.
-        pub marks: Vec<Mark>,
+        pub marks: Vec<u64>,
     }
 
     /// An agent's own estimate, or why it would not take the request.
--- a/jujubewind/tests/prefix.rs
+++ b/jujubewind/tests/prefix.rs
@@ -3,7 +3,9 @@
 use jujubewind::prefix::BLOCK;
 use jujubewind::prefix::BYTES_PER_TOKEN;
 use jujubewind::prefix::block_hashes;
+use jujubewind::prefix::cached;
 use jujubewind::prefix::marks;
+use jujubewind::types::Tokens;
 
 fn text(blocks: u64, letter: &str) -> String {
     let size = usize::try_from(blocks * BLOCK.get() * BYTES_PER_TOKEN).expect("it fits");
@@ -28,8 +30,22 @@
     let marks = marks(&blocks);
 
     assert!(marks.len() <= 48, "{} marks", marks.len());
-    for pair in marks.windows(2) {
-        let (near, far) = (pair[0].end.get(), pair[1].end.get());
-        assert!(far - near <= (near / 4).max(BLOCK.get()), "{near} to {far}");
+    for held in 1..=blocks.len() as u64 {
+        let known = cached(&marks, |mark| mark < held).get();
+        let whole = held * BLOCK.get();
+        assert!(known <= whole, "{known} of {whole}");
+        assert!(
+            whole - known <= (known / 4).max(BLOCK.get()),
+            "{known} of {whole}"
+        );
     }
 }
+
+#[test]
+fn nothing_is_cached_where_the_first_block_is_missing() {
+    let blocks: Vec<u64> = (0..100).collect();
+
+    let known = cached(&marks(&blocks), |mark| mark > 0);
+
+    assert_eq!(known, Tokens::ZERO);
+}
