Serve one reply of JSON bytes, one listening line, one plain last phase

Cause: read once more, three things stood twice or held more than they need: a reply of ready JSON was built in answer.rs, service.rs and http; both daemons bound and logged their address in the same seven lines; the stage kept a value of the last phase that nothing reads, with an allow for it. Ruled out: one function for the asks of the control handle, whose likeness is only of shape; dropping a prompt's text once it is handed to the engine, since copies of a suspect are told apart by it. Change: http::json_bytes, daemon::listen, a plain variant. Behaviour stays.

--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -89,14 +89,7 @@
 /// An address cannot be bound, or the HTTP client cannot be set up.
 pub async fn run(settings: AgentSettings) -> anyhow::Result<()> {
     let (tx, rx) = flume::unbounded();
-    let listener = TcpListener::bind(settings.listen).await?;
-    let node = settings.node.clone();
-    crate::event!(
-        info,
-        "listening",
-        node = node,
-        addr = listener.local_addr()?
-    );
+    let listener = daemon::listen(&settings.node, settings.listen).await?;
     compio::runtime::spawn(rpc::serve(listener, Server::new(tx.clone()).serve())).detach();
     let admin = TcpListener::bind(settings.admin).await?;
     compio::runtime::spawn(http::serve(admin, Rc::new(Admin::new(tx.clone())))).detach();
--- a/jujubewind/src/daemon/mod.rs
+++ b/jujubewind/src/daemon/mod.rs
@@ -1,12 +1,14 @@
 //! What every daemon does around its own work: options, settings, logs, runtime.
 
 mod launch;
+mod listen;
 mod options;
 mod stop_signal;
 
 use std::time::SystemTime;
 
 pub use launch::launch;
+pub use listen::listen;
 pub use options::Options;
 pub use stop_signal::stop_signal;
 
--- a/jujubewind/src/entry/api/answer.rs
+++ b/jujubewind/src/entry/api/answer.rs
@@ -12,6 +12,7 @@
 use crate::entry::caller::Event;
 use crate::http::Reply;
 use crate::http::event_stream;
+use crate::http::json_bytes;
 use crate::refusal::Reason;
 use crate::types::Millis;
 
@@ -28,7 +29,7 @@
             Event::Tokens(tokens) => text.extend(tokens),
             Event::End(finish, count) => {
                 let body = dialect.whole(header, text, finish, count);
-                return json_bytes(body);
+                return json_bytes(StatusCode::OK, body);
             }
             Event::Failed(failure) => return error_reply(header.request, &failure),
         }
@@ -95,12 +96,3 @@
         retry: Millis(1_000),
     }
 }
-
-fn json_bytes(body: Vec<u8>) -> Reply {
-    let mut reply = crate::http::plain(StatusCode::OK, body);
-    let kind = hyper::header::HeaderValue::from_static("application/json");
-    reply
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, kind);
-    reply
-}
--- a/jujubewind/src/entry/api/service.rs
+++ b/jujubewind/src/entry/api/service.rs
@@ -2,7 +2,6 @@
 
 use hyper::HeaderMap;
 use hyper::StatusCode;
-use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
@@ -16,7 +15,7 @@
 use crate::entry::control::Permit;
 use crate::entry::service::Order;
 use crate::http::Reply;
-use crate::http::plain;
+use crate::http::json_bytes;
 use crate::refusal::Reason;
 use crate::types::Millis;
 use crate::types::ModelId;
@@ -104,8 +103,5 @@
 
 fn answered(status: u16, body: Vec<u8>) -> Reply {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut reply = plain(status, body);
-    let kind = HeaderValue::from_static("application/json");
-    reply.headers_mut().insert(CONTENT_TYPE, kind);
-    reply
+    json_bytes(status, body)
 }
--- a/jujubewind/src/entry/daemon.rs
+++ b/jujubewind/src/entry/daemon.rs
@@ -32,14 +32,7 @@
     let peers = TcpListener::bind(settings.peer).await?;
     let peer_server = PeerServer::new(control.clone());
     compio::runtime::spawn(rpc::serve(peers, peer_server.serve())).detach();
-    let listener = TcpListener::bind(settings.listen).await?;
-    let node = settings.node.clone();
-    crate::event!(
-        info,
-        "listening",
-        node = node,
-        addr = listener.local_addr()?
-    );
+    let listener = daemon::listen(&settings.node, settings.listen).await?;
     let holder = Holder {
         node: settings.node.clone(),
         incarnation,
--- a/jujubewind/src/http/mod.rs
+++ b/jujubewind/src/http/mod.rs
@@ -13,6 +13,7 @@
 pub use response::Reply;
 pub use response::event_stream;
 pub use response::json;
+pub use response::json_bytes;
 pub use response::plain;
 pub use server::Handler;
 pub use server::serve;
--- a/jujubewind/src/http/response.rs
+++ b/jujubewind/src/http/response.rs
@@ -23,7 +23,13 @@
 /// A whole response with a body of JSON.
 pub fn json(status: StatusCode, body: &impl Serialize) -> Reply {
     let text = serde_json::to_vec(body).unwrap_or_default();
-    whole(status, "application/json", text)
+    json_bytes(status, text)
+}
+
+/// A whole response whose body is JSON already.
+#[must_use]
+pub fn json_bytes(status: StatusCode, body: Vec<u8>) -> Reply {
+    whole(status, "application/json", body)
 }
 
 /// A whole response with a body of plain text.
--- a/jujubewind/src/lifecycle/stage.rs
+++ b/jujubewind/src/lifecycle/stage.rs
@@ -5,7 +5,6 @@
 use super::Draining;
 use super::Load;
 use super::Serving;
-use super::Stopped;
 use crate::refusal::Refusal;
 use crate::types::MonoTime;
 
@@ -14,7 +13,7 @@
 enum Phase {
     Serving(Daemon<Serving>),
     Draining(Daemon<Draining>),
-    Stopped(#[allow(dead_code, reason = "kept for its type")] Daemon<Stopped>),
+    Stopped,
 }
 
 /// The daemon's phase.
@@ -41,7 +40,7 @@
     /// Whether nothing is left to do.
     #[must_use]
     pub fn is_over(&self) -> bool {
-        matches!(self.phase, Some(Phase::Stopped(_)) | None)
+        matches!(self.phase, Some(Phase::Stopped) | None)
     }
 
     /// Why a new request is refused; `None` while it is taken.
@@ -69,7 +68,7 @@
     pub fn tick(&mut self, now: MonoTime, load: Load) {
         self.phase = match self.phase.take() {
             Some(Phase::Draining(daemon)) => Some(match daemon.tick(now, load) {
-                Ok(stopped) => Phase::Stopped(stopped),
+                Ok(_) => Phase::Stopped,
                 Err(draining) => Phase::Draining(draining),
             }),
             other => other,
