Let short streams fill few engines, one after the other

A new engine cost a short stream 30 ms, less than one prompt of backlog at the engines in use.

Ruled out: 5 ms a slot, all slots but an eighth as a hard bound (bursts of short prompts then wait for slots at Lublin), a quarter of the slots kept, 30 ms or 20 ms for the last ones (alike).

Change: each slot that is still empty adds 2 ms to the cost of an engine for a short stream, so the fullest with room is taken and the others drain; the last eighth of the slots costs 20 ms each.

The test of the load was red before: short answers at 7 engines, 4 allowed.

--- a/jujubewind/src/direct/plan/candidate.rs
+++ b/jujubewind/src/direct/plan/candidate.rs
@@ -3,7 +3,10 @@
 use std::rc::Rc;
 
 use super::limits::CALM_ROOM;
+use super::limits::EMPTY_SLOT;
+use super::limits::LAST_SLOT;
 use super::limits::PAUSE_SHARE;
+use super::limits::SLOT_RESERVE;
 use crate::direct::Engine;
 use crate::direct::Server;
 use crate::direct::View;
@@ -45,6 +48,22 @@
         self.view.leads < engine.slots
     }
 
+    /// What a short stream costs there by its place in the batch.
+    ///
+    /// Short streams fill one engine after the other, so that long prompts find engines where nobody bears only
+    /// short pauses. The last slots of each are taken only while others have no better.
+    #[must_use]
+    pub fn packing(&self, engine: &Engine) -> Work {
+        let target = engine.slots - engine.slots.div_ceil(SLOT_RESERVE);
+        let each = if self.view.leads < target {
+            EMPTY_SLOT
+        } else {
+            LAST_SLOT
+        };
+        let apart = u64::from(target.abs_diff(self.view.leads));
+        Work(work(each).get().saturating_mul(apart))
+    }
+
     /// Memory that nobody holds.
     #[must_use]
     pub fn free(&self, engine: &Engine) -> Tokens {
--- a/jujubewind/src/direct/plan/engine_plan.rs
+++ b/jujubewind/src/direct/plan/engine_plan.rs
@@ -222,6 +222,9 @@
         } else {
             Work::ZERO
         };
+        if makes_tight {
+            extra = extra.saturating_add(candidate.packing(engine));
+        }
         if candidate.server.domain != *domain {
             extra = extra.saturating_add(Work(5_000));
         }
--- a/jujubewind/src/direct/plan/limits.rs
+++ b/jujubewind/src/direct/plan/limits.rs
@@ -40,3 +40,10 @@
 /// Tokens of a prompt that put its turn off by a millisecond. Reading takes longer than in proportion to the
 /// length, so of those that wait the shorter ones deliver more in the time that there is.
 pub const LENGTH: u64 = 100;
+/// What each slot that is still empty adds to the cost of placing a short stream: all of them together less than
+/// the reading of one more prompt, so that the wait decides first.
+pub const EMPTY_SLOT: Millis = Millis(2);
+/// One slot in this many is left for what other entries send at the same moment.
+pub const SLOT_RESERVE: u32 = 8;
+/// What each of these slots adds to the cost of placing a short stream: about the reading of a prompt.
+pub const LAST_SLOT: Millis = Millis(20);
