Count a part as read by its own engine's time, and refuse what comes too late

Ruled out: entries that place at the same moment on the same engine (turns, a bias by entry: no change of the means); the weighing of forced placements by time and disturbance together (no change).

Change: a seat holds when its part should have been read, from what was before it at that engine; it counts less as that time comes, a tenth for half as long again, then nothing. Peers are told how long their row lasts in place of its age. A request whose first token cannot come within nine tenths of its caller's patience is refused at once, also while it waits.

--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -140,10 +140,13 @@
             return Some(self.go(now, &mut field, &job, placement));
         }
         let wait = self.wait(now, &field, &job);
+        let retry = wait.clamp(plan::LEAST_RETRY, plan::LONGEST_RETRY);
         if now.after(wait) >= job.given_up() {
-            let retry = wait.clamp(plan::LEAST_RETRY, plan::LONGEST_RETRY);
             return Some(refuse(Reason::QueueFull, retry));
         }
+        if self.is_hopeless(now, &field, &job) {
+            return Some(refuse(Reason::NoTime, retry));
+        }
         self.queue.push(job);
         None
     }
@@ -164,7 +167,7 @@
                 .or_insert_with(|| Field::new(self.candidates(now, &job.service)));
             let verdict = if let Some(placement) = self.place(now, field, &job) {
                 self.go(now, field, &job, placement)
-            } else if now >= job.given_up() {
+            } else if now >= job.given_up() || self.is_hopeless(now, field, &job) {
                 refuse(Reason::NoTime, plan::LEAST_RETRY)
             } else {
                 continue;
--- a/jujubewind/src/direct/control/placing.rs
+++ b/jujubewind/src/direct/control/placing.rs
@@ -51,10 +51,11 @@
         if let Some(placement) = plan.calm() {
             return Some(placement);
         }
-        let left = Work::between(now, job.aim_ends());
+        let left = Work::between(now, job.aim_ends().min(job.reading_ends()));
         let slack = left.saturating_sub(plan.soonest()?);
         if slack == Work::ZERO {
-            return plan.forced(Work(u64::MAX), job.value() / plan::LATE_PART);
+            let left = Work::between(now, job.reading_ends());
+            return plan.forced(left, job.value() / plan::LATE_PART);
         }
         let waited = Work::between(job.arrived, now);
         let patience = waited.saturating_add(slack).get();
@@ -72,6 +73,17 @@
         plan.is_bearable(job.aim)
     }
 
+    /// Whether no placement would bring the first token in time to be of use, however long the request waits.
+    pub(super) fn is_hopeless(&self, now: MonoTime, field: &Field, job: &Job) -> bool {
+        let engine = self.engine(&job.service);
+        let Some(engine) = engine.filter(|_| job.prompt > Tokens::ZERO) else {
+            return false;
+        };
+        let plan = EnginePlan::new(engine, job, field.candidates(), &self.settings.domain);
+        let left = Work::between(now, job.reading_ends());
+        plan.soonest().is_some_and(|soonest| soonest > left)
+    }
+
     /// Takes a request's seats at the servers of its placement.
     pub(super) fn go(
         &mut self,
@@ -84,6 +96,7 @@
             job: job.id,
             read: placement.part,
             since: now,
+            until: self.read_by(now, &placement.lead.id, placement.part),
             memory: job.prompt.saturating_add(job.output),
             leads: true,
             pause: job.pause,
@@ -94,6 +107,7 @@
             let part = Seat {
                 leads: false,
                 memory: helper.memory,
+                until: self.read_by(now, &helper.server.id, placement.part),
                 pause: None,
                 ..seat.clone()
             };
@@ -107,6 +121,13 @@
         Verdict::Go(placement)
     }
 
+    /// When a part that is sent to a server now should have been read, after what is to be read there before it.
+    fn read_by(&self, now: MonoTime, server: &ServerId, part: Work) -> MonoTime {
+        let ahead = self.ledger.view(now, server).backlog;
+        let alone = ahead.saturating_add(part);
+        now.after(alone.scaled(plan::READ_SLOWER).millis())
+    }
+
     /// How long a request would wait: for what is read at the engines that are free first, as many as read it,
     /// and for its share of what goes before it.
     pub(super) fn wait(&self, now: MonoTime, field: &Field, job: &Job) -> Millis {
--- a/jujubewind/src/direct/load/ledger.rs
+++ b/jujubewind/src/direct/load/ledger.rs
@@ -91,17 +91,17 @@
         let mut view = View::default();
         if let Some(seats) = self.seats.get(server) {
             let row = Row::of(server.clone(), now, seats);
-            view.add(&row, now.since(now));
+            view.add(&row, row.read);
         }
         for peer in self.peers.values() {
             if now.since(peer.heard) >= SILENCE {
                 continue;
             }
             if let Some((row, at)) = peer.rows.get(server) {
-                view.add(row, now.since(*at));
+                view.add(row, row.unread(now.since(*at)));
             }
         }
-        view.progress()
+        view
     }
 
     /// The rows that changed since the last call.
--- a/jujubewind/src/direct/load/row.rs
+++ b/jujubewind/src/direct/load/row.rs
@@ -14,8 +14,8 @@
         pub server: ServerId,
         /// What is still to be read.
         pub read: Work,
-        /// The time since the oldest unread part was sent.
-        pub age: Millis,
+        /// The time until that should be read.
+        pub until: Millis,
         /// Requests that write there, or will.
         pub leads: u32,
         /// Memory that they hold.
@@ -31,17 +31,24 @@
     /// Sums up the seats at one server.
     #[must_use]
     pub fn of(server: ServerId, now: MonoTime, seats: &[Seat]) -> Self {
-        let unread = seats.iter().filter(|seat| seat.read > Work::ZERO);
-        let oldest = unread.map(|seat| seat.since).min();
+        let unread = || seats.iter().map(|seat| seat.unread(now));
+        let last = seats.iter().filter(|seat| seat.read > Work::ZERO);
+        let last = last.map(|seat| seat.until).max().unwrap_or(now);
         let leads = || seats.iter().filter(|seat| seat.leads);
         Self {
             server,
-            read: seats.iter().map(|seat| seat.read).sum(),
-            age: oldest.map_or(Millis::ZERO, |since| now.since(since)),
+            read: unread().sum(),
+            until: last.since(now),
             leads: u32::try_from(leads().count()).unwrap_or(u32::MAX),
             memory: seats.iter().map(|seat| seat.memory).sum(),
             pause: leads().filter_map(|seat| seat.pause).min(),
             value: leads().map(|seat| seat.value).sum(),
         }
     }
+
+    /// What is still to be read a while after it was told.
+    #[must_use]
+    pub fn unread(&self, after: Millis) -> Work {
+        self.read.min(Work::of(self.until.saturating_sub(after)))
+    }
 }
--- a/jujubewind/src/direct/load/seat.rs
+++ b/jujubewind/src/direct/load/seat.rs
@@ -1,6 +1,8 @@
 //! One request's claim on one backend server.
 
 use super::JobId;
+use super::limits::GRACE;
+use super::limits::LEFT;
 use crate::scheduler::Work;
 use crate::types::Millis;
 use crate::types::MonoTime;
@@ -15,6 +17,8 @@
     pub read: Work,
     /// When it was sent.
     pub since: MonoTime,
+    /// When it should have been read.
+    pub until: MonoTime,
     /// Memory it holds there.
     pub memory: Tokens,
     /// Whether it writes there, or will; otherwise it only reads a part of the prompt.
@@ -24,3 +28,21 @@
     /// What it is worth to serve it well.
     pub value: u64,
 }
+
+impl Seat {
+    /// What is still to be read there, as far as time tells.
+    ///
+    /// A part of a prompt counts as unread until the whole prompt has been read, but an engine that is done with its
+    /// part is free. Beyond the predicted time a little is kept back for a while, in case the prediction was wrong.
+    #[must_use]
+    pub fn unread(&self, now: MonoTime) -> Work {
+        if now < self.until {
+            return self.read.min(Work::between(now, self.until));
+        }
+        let grace = Millis(self.until.since(self.since).get() * GRACE / 1_000);
+        if now < self.until.after(grace) {
+            return self.read.scaled(LEFT);
+        }
+        Work::ZERO
+    }
+}
--- a/jujubewind/src/direct/plan/candidate.rs
+++ b/jujubewind/src/direct/plan/candidate.rs
@@ -34,8 +34,8 @@
     #[must_use]
     pub fn room(&self, engine: &Engine) -> Work {
         let bears = match self.view.pause {
-            Some(pause) => work(pause).scaled(PAUSE_SHARE),
-            None => work(CALM_ROOM),
+            Some(pause) => Work::of(pause).scaled(PAUSE_SHARE),
+            None => Work::of(CALM_ROOM),
         };
         bears
             .saturating_sub(self.pass(engine))
@@ -61,7 +61,7 @@
             LAST_SLOT
         };
         let apart = u64::from(target.abs_diff(self.view.leads));
-        Work(work(each).get().saturating_mul(apart))
+        Work(Work::of(each).get().saturating_mul(apart))
     }
 
     /// Memory that nobody holds.
@@ -76,8 +76,3 @@
         self.view.pause.is_some_and(|shortest| shortest <= pause)
     }
 }
-
-/// A span as engine time.
-pub(super) const fn work(span: Millis) -> Work {
-    Work(span.get().saturating_mul(1_000))
-}
--- a/jujubewind/src/direct/plan/engine_plan.rs
+++ b/jujubewind/src/direct/plan/engine_plan.rs
@@ -4,7 +4,6 @@
 use super::Helper;
 use super::Job;
 use super::Placement;
-use super::candidate::work;
 use super::limits::LEAST_PART;
 use super::limits::MOST_HELPERS;
 use super::limits::PART_COST;
@@ -117,7 +116,7 @@
     #[must_use]
     pub fn is_bearable(&self, aim: Millis) -> bool {
         let engines = u64::try_from(self.order.len().div_ceil(2)).unwrap_or(u64::MAX);
-        self.read.get() <= work(aim).get().saturating_mul(engines)
+        self.read.get() <= Work::of(aim).get().saturating_mul(engines)
     }
 
     /// The sets of engines of those that `fits` allows, one for each number of parts.
@@ -126,7 +125,7 @@
     }
 
     fn most_parts(&self) -> usize {
-        let worth = self.read.get().div_ceil(work(LEAST_PART).get().max(1));
+        let worth = self.read.get().div_ceil(Work::of(LEAST_PART).get().max(1));
         let worth = usize::try_from(worth).unwrap_or(usize::MAX);
         worth
             .clamp(1, MOST_HELPERS + 1)
@@ -150,12 +149,12 @@
         let wait = all().map(|scored| scored.wait).max().unwrap_or_default();
         let first = wait.saturating_add(part);
         let held = aside.iter().any(|memory| *memory > Tokens::ZERO);
-        if held && first > work(TICKET_READ) {
+        if held && first > Work::of(TICKET_READ) {
             return None;
         }
         let extra: Work = all().map(|scored| scored.extra).sum();
         let cost = first
-            .saturating_add(Work(work(PART_COST).get() * count))
+            .saturating_add(Work(Work::of(PART_COST).get() * count))
             .saturating_add(extra);
         let over = all().filter(|scored| scored.room < part);
         let disturbed = over.map(|scored| scored.candidate.view.value).sum();
@@ -218,7 +217,7 @@
         let makes_tight = job.pause.is_some_and(|pause| pause <= TIGHT_PAUSE);
         let changes = tight != makes_tight;
         let mut extra = if changes {
-            work(TIGHT_COST)
+            Work::of(TIGHT_COST)
         } else {
             Work::ZERO
         };
--- a/jujubewind/src/direct/plan/job.rs
+++ b/jujubewind/src/direct/plan/job.rs
@@ -1,5 +1,6 @@
 //! A request that wants a backend server.
 
+use super::limits::READ_SHARE;
 use super::limits::WAIT_SHARE;
 use crate::direct::JobId;
 use crate::direct::ServerId;
@@ -47,6 +48,13 @@
         self.arrived.after(self.aim)
     }
 
+    /// When its first token is too late to be of use.
+    #[must_use]
+    pub const fn reading_ends(&self) -> MonoTime {
+        let read = Millis(self.patience.get() * READ_SHARE / 1_000);
+        self.arrived.after(read)
+    }
+
     /// The longest that it may wait before it is read.
     #[must_use]
     pub const fn longest_wait(&self) -> Millis {
--- a/jujubewind/src/direct/plan/limits.rs
+++ b/jujubewind/src/direct/plan/limits.rs
@@ -23,6 +23,9 @@
 /// The share of its callers' patience, in thousandths, after which a waiting request is refused, so that
 /// they can turn elsewhere in time.
 pub const WAIT_SHARE: u64 = 800;
+/// The share of its callers' patience, in thousandths, within which the first token must come; the rest is for
+/// writing the answer.
+pub const READ_SHARE: u64 = 900;
 /// The share of its worth, in thousandths, that a request may disturb when it arrives; it grows to all of it
 /// while the time runs out in which its aim can still be met.
 pub const FORCE_SHARE: u64 = 500;
@@ -47,3 +50,5 @@
 pub const SLOT_RESERVE: u32 = 8;
 /// What each of these slots adds to the cost of placing a short stream: about the reading of a prompt.
 pub const LAST_SLOT: Millis = Millis(20);
+/// How long reading takes beside writing, in thousandths of the time that it takes alone.
+pub const READ_SLOWER: u64 = 1_250;
--- a/jujubewind/src/direct/plan/mod.rs
+++ b/jujubewind/src/direct/plan/mod.rs
@@ -22,6 +22,7 @@
 pub use limits::LATE_PART;
 pub use limits::LEAST_RETRY;
 pub use limits::LONGEST_RETRY;
+pub use limits::READ_SLOWER;
 pub use placement::Placement;
 pub use plain_plan::place_plain;
 pub use queue::Queue;
--- a/jujubewind/src/scheduler/work.rs
+++ b/jujubewind/src/scheduler/work.rs
@@ -9,6 +9,12 @@
 }
 
 impl Work {
+    /// A span as engine time.
+    #[must_use]
+    pub const fn of(span: Millis) -> Self {
+        Self(span.get().saturating_mul(1_000))
+    }
+
     /// The same length in milliseconds, rounded up.
     #[must_use]
     pub const fn millis(self) -> Millis {
--- a/jujubewind/tests/direct/core.rs
+++ b/jujubewind/tests/direct/core.rs
@@ -1,12 +1,14 @@
 //! The entry's shared state: asking, waiting, refusing, giving back.
 
 use jujubewind::conviction::Fingerprint;
+use jujubewind::conviction::Suspect;
 use jujubewind::direct::Core;
 use jujubewind::direct::Digest;
 use jujubewind::direct::FleetNews;
 use jujubewind::direct::Job;
 use jujubewind::direct::JobId;
 use jujubewind::direct::Outcome;
+use jujubewind::direct::Row;
 use jujubewind::direct::Stamp;
 use jujubewind::direct::Verdict;
 use jujubewind::refusal::Reason;
@@ -34,6 +36,19 @@
     }
 }
 
+/// What a peer tells.
+fn digest(rows: Vec<Row>, suspects: Vec<Suspect>) -> Digest {
+    Digest {
+        node: "entry-2".parse().expect("a name"),
+        stamp: Stamp {
+            life: Incarnation(1),
+            number: 1,
+        },
+        rows,
+        suspects,
+    }
+}
+
 /// An entry whose only engine has all its slots taken by requests 1 to 16.
 fn full() -> Core {
     let mut core = core(1);
@@ -187,16 +202,7 @@
     let mut theirs = full();
 
     let (rows, suspects) = theirs.news(at(0), false);
-    let digest = Digest {
-        node: "entry-2".parse().expect("a name"),
-        stamp: Stamp {
-            life: Incarnation(1),
-            number: 1,
-        },
-        rows,
-        suspects,
-    };
-    mine.told(at(0), digest);
+    mine.told(at(0), digest(rows, suspects));
 
     assert_eq!(mine.ask(at(1), job(1, 1_000)), None);
 }
@@ -253,16 +259,8 @@
 #[test]
 fn a_short_prompt_is_not_refused_for_what_long_ones_still_have_to_read() {
     let mut core = core(14);
-    let digest = Digest {
-        node: "entry-2".parse().expect("a name"),
-        stamp: Stamp {
-            life: Incarnation(1),
-            number: 1,
-        },
-        rows: (0..10).map(|number| row(number, 3_000, 1)).collect(),
-        suspects: Vec::new(),
-    };
-    core.told(at(0), digest);
+    let rows = (0..10).map(|number| row(number, 3_000, 1)).collect();
+    core.told(at(0), digest(rows, Vec::new()));
     let mut refused = 0;
 
     for id in 10..40 {
@@ -271,3 +269,48 @@
 
     assert_eq!(refused, 0);
 }
+
+/// A prompt that four engines read together for 3.6 s, which is of use within 10.8 s.
+fn long() -> Job {
+    Job {
+        aim: Millis(8_000),
+        patience: Millis(12_000),
+        ..job(100, 385_000)
+    }
+}
+
+#[test]
+fn a_prompt_that_cannot_be_read_in_its_time_is_refused_at_once() {
+    let mut core = core(4);
+    let rows = (0..4).map(|number| row(number, 8_000, 1)).collect();
+    core.told(at(0), digest(rows, Vec::new()));
+
+    let verdict = core.ask(at(0), long());
+
+    assert_eq!(reason(verdict), Some(Reason::NoTime));
+}
+
+#[test]
+fn a_prompt_that_can_no_longer_be_read_in_its_time_stops_waiting() {
+    let mut core = core(4);
+    for id in 1..=64 {
+        core.ask(at(0), job(id, 1_000));
+        core.was_read(JobId(id));
+    }
+    let waits = core.ask(at(0), long());
+
+    let early = core.poll(at(6_000));
+    core.ended(
+        at(7_900),
+        JobId(1),
+        &server(0).id,
+        print(1),
+        Outcome::Served,
+    );
+    let late = core.poll(at(8_000));
+
+    assert_eq!(waits, None);
+    assert!(early.is_empty());
+    assert_eq!(late.len(), 1, "2.8 s are left");
+    assert_eq!(reason(Some(late[0].1.clone())), Some(Reason::NoTime));
+}
--- a/jujubewind/tests/direct/fixture.rs
+++ b/jujubewind/tests/direct/fixture.rs
@@ -83,6 +83,7 @@
         job: JobId(job),
         read: Work(read * 1_000),
         since: MonoTime::ZERO,
+        until: at(read),
         memory: Tokens(if leads { 5_000 } else { 0 }),
         leads,
         pause: leads.then_some(Millis(250)),
@@ -113,7 +114,7 @@
     Row {
         server: server(number).id,
         read: Work(read * 1_000),
-        age: Millis::ZERO,
+        until: Millis(read),
         leads,
         memory: Tokens::ZERO,
         pause: Some(Millis(250)),
--- a/jujubewind/tests/direct/ledger.rs
+++ b/jujubewind/tests/direct/ledger.rs
@@ -66,6 +66,34 @@
     assert_eq!(ledger.view(at(0), &helper).memory, Tokens::ZERO);
 }
 
+#[test]
+fn an_engine_that_is_done_with_its_part_is_free_though_others_still_read() {
+    let mut ledger = Ledger::default();
+    let (lead, helper) = (server(0).id, server(1).id);
+    ledger.take(&lead, seat(1, 9_000, true));
+    ledger.take(&helper, seat(1, 1_000, false));
+
+    let halfway = ledger.view(at(500), &helper).backlog;
+    let late = ledger.view(at(1_200), &helper).backlog;
+    let done = ledger.view(at(2_000), &helper).backlog;
+
+    assert_eq!(halfway, Work(500_000));
+    assert!(late > Work::ZERO, "the prediction may be wrong");
+    assert_eq!(done, Work::ZERO);
+    assert_eq!(ledger.view(at(2_000), &lead).backlog, Work(7_000_000));
+}
+
+#[test]
+fn what_a_peer_told_is_read_as_time_passes() {
+    let mut ledger = Ledger::default();
+    let id = server(0).id;
+
+    ledger.told(at(0), &peer(), stamp(1, 1), vec![row(0, 900, 1)]);
+
+    assert_eq!(ledger.view(at(400), &id).backlog, Work(500_000));
+    assert_eq!(ledger.view(at(1_000), &id).backlog, Work::ZERO);
+}
+
 #[test]
 fn a_late_digest_does_not_undo_a_newer_one() {
     let mut ledger = Ledger::default();
