Begin no answer that cannot be written in the time that is left

Change: the first token must come while half of the longest answer can still be written, by the engine's cost model.

Callers hear sooner.

--- a/jujubewind/src/direct/control/placing.rs
+++ b/jujubewind/src/direct/control/placing.rs
@@ -51,10 +51,10 @@
         if let Some(placement) = plan.calm() {
             return Some(placement);
         }
-        let left = Work::between(now, job.aim_ends().min(job.reading_ends()));
+        let left = Work::between(now, job.aim_ends().min(job.reading_ends(engine)));
         let slack = left.saturating_sub(plan.soonest()?);
         if slack == Work::ZERO {
-            let left = Work::between(now, job.reading_ends());
+            let left = Work::between(now, job.reading_ends(engine));
             return plan.forced(left, job.value() / plan::LATE_PART);
         }
         let waited = Work::between(job.arrived, now);
@@ -80,7 +80,7 @@
             return false;
         };
         let plan = EnginePlan::new(engine, job, field.candidates(), &self.settings.domain);
-        let left = Work::between(now, job.reading_ends());
+        let left = Work::between(now, job.reading_ends(engine));
         plan.soonest().is_some_and(|soonest| soonest > left)
     }
 
--- a/jujubewind/src/direct/engine.rs
+++ b/jujubewind/src/direct/engine.rs
@@ -48,6 +48,13 @@
         Work(linear.saturating_add(attention) / NANOS)
     }
 
+    /// The time to write an answer of `output` tokens alone.
+    #[must_use]
+    pub fn write(&self, prompt: Tokens, output: Tokens) -> Work {
+        let passes = output.get().div_ceil(self.stride);
+        Work(self.pass(1, prompt).get().saturating_mul(passes))
+    }
+
     /// The time of a pass in which `writers` requests with `context` tokens write and nothing is read.
     #[must_use]
     pub fn pass(&self, writers: u32, context: Tokens) -> Work {
--- a/jujubewind/src/direct/plan/job.rs
+++ b/jujubewind/src/direct/plan/job.rs
@@ -1,7 +1,9 @@
 //! A request that wants a backend server.
 
+use super::limits::ANSWER_SHARE;
 use super::limits::READ_SHARE;
 use super::limits::WAIT_SHARE;
+use crate::direct::Engine;
 use crate::direct::JobId;
 use crate::direct::ServerId;
 use crate::direct::ServiceId;
@@ -48,11 +50,13 @@
         self.arrived.after(self.aim)
     }
 
-    /// When its first token is too late to be of use.
+    /// When its first token is too late to be of use: its answer could not be written in the rest of its time.
     #[must_use]
-    pub const fn reading_ends(&self) -> MonoTime {
+    pub fn reading_ends(&self, engine: &Engine) -> MonoTime {
         let read = Millis(self.patience.get() * READ_SHARE / 1_000);
-        self.arrived.after(read)
+        let write = engine.write(self.prompt, self.output).scaled(ANSWER_SHARE);
+        let rest = self.patience.saturating_sub(write.millis());
+        self.arrived.after(read.min(rest))
     }
 
     /// The longest that it may wait before it is read.
--- a/jujubewind/src/direct/plan/limits.rs
+++ b/jujubewind/src/direct/plan/limits.rs
@@ -23,9 +23,10 @@
 /// The share of its callers' patience, in thousandths, after which a waiting request is refused, so that
 /// they can turn elsewhere in time.
 pub const WAIT_SHARE: u64 = 800;
-/// The share of its callers' patience, in thousandths, within which the first token must come; the rest is for
-/// writing the answer.
+/// The share of its callers' patience, in thousandths, within which the first token must come.
 pub const READ_SHARE: u64 = 900;
+/// The part of the longest answer that is expected, in thousandths, as for admitted work at an agent.
+pub const ANSWER_SHARE: u64 = 500;
 /// The share of its worth, in thousandths, that a request may disturb when it arrives; it grows to all of it
 /// while the time runs out in which its aim can still be met.
 pub const FORCE_SHARE: u64 = 500;
--- a/jujubewind/tests/direct/plan.rs
+++ b/jujubewind/tests/direct/plan.rs
@@ -180,3 +180,14 @@
     assert_eq!(engine.pass(1, Tokens::ZERO).millis(), Millis(45));
     assert_eq!(engine.pass(0, Tokens::ZERO), Work::ZERO);
 }
+
+#[test]
+fn an_answer_that_could_not_be_written_in_time_need_not_be_read() {
+    let engine = engine();
+    let mut late = job(9, 182_000);
+    late.output = Tokens(1_360);
+    late.patience = Millis(1_500);
+
+    // Forty events of at least 57 ms each, of which half are expected.
+    assert!(late.reading_ends(&engine) <= late.arrived.after(Millis(400)));
+}
