Take the time to write an answer from the call's time, not from its caller's patience

Change: a job holds when its whole answer must have come; the first token must come within nine tenths of the patience and early enough before that end. Both tests were red before.

--- a/jujubewind/src/direct/api/exchange/demand.rs
+++ b/jujubewind/src/direct/api/exchange/demand.rs
@@ -83,6 +83,7 @@
             pause: target.route.pause,
             aim: target.route.aim,
             patience: if begun { patience.min(left) } else { patience },
+            ends: now.after(left),
             rank: target.rank(),
             avoid: self.tried.borrow().clone(),
             arrived,
--- a/jujubewind/src/direct/plan/job.rs
+++ b/jujubewind/src/direct/plan/job.rs
@@ -28,6 +28,8 @@
     pub aim: Millis,
     /// How long its caller waits for an event before leaving, or the time that it has.
     pub patience: Millis,
+    /// When its whole answer must have come.
+    pub ends: MonoTime,
     /// 0 is the highest.
     pub rank: u8,
     /// Backend servers that failed it.
@@ -55,7 +57,7 @@
     pub fn reading_ends(&self, engine: &Engine) -> MonoTime {
         let read = Millis(self.patience.get() * READ_SHARE / 1_000);
         let write = engine.write(self.prompt, self.output).scaled(ANSWER_SHARE);
-        let rest = self.patience.saturating_sub(write.millis());
+        let rest = self.ends.since(self.arrived).saturating_sub(write.millis());
         self.arrived.after(read.min(rest))
     }
 
--- a/jujubewind/tests/direct/plan.rs
+++ b/jujubewind/tests/direct/plan.rs
@@ -9,6 +9,7 @@
 use jujubewind::types::Millis;
 use jujubewind::types::Tokens;
 
+use crate::fixture::at;
 use crate::fixture::candidates;
 use crate::fixture::domain;
 use crate::fixture::engine;
@@ -186,8 +187,16 @@
     let engine = engine();
     let mut late = job(9, 182_000);
     late.output = Tokens(1_360);
-    late.patience = Millis(1_500);
+    late.ends = at(1_500);
 
     // Forty events of at least 57 ms each, of which half are expected.
-    assert!(late.reading_ends(&engine) <= late.arrived.after(Millis(400)));
+    assert!(late.reading_ends(&engine) <= at(400));
+}
+
+#[test]
+fn a_caller_who_leaves_after_a_pause_has_time_for_the_whole_answer() {
+    let short = job(9, 5_000);
+
+    // The caller waits for 2 s for the first event, and has 10 s for all of them.
+    assert_eq!(short.reading_ends(&engine()), at(1_800));
 }
