--- a/jujubewind/src/direct/plan/engine_plan.rs
+++ b/jujubewind/src/direct/plan/engine_plan.rs
@@ -4,6 +4,7 @@
 use super::Helper;
 use super::Job;
 use super::Placement;
+use super::limits::FAR_COST;
 use super::limits::LEAST_PART;
 use super::limits::MOST_HELPERS;
 use super::limits::PART_COST;
@@ -225,7 +226,7 @@
             extra = extra.saturating_add(candidate.packing(engine));
         }
         if candidate.server.domain != *domain {
-            extra = extra.saturating_add(Work(5_000));
+            extra = extra.saturating_add(Work::of(FAR_COST));
         }
         Self {
             candidate,
--- a/jujubewind/src/direct/plan/limits.rs
+++ b/jujubewind/src/direct/plan/limits.rs
@@ -15,6 +15,8 @@
 pub const PART_COST: Millis = Millis(30);
 /// What a placement costs that makes an engine tight, or reads where it is tight.
 pub const TIGHT_COST: Millis = Millis(30);
+/// What a placement costs for each engine in another failure domain: the way there.
+pub const FAR_COST: Millis = Millis(5);
 /// A pause up to which an engine counts as tight: streams that are read as they are written.
 pub const TIGHT_PAUSE: Millis = Millis(300);
 /// The share of an engine's free memory, in thousandths, that one prompt may set aside: the rest is for what
