Decide the orders of a memory reservation in a state machine

Renewals had no end while a prompt waited at its primary, a renewal in flight was cancelled and could be carried out after the release, a release stopped at the first answer of any status, and a machine that woke up renewed memory that had expired. The refusal of an exhausted account always has a retry delay (rounded up). Result: 41,544 histories of one reservation keep the bounds; the first run of that check found the case of a request that ends during a freeze, which no entry can see, so time counts from its end.

--- a/jujubewind/src/credit/escrow.rs
+++ b/jujubewind/src/credit/escrow.rs
@@ -32,6 +32,9 @@
 /// Retry delay after the store failed.
 const RETRY_DELAY: Millis = Millis(500);
 
+/// The shortest retry delay of a refusal; a refusal without one would not say when to come back.
+const MIN_RETRY: Millis = Millis(1);
+
 /// How long an exhausted account is not read again.
 const EXHAUSTED_DELAY: Millis = Millis(2_000);
 
@@ -282,7 +285,7 @@
     fn refusal(&self, now: MonoTime, until: MonoTime) -> Shortage {
         Shortage::Refused(Refusal {
             reason: Reason::NoCredit,
-            retry: until.min(self.interval.ends).since(now),
+            retry: now.until(until.min(self.interval.ends)).max(MIN_RETRY),
         })
     }
 }
--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -55,6 +55,8 @@
     excluded: RefCell<Vec<ServerId>>,
     /// The number of backend servers that may have run the request.
     runs: Cell<u32>,
+    /// The number of times that memory was reserved for it.
+    reservations: Cell<u32>,
     _open_request: OpenRequest<D>,
 }
 
@@ -86,6 +88,7 @@
             arrived,
             excluded: RefCell::default(),
             runs: Cell::new(0),
+            reservations: Cell::new(0),
             _open_request: open_request,
         })
     }
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -64,7 +64,10 @@
         if helpers.iter().all(|helper| helper.memory == Tokens::ZERO) {
             return Ok(grant);
         }
-        let name = format!("{}x{}", self.call.id, self.runs.get());
+        // An order of an earlier try may still be carried out, so each try has names of its own.
+        let tries = self.reservations.get() + 1;
+        self.reservations.set(tries);
+        let name = format!("{}x{tries}", self.call.id);
         let Some(reservations) = Reservations::take(&self.gateway, &name, helpers).await else {
             let cause = "an engine refused to reserve memory";
             self.log_attempt_failure(&grant.placement, "no_memory", cause);
@@ -100,12 +103,18 @@
         let request = self.request(target, &grant, last);
         self.runs.set(self.runs.get() + 1);
         let timeout = self.response_timeout(target, &grant.placement);
-        let sending = connection.send(request);
-        let sent = match timeout {
-            Some(timeout) => compio::time::timeout(timeout.duration(), sending)
-                .await
-                .ok(),
-            None => Some(sending.await),
+        let sending = async {
+            let sending = connection.send(request);
+            match timeout {
+                Some(timeout) => compio::time::timeout(timeout.duration(), sending)
+                    .await
+                    .ok(),
+                None => Some(sending.await),
+            }
+        };
+        let Some(sent) = grant.while_held(sending).await else {
+            let cause = "reserved memory was lost or not used in time";
+            return Err(self.fail_attempt(grant, "memory_lost", cause, Outcome::Abandoned));
         };
         match sent {
             Some(Ok(response)) => Ok(UpstreamResponse {
--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -21,6 +21,7 @@
 use crate::direct::Dialect;
 use crate::direct::EntryState;
 use crate::direct::Pool;
+use crate::direct::ReservationLimits;
 use crate::direct::Shared;
 use crate::entry::Failure;
 use crate::http;
@@ -39,6 +40,8 @@
 pub struct GatewaySettings {
     /// The `Retry-After` of requests that are refused during shutdown.
     pub retry: Millis,
+    /// Time limits of memory that is reserved for prompts on several engines.
+    pub reservations: ReservationLimits,
 }
 
 /// The state that all requests share.
--- a/jujubewind/src/direct/api/limits.rs
+++ b/jujubewind/src/direct/api/limits.rs
@@ -21,15 +21,8 @@
 pub const FIRST_EVENT_PERMILLE: u64 = 350;
 /// The longest gap between two events of a stream, in thousandths of the client timeout.
 pub const EVENT_GAP_PERMILLE: u64 = 600;
-/// How long reserved memory is held without renewal; after a crash of the entry it stays reserved
-/// this long.
-pub const RESERVATION_TTL: Millis = Millis(3_500);
-/// How often reservations are renewed: often enough that one lost renewal does no harm.
-pub const RESERVATION_RENEW_INTERVAL: Millis = Millis(1_300);
 /// How long an engine may take to answer a request to reserve or release memory.
 pub const ORDER_TIMEOUT: Millis = Millis(500);
-/// How often a release is sent if the engine does not answer.
-pub const RELEASE_ATTEMPTS: usize = 3;
 /// The delay before memory is requested from other engines.
 pub const RESERVATION_RETRY_DELAY: Millis = Millis(100);
 /// The least remaining time with which a request is sent again.
--- a/jujubewind/src/direct/api/mod.rs
+++ b/jujubewind/src/direct/api/mod.rs
@@ -1,5 +1,6 @@
 //! Handles callers' requests, from the head to the last byte of the response.
 
+mod engine_reservation;
 mod events;
 mod exchange;
 mod gap_tracker;
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -114,7 +114,10 @@
         } else {
             left
         };
-        let frame = compio::time::timeout(wait.duration(), source.body.frame()).await;
+        let reading = compio::time::timeout(wait.duration(), source.body.frame());
+        let Some(frame) = source.grant.while_held(reading).await else {
+            return Step::Broken("memory_lost");
+        };
         match frame {
             Err(_) => Step::Broken("silent"),
             Ok(Some(Err(_))) => Step::Broken("broken"),
@@ -165,6 +168,7 @@
         let left = self.exchange.left(&self.target);
         let outcome = match what {
             "silent" if left == Millis::ZERO => Outcome::Abandoned,
+            "memory_lost" => Outcome::Abandoned,
             "silent" => Outcome::Silent,
             _ => Outcome::Broken,
         };
--- a/jujubewind/src/direct/boot_time.rs
+++ b/jujubewind/src/direct/boot_time.rs
@@ -27,6 +27,12 @@
         Self(millis)
     }
 
+    /// The time `span` later.
+    #[must_use]
+    pub const fn after(self, span: Millis) -> Self {
+        Self(self.0.saturating_add(span.0))
+    }
+
     /// The time elapsed since `earlier`.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Millis {
--- a/jujubewind/src/direct/control/grant.rs
+++ b/jujubewind/src/direct/control/grant.rs
@@ -2,6 +2,9 @@
 
 use std::cell::Cell;
 
+use futures::future::Either;
+use futures::future::select;
+
 use super::Control;
 use super::Message;
 use super::Outcome;
@@ -46,6 +49,9 @@
         let is_first = !self.prefilled.replace(true);
         if is_first {
             self.control.send(Message::Prefilled(self.job));
+            if let Some(reservations) = &self.reservations {
+                reservations.mark_used();
+            }
         }
         is_first
     }
@@ -60,6 +66,18 @@
         self.reservations.as_ref()
     }
 
+    /// Runs `work`; `None` if reserved memory could no longer serve the request before its end.
+    pub(in crate::direct) async fn while_held<F: Future>(&self, work: F) -> Option<F::Output> {
+        let Some(reservations) = &self.reservations else {
+            return Some(work.await);
+        };
+        let lost = std::pin::pin!(reservations.lost());
+        match select(std::pin::pin!(work), lost).await {
+            Either::Left((output, _)) => Some(output),
+            Either::Right(_) => None,
+        }
+    }
+
     /// Releases the servers and reports the outcome.
     pub fn finish(self, outcome: Outcome) {
         self.outcome.set(outcome);
--- a/jujubewind/src/direct/dialect.rs
+++ b/jujubewind/src/direct/dialect.rs
@@ -9,6 +9,8 @@
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
 
+use super::Order;
+use super::OrderReply;
 use super::ServerId;
 use crate::entry::Failure;
 use crate::http::Reply;
@@ -107,12 +109,15 @@
     /// Replaces the caller's headers by those that a backend server gets.
     fn write_headers(&self, headers: &mut HeaderMap, forward: &ForwardHeaders<'_>);
 
-    /// Builds the order that makes an engine reserve memory at once, or renew a reservation;
-    /// success is 200.
-    fn reserve(&self, reservation: &Reservation) -> Request<Full<Bytes>>;
+    /// Builds the order that makes the engine `server` reserve memory at once, or renew a
+    /// reservation.
+    fn reserve(&self, server: &ServerId, reservation: &Reservation) -> Request<Full<Bytes>>;
 
-    /// Builds the order that releases a reservation.
-    fn release(&self, reservation: &ReservationId) -> Request<Full<Bytes>>;
+    /// Builds the order that releases a reservation at the engine `server`.
+    fn release(&self, server: &ServerId, reservation: &ReservationId) -> Request<Full<Bytes>>;
+
+    /// Interprets the status of the response to an order.
+    fn parse_order_reply(&self, order: Order, status: StatusCode) -> OrderReply;
 
     /// Parses the head of a backend server's response.
     fn parse_response(&self, status: StatusCode, headers: &HeaderMap) -> ResponseHead;
--- /dev/null
+++ b/jujubewind/src/direct/reservation/memory_hold.rs
@@ -0,0 +1,131 @@
+//! The reservation of memory at one engine.
+
+use super::Order;
+use super::OrderReply;
+use super::ReservationLimits;
+use super::Step;
+use crate::direct::BootTime;
+
+/// The phase of a reservation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The first order has not been answered yet.
+    Taking,
+    /// The memory is reserved for a request.
+    Held,
+    /// The request needs it no longer.
+    Ending,
+}
+
+/// Decides which orders to send about memory at one engine.
+///
+/// Times count the suspension of the machine, as the engine's do.
+#[derive(Clone, Debug)]
+pub struct MemoryHold {
+    limits: ReservationLimits,
+    phase: Phase,
+    started: BootTime,
+    is_used: bool,
+    next_order: BootTime,
+    /// When the engine drops the memory by itself, as far as orders were answered.
+    held_until: Option<BootTime>,
+    /// Until when an order without an answer may set memory aside.
+    doubt_end: Option<BootTime>,
+}
+
+impl MemoryHold {
+    /// Creates a reservation whose first order is due now.
+    #[must_use]
+    pub const fn new(now: BootTime, limits: ReservationLimits) -> Self {
+        Self {
+            limits,
+            phase: Phase::Taking,
+            started: now,
+            is_used: false,
+            next_order: now,
+            held_until: None,
+            doubt_end: None,
+        }
+    }
+
+    /// The next step.
+    #[must_use]
+    pub fn step(&self, now: BootTime) -> Step {
+        match self.phase {
+            Phase::Taking => Step::Send(Order::Reserve),
+            Phase::Held if self.is_lost(now) => Step::Lost,
+            Phase::Held if now >= self.next_order => Step::Send(Order::Reserve),
+            Phase::Ending if self.may_hold_until().is_none_or(|until| now >= until) => Step::Ended,
+            Phase::Ending if now >= self.next_order => Step::Send(Order::Release),
+            Phase::Held | Phase::Ending => Step::Sleep(self.next_order.since(now)),
+        }
+    }
+
+    /// Records the reply, at `now`, to an order that was sent at `sent`.
+    pub fn record(&mut self, now: BootTime, sent: BootTime, order: Order, reply: OrderReply) {
+        match (order, reply) {
+            (_, OrderReply::Restarted) => {
+                self.held_until = None;
+                self.end(now);
+            }
+            (Order::Reserve, OrderReply::Done) => {
+                let until = sent.after(self.limits.hold);
+                self.held_until = self.held_until.max(Some(until));
+                self.next_order = sent.after(self.limits.renewal);
+                if self.phase == Phase::Taking {
+                    self.phase = Phase::Held;
+                }
+            }
+            (Order::Reserve, _) => self.record_failed_reserve(now, sent, reply),
+            (Order::Release, OrderReply::Done) => {
+                self.held_until = None;
+                self.next_order = now.after(self.limits.recheck);
+            }
+            (Order::Release, _) => self.next_order = now.after(self.limits.retry),
+        }
+    }
+
+    /// Records that the request uses the memory from now on.
+    pub const fn mark_used(&mut self) {
+        self.is_used = true;
+    }
+
+    /// Records that the request needs the memory no longer.
+    pub fn end(&mut self, now: BootTime) {
+        if self.phase != Phase::Ending {
+            self.phase = Phase::Ending;
+            self.next_order = now;
+        }
+    }
+
+    /// Whether the first order was answered with success and the request has not ended.
+    #[must_use]
+    pub fn is_held(&self) -> bool {
+        self.phase == Phase::Held
+    }
+
+    fn record_failed_reserve(&mut self, now: BootTime, sent: BootTime, reply: OrderReply) {
+        if reply == OrderReply::Missing {
+            let latest = sent.after(self.limits.max_lateness);
+            // One release follows the latest time at which the order may be carried out.
+            let until = latest.after(self.limits.recheck);
+            self.doubt_end = self.doubt_end.max(Some(until));
+        }
+        if self.phase == Phase::Taking {
+            self.end(now);
+        } else {
+            self.next_order = now.after(self.limits.retry);
+        }
+    }
+
+    /// Renewing expired memory would reserve it anew for a request that the engine has cut off.
+    fn is_lost(&self, now: BootTime) -> bool {
+        let has_expired = self.held_until.is_none_or(|until| now >= until);
+        let is_idle = !self.is_used && now.since(self.started) >= self.limits.max_idle;
+        has_expired || is_idle
+    }
+
+    fn may_hold_until(&self) -> Option<BootTime> {
+        self.held_until.max(self.doubt_end)
+    }
+}
--- a/jujubewind/src/types/monotime.rs
+++ b/jujubewind/src/types/monotime.rs
@@ -44,6 +44,12 @@
     pub const fn since(self, earlier: Self) -> Millis {
         Millis(self.0.saturating_sub(earlier.0) / 1_000)
     }
+
+    /// The time until `later`, rounded up; zero only if `later` has come.
+    #[must_use]
+    pub const fn until(self, later: Self) -> Millis {
+        Millis(later.0.saturating_sub(self.0).div_ceil(1_000))
+    }
 }
 
 impl Display for MonoTime {
--- a/jujubewind/tests/coordination/credit.rs
+++ b/jujubewind/tests/coordination/credit.rs
@@ -213,6 +213,30 @@
     assert!(refusal.retry > Millis::ZERO);
 }
 
+#[test]
+fn a_refusal_just_before_the_next_draw_still_has_a_retry_delay() {
+    let mut rng = generator(0);
+    let mut world = World::new(1, 0);
+    let escrow = &mut world.processes[0].escrow;
+    let drawing = escrow.spend(world.now, Credit(10));
+    let op = escrow
+        .poll(world.now, LeaseId(1), &mut rng)
+        .expect("a call that draws credit");
+    escrow.settle(world.now, world.store.call(&op, Fault::Down));
+
+    let retries: Vec<Millis> = (1..2_000)
+        .map(|millis| MonoTime::from_micros(world.now.micros() + millis * 1_000 + 500))
+        .filter_map(|now| match escrow.spend(now, Credit(10)) {
+            Err(Shortage::Refused(refusal)) => Some(refusal.retry),
+            _ => None,
+        })
+        .collect();
+
+    assert_eq!(drawing, Err(Shortage::Drawing));
+    assert!(!retries.is_empty());
+    assert!(retries.iter().all(|retry| *retry > Millis::ZERO));
+}
+
 #[test]
 fn a_process_holds_less_than_one_slice_plus_one_need() {
     let need = Credit(2_000);
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -10,5 +10,6 @@
 mod logs;
 mod plan;
 mod queue;
+mod reservation;
 mod roster;
 mod simulation;
--- /dev/null
+++ b/jujubewind/tests/direct/reservation.rs
@@ -0,0 +1,282 @@
+//! Every short history of one reservation: memory is never left set aside.
+//!
+//! Orders are refused, lost, answered to nobody or carried out seconds later; the request ends,
+//! begins to use the memory or doesn't, and the machine freezes, each at several moments.
+
+use jujubewind::direct::BootTime;
+use jujubewind::direct::MemoryHold;
+use jujubewind::direct::Order;
+use jujubewind::direct::OrderReply;
+use jujubewind::direct::ReservationLimits;
+use jujubewind::direct::Step;
+use jujubewind::types::Millis;
+
+/// How long memory may stay reserved after its request, by the platform's pages.
+const FREE_MILLIS: u64 = 4_000;
+/// How long memory may stay reserved without being used, by the platform's pages.
+const IDLE_MILLIS: u64 = 9_000;
+/// How long an answer takes.
+const ANSWER_MILLIS: u64 = 20;
+/// When an order without an answer is given up.
+const TIMEOUT_MILLIS: u64 = 500;
+/// How long the machine freezes.
+const FREEZE_MILLIS: u64 = 5_000;
+/// By when a reservation has ended in each history.
+const END_MILLIS: u64 = 60_000;
+/// Orders at which a fault may strike.
+const FAULTY_ORDERS: usize = 6;
+
+const LIMITS: ReservationLimits = ReservationLimits {
+    hold: Millis(3_500),
+    renewal: Millis(1_166),
+    max_idle: Millis(7_200),
+    max_lateness: Millis(12_500),
+    retry: Millis(200),
+    recheck: Millis(1_000),
+};
+
+/// What happens to one order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Answered,
+    AnswerLost,
+    /// Carried out this much later, without an answer.
+    Late(u64),
+    Dropped,
+    Refused,
+    Restarted,
+}
+
+const FAULTS: [Fate; 6] = [
+    Fate::AnswerLost,
+    Fate::Late(2_000),
+    Fate::Late(12_000),
+    Fate::Dropped,
+    Fate::Refused,
+    Fate::Restarted,
+];
+
+/// One history: the faults by number of the order, and the moments of the request and the machine.
+#[derive(Clone, Debug)]
+struct History {
+    faults: Vec<(usize, Fate)>,
+    ends: u64,
+    used: Option<u64>,
+    frozen: Option<u64>,
+}
+
+/// What came of a history.
+#[derive(Debug)]
+struct Outcome {
+    /// When the entry knew that the request had ended: after a freeze, or when the memory was lost.
+    ended: u64,
+    /// When nothing was left to do.
+    done: u64,
+    /// Reservations (`true`), releases and restarts carried out by the engine.
+    carried_out: Vec<(u64, bool)>,
+}
+
+impl History {
+    fn fate(&self, number: usize) -> Fate {
+        let fault = self.faults.iter().find(|(at, _)| *at == number);
+        fault.map_or(Fate::Answered, |(_, fate)| *fate)
+    }
+
+    /// The time after a span that may contain the freeze.
+    fn advance(&self, now: u64, span: u64) -> u64 {
+        match self.frozen {
+            Some(at) if now <= at && at < now + span => (now + span).max(at + FREEZE_MILLIS),
+            _ => now + span,
+        }
+    }
+
+    fn play(&self) -> Outcome {
+        let mut hold = MemoryHold::new(boot(0), LIMITS);
+        let (mut now, mut number, mut ends) = (0, 0, self.ends);
+        let mut noticed = None;
+        let mut carried_out = Vec::new();
+        while now < END_MILLIS {
+            if now >= ends {
+                hold.end(boot(now));
+                noticed.get_or_insert(now);
+            }
+            if self.used.is_some_and(|used| now >= used) {
+                hold.mark_used();
+            }
+            match hold.step(boot(now)) {
+                Step::Send(order) => {
+                    let sent = now;
+                    let (reply, span) = send(self.fate(number), order, sent, &mut carried_out);
+                    number += 1;
+                    now = self.advance(now, span);
+                    hold.record(boot(now), boot(sent), order, reply);
+                }
+                Step::Sleep(span) if now < ends => {
+                    now = self.advance(now, span.get().min(ends - now).max(1));
+                }
+                Step::Sleep(span) => now = self.advance(now, span.get().max(1)),
+                Step::Lost => ends = now,
+                Step::Ended => {
+                    carried_out.sort_unstable();
+                    return Outcome {
+                        ended: noticed.unwrap_or(now),
+                        done: now,
+                        carried_out,
+                    };
+                }
+            }
+        }
+        panic!("the reservation never ended: {self:?}");
+    }
+}
+
+impl Outcome {
+    /// The spans in which the engine held memory.
+    fn spans(&self) -> Vec<(u64, u64)> {
+        let mut spans: Vec<(u64, u64)> = Vec::new();
+        for (at, is_reserved) in &self.carried_out {
+            let until = if *is_reserved {
+                at + LIMITS.hold.get()
+            } else {
+                *at
+            };
+            match spans.last_mut() {
+                Some((_, end)) if *end >= *at => *end = until,
+                _ if *is_reserved => spans.push((*at, until)),
+                _ => {}
+            }
+        }
+        spans
+    }
+}
+
+fn boot(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+/// Carries out an order as its fate has it; returns the reply and when it arrives.
+fn send(
+    fate: Fate,
+    order: Order,
+    now: u64,
+    carried_out: &mut Vec<(u64, bool)>,
+) -> (OrderReply, u64) {
+    let is_reserve = order == Order::Reserve;
+    let arrives = now + ANSWER_MILLIS / 2;
+    match fate {
+        Fate::Answered => {
+            carried_out.push((arrives, is_reserve));
+            (OrderReply::Done, ANSWER_MILLIS)
+        }
+        Fate::AnswerLost => {
+            carried_out.push((arrives, is_reserve));
+            (OrderReply::Missing, TIMEOUT_MILLIS)
+        }
+        Fate::Late(delay) => {
+            carried_out.push((now + delay, is_reserve));
+            (OrderReply::Missing, TIMEOUT_MILLIS)
+        }
+        Fate::Dropped => (OrderReply::Missing, TIMEOUT_MILLIS),
+        Fate::Refused => (OrderReply::Refused, ANSWER_MILLIS),
+        Fate::Restarted => {
+            carried_out.push((arrives, false));
+            (OrderReply::Restarted, ANSWER_MILLIS)
+        }
+    }
+}
+
+/// All choices of at most two faults.
+fn fault_sets() -> Vec<Vec<(usize, Fate)>> {
+    let single = |number| FAULTS.iter().map(move |fate| (number, *fate));
+    let mut sets = vec![Vec::new()];
+    for first in 0..FAULTY_ORDERS {
+        for one in single(first) {
+            sets.push(vec![one]);
+            for second in first + 1..FAULTY_ORDERS {
+                sets.extend(single(second).map(|two| vec![one, two]));
+            }
+        }
+    }
+    sets
+}
+
+fn histories() -> Vec<History> {
+    let mut histories = Vec::new();
+    for faults in fault_sets() {
+        for ends in [5, 600, 1_500, 4_000, 8_000, 12_000] {
+            for used in [None, Some(300), Some(5_000)] {
+                for frozen in [None, Some(100), Some(1_000), Some(3_000)] {
+                    histories.push(History {
+                        faults: faults.clone(),
+                        ends,
+                        used,
+                        frozen,
+                    });
+                }
+            }
+        }
+    }
+    histories
+}
+
+#[test]
+fn memory_is_free_soon_after_its_request_in_every_history() {
+    for history in histories() {
+        let outcome = history.play();
+
+        for (from, until) in outcome.spans() {
+            let after = until.saturating_sub(from.max(outcome.ended));
+            assert!(after < FREE_MILLIS, "{after} ms: {history:?} {outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn unused_memory_is_given_up_in_time_in_every_history() {
+    let unused = histories().into_iter().filter(|one| one.used.is_none());
+    for history in unused {
+        let outcome = history.play();
+
+        for (from, until) in outcome.spans() {
+            let idle = until - from;
+            assert!(idle < IDLE_MILLIS, "{idle} ms: {history:?} {outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn no_order_sets_memory_aside_after_the_reservation_has_ended() {
+    for history in histories() {
+        let outcome = history.play();
+
+        let last = outcome.carried_out.iter().rfind(|(_, reserves)| *reserves);
+        assert!(
+            last.is_none_or(|(at, _)| *at <= outcome.done),
+            "{history:?} {outcome:?}"
+        );
+    }
+}
+
+#[test]
+fn memory_in_use_is_held_without_a_gap_while_orders_are_answered() {
+    let calm = |history: &History| history.faults.is_empty() && history.frozen.is_none();
+    let used = |history: &History| history.used == Some(300);
+    for history in histories().into_iter().filter(|one| calm(one) && used(one)) {
+        let outcome = history.play();
+
+        let spans = outcome.spans();
+        assert_eq!(spans.len(), 1, "{history:?} {outcome:?}");
+        assert!(spans[0].1 >= history.ends, "{history:?} {outcome:?}");
+    }
+}
+
+#[test]
+fn memory_that_expired_during_a_freeze_is_not_reserved_anew() {
+    let mut hold = MemoryHold::new(boot(0), LIMITS);
+    hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
+    hold.mark_used();
+
+    let frozen_past_expiry = hold.step(boot(5_000));
+
+    assert_eq!(frozen_past_expiry, Step::Lost);
+}
