Follow a restored store, leaving servers and servers that ask for a pause

A store that comes back from a copy gives revisions out again, so a watch skipped what stands under them, a server that had left or was draining was revived, and a starting entry could take a key that had been taken away. Announcements of leaving and Retry-After in servers' responses were ignored. A server's announcement binds this entry at once and, for leaving, its peers; a pause asked of a peer weighs against the server in placement; if all servers of a service ask for one, calls are refused with its rest.

--- a/jujubewind/src/direct/api/engine_reservation.rs
+++ b/jujubewind/src/direct/api/engine_reservation.rs
@@ -110,6 +110,9 @@
     }
 
     async fn exchange(&self, order: Order) -> OrderReply {
+        if self.gateway.is_paused(&self.server) {
+            return OrderReply::Refused;
+        }
         let dialect = &self.gateway.dialect;
         let mut request = match order {
             Order::Reserve => dialect.reserve(&self.server.id, &self.reservation),
@@ -127,7 +130,9 @@
             Err(SendFault::Unsent(_)) => return OrderReply::Refused,
             Err(SendFault::Lost(_)) => return OrderReply::Missing,
         };
-        let reply = dialect.parse_order_reply(order, response.status());
+        let status = response.status();
+        self.gateway.note(&self.server, status, response.headers());
+        let reply = dialect.parse_order_reply(order, status);
         if response.into_body().collect().await.is_ok() {
             connection.give_back();
         }
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -52,8 +52,21 @@
             Ok(connected) => connected,
             Err(error) => return Ok(Err(error)),
         };
-        // The key may have been revoked while the connection was opened.
+        // The key may have been revoked while the connection was opened, and the server may have
+        // asked for no requests.
         let target = self.resolve()?;
+        let server = &grant.placement.primary;
+        if !self
+            .gateway
+            .state
+            .notices()
+            .allow(self.gateway.clock.now(), server)
+        {
+            let cause = "the backend server takes no requests now";
+            self.fail_attempt(grant, "unsent", cause, Outcome::Refused);
+            connection.give_back();
+            return Ok(Err(AttemptError::NotRun(Reason::Leaving)));
+        }
         let upstream = self.send(&target, grant, connection, last).await;
         Ok(upstream.and_then(|upstream| self.check_response(&target, upstream)))
     }
@@ -143,6 +156,8 @@
     ) -> AttemptResult<UpstreamResponse> {
         let status = upstream.response.status();
         let headers = upstream.response.headers();
+        let server = &upstream.grant.placement.primary;
+        self.gateway.note(server, status, headers);
         let head = self.gateway.dialect.parse_response(status, headers);
         if head.id.as_ref().is_some_and(|id| *id != self.call.id) {
             return Err(self.fail_attempt(upstream.grant, "crossed", status, Outcome::Faulty));
--- a/jujubewind/src/direct/api/exchange/demand.rs
+++ b/jujubewind/src/direct/api/exchange/demand.rs
@@ -34,7 +34,7 @@
         };
         let now = BootTime::now();
         let not_found = |reason| {
-            if state.is_confirmed(now, MAX_LOOKUP_AGE) {
+            if state.is_confirmed(now, MAX_LOOKUP_AGE) && state.is_newest() {
                 Failure::not_run(reason, Millis::ZERO)
             } else {
                 Failure::not_run(Reason::StoreDown, STARTUP_RETRY_AFTER)
--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -3,7 +3,9 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use hyper::HeaderMap;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
@@ -20,8 +22,11 @@
 use crate::direct::Control;
 use crate::direct::Dialect;
 use crate::direct::EntryState;
+use crate::direct::Message;
+use crate::direct::Notice;
 use crate::direct::Pool;
 use crate::direct::ReservationLimits;
+use crate::direct::Server;
 use crate::direct::Shared;
 use crate::entry::Failure;
 use crate::http;
@@ -140,6 +145,21 @@
         );
     }
 
+    /// Passes on what a backend server announces of itself in a response.
+    pub(super) fn note(&self, server: &Rc<Server>, status: StatusCode, headers: &HeaderMap) {
+        let notice = self.dialect.parse_notice(status, headers);
+        if notice != Notice::default() {
+            let server = server.clone();
+            self.control.send(Message::Notice { server, notice });
+        }
+    }
+
+    /// Whether the server has asked this entry for a pause that has not ended.
+    pub(super) fn is_paused(&self, server: &Server) -> bool {
+        let pause = self.state.notices().pause(self.clock.now(), &server.id);
+        pause > Millis::ZERO
+    }
+
     pub(super) async fn sleep(&self, delay: Millis) {
         compio::time::sleep(delay.duration()).await;
     }
@@ -148,7 +168,9 @@
     /// round trips.
     async fn wait_until_configured(&self) {
         let started = self.clock.now();
-        while !self.state.is_loaded() && self.clock.now().since(started) < STARTUP_WAIT {
+        while !self.state.is_loaded(BootTime::now())
+            && self.clock.now().since(started) < STARTUP_WAIT
+        {
             self.sleep(STARTUP_POLL_INTERVAL).await;
         }
     }
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -19,9 +19,12 @@
 use crate::direct::Job;
 use crate::direct::JobId;
 use crate::direct::Ledger;
+use crate::direct::Notice;
+use crate::direct::Notices;
 use crate::direct::Queue;
 use crate::direct::Roster;
 use crate::direct::Row;
+use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::ServiceId;
 use crate::direct::Table;
@@ -49,6 +52,7 @@
     table: Option<Rc<Table>>,
     pub(super) roster: Roster,
     pub(super) health: BTreeMap<ServerId, Health>,
+    pub(super) notices: Notices,
     pub(super) ledger: Ledger,
     pub(super) queue: Queue,
     budgets: BTreeMap<ServiceId, Budget>,
@@ -66,6 +70,7 @@
             table: None,
             roster: Roster::default(),
             health: BTreeMap::new(),
+            notices: Notices::default(),
             ledger: Ledger::default(),
             queue: Queue::default(),
             budgets: BTreeMap::new(),
@@ -88,6 +93,7 @@
                 self.roster.replace_all(now, servers);
                 self.health.retain(|id, _| self.roster.get(id).is_some());
             }
+            FleetChange::Restored(servers) => self.roster.restore(now, servers),
             FleetChange::Listed(server) => {
                 let id = server.id.clone();
                 if self.roster.insert(server) {
@@ -130,8 +136,8 @@
     /// It is not placed ahead of queued requests that take precedence; the next [`Core::poll`]
     /// handles those first.
     pub fn place_or_queue(&mut self, now: MonoTime, job: Job) -> Option<Verdict> {
-        if self.roster.ready(&job.service).next().is_none() {
-            return Some(refuse(Reason::NoBackend, plan::MIN_RETRY_DELAY));
+        if let Some(refusal) = self.unavailable(now, &job.service) {
+            return Some(Verdict::Refuse(refusal));
         }
         let mut set = CandidateSet::new(self.candidates(now, &job.service));
         if !self.fits_fleet(&set, &job) {
@@ -168,7 +174,9 @@
             let set = sets
                 .entry(job.service.clone())
                 .or_insert_with(|| CandidateSet::new(self.candidates(now, &job.service)));
-            let verdict = if let Some(placement) = self.place(now, set, &job) {
+            let verdict = if let Some(refusal) = self.unavailable(now, &job.service) {
+                Verdict::Refuse(refusal)
+            } else if let Some(placement) = self.place(now, set, &job) {
                 self.assign(now, set, &job, placement)
             } else if now >= job.queue_deadline() || self.is_infeasible(now, set, &job) {
                 refuse(Reason::NoTime, plan::MIN_RETRY_DELAY)
@@ -221,6 +229,17 @@
         }
     }
 
+    /// Records a backend server's announcement; returns whether it was news.
+    pub fn record_notice(&mut self, now: MonoTime, server: &Server, notice: Notice) -> bool {
+        self.notices.record(now, server, notice)
+    }
+
+    /// The announcements of backend servers that are in force.
+    #[must_use]
+    pub const fn notices(&self) -> &Notices {
+        &self.notices
+    }
+
     /// Quarantines a backend server that failed as a helper.
     pub fn quarantine(&mut self, now: MonoTime, server: &ServerId) {
         self.health
@@ -238,6 +257,9 @@
     /// Merges a digest from a peer.
     pub fn merge(&mut self, now: MonoTime, digest: Digest) {
         self.suspects.merge(now, &digest.suspects);
+        for notice in &digest.notices {
+            self.notices.merge(now, notice);
+        }
         self.ledger
             .merge(now, &digest.node, digest.stamp, digest.rows);
     }
@@ -258,7 +280,11 @@
     /// Drops expired suspects and servers; returns the dropped servers.
     pub fn expire(&mut self, now: MonoTime) -> Vec<ServerId> {
         self.suspects.expire(now);
-        self.roster.expire(now)
+        let gone = self.roster.expire(now);
+        let roster = &self.roster;
+        self.notices
+            .expire(now, |id, started| roster.lists(id, started));
+        gone
     }
 
     /// Whether requests are queued.
@@ -281,6 +307,31 @@
         self.peers.max(self.ledger.live_peers(now)) + 1
     }
 
+    /// Why no server of a service takes requests, if none does.
+    fn unavailable(&self, now: MonoTime, service: &ServiceId) -> Option<Refusal> {
+        let mut pauses = self.accepting(service).peekable();
+        if pauses.peek().is_none() {
+            return Some(Refusal {
+                reason: Reason::NoBackend,
+                retry: plan::MIN_RETRY_DELAY,
+            });
+        }
+        let shortest = pauses
+            .map(|server| self.notices.pause(now, &server.id))
+            .min();
+        let retry = shortest.filter(|pause| *pause > Millis::ZERO)?;
+        Some(Refusal {
+            reason: Reason::QueueFull,
+            retry,
+        })
+    }
+
+    /// The servers of a service that have not announced that they leave.
+    pub(super) fn accepting(&self, service: &ServiceId) -> impl Iterator<Item = &Rc<Server>> {
+        let ready = self.roster.ready(service);
+        ready.filter(|server| !self.notices.is_leaving(server))
+    }
+
     fn budget(&mut self, service: &ServiceId) -> &mut Budget {
         let (limits, started) = (self.settings.budget.clone(), self.started);
         let new = || Budget::new(limits, started);
--- a/jujubewind/src/direct/control/entry_state.rs
+++ b/jujubewind/src/direct/control/entry_state.rs
@@ -7,9 +7,11 @@
 use super::Counts;
 use crate::direct::BootTime;
 use crate::direct::Freshness;
+use crate::direct::Notices;
 use crate::direct::StalenessLimits;
 use crate::direct::Table;
 use crate::types::Millis;
+use crate::types::Revision;
 
 /// The newest table, when it was last confirmed, and the process's readiness and counts.
 #[derive(Debug, Default)]
@@ -20,6 +22,11 @@
     stopping: Cell<bool>,
     listed: Cell<bool>,
     counts: Cell<Counts>,
+    notices: RefCell<Rc<Notices>>,
+    /// The newest version that this entry or a peer knows to have been in force.
+    newest: Cell<Revision>,
+    /// Until when peers may still tell of a newer version than a starting entry has read.
+    settles_at: Cell<Option<BootTime>>,
 }
 
 impl EntryState {
@@ -37,10 +44,62 @@
         if current.as_ref().is_some_and(is_current) {
             return false;
         }
+        self.learn_version(table.version);
         *current = Some(Rc::new(table));
         true
     }
 
+    /// Records that a version is or was in force. After the store was restored from an older copy,
+    /// peers know of versions that it doesn't have.
+    pub fn learn_version(&self, version: Revision) {
+        self.newest.set(self.newest.get().max(version));
+    }
+
+    /// Records the newest version that a peer vouches for; zero if it does not know yet.
+    pub fn hear_peer(&self, version: Revision) {
+        if version > Revision::ZERO {
+            self.learn_version(version);
+            self.settles_at.set(None);
+        }
+    }
+
+    /// Trusts the table only once a peer has told its newest version, or from `until` on.
+    pub fn await_peers(&self, until: BootTime) {
+        self.settles_at.set(Some(until));
+    }
+
+    /// Whether peers have had the time to tell of a newer version.
+    #[must_use]
+    pub fn is_settled(&self, now: BootTime) -> bool {
+        self.settles_at.get().is_none_or(|until| now >= until)
+    }
+
+    /// Whether no newer version than that of the table is known.
+    #[must_use]
+    pub fn is_newest(&self) -> bool {
+        let table = self.table.borrow();
+        let version = table.as_ref().map_or(Revision::ZERO, |table| table.version);
+        version >= self.newest.get()
+    }
+
+    /// The newest version that this entry can vouch for; zero while peers may know a newer one.
+    #[must_use]
+    pub fn vouched_version(&self, now: BootTime) -> Revision {
+        if self.is_settled(now) {
+            self.newest.get()
+        } else {
+            Revision::ZERO
+        }
+    }
+
+    /// Records that a read or watch that was sent at `sent` returned `version` as the newest, unless
+    /// a newer one is known to have been in force.
+    pub fn confirm_version(&self, sent: BootTime, version: Revision) {
+        if version >= self.newest.get() {
+            self.confirm(sent);
+        }
+    }
+
     /// Records that a read or watch that was sent at `sent` returned the newest table.
     pub fn confirm(&self, sent: BootTime) {
         let mut freshness = self.freshness.get();
@@ -59,10 +118,11 @@
         self.staleness_limits.set(staleness_limits);
     }
 
-    /// Whether the table is fresh enough to authorize a request by its API key.
+    /// Whether the table is new and fresh enough to authorize a request by its API key.
     #[must_use]
     pub fn is_trusted(&self, now: BootTime) -> bool {
-        self.is_confirmed(now, self.staleness_limits.get().keys)
+        let is_fresh = self.is_confirmed(now, self.staleness_limits.get().keys);
+        is_fresh && self.is_newest() && self.is_settled(now)
     }
 
     /// Whether the table is fresh enough for the process to report that it is ready.
@@ -77,6 +137,17 @@
         self.freshness.get().is_within(now, limit)
     }
 
+    /// Publishes the announcements of backend servers.
+    pub fn set_notices(&self, notices: Notices) {
+        *self.notices.borrow_mut() = Rc::new(notices);
+    }
+
+    /// The announcements of backend servers.
+    #[must_use]
+    pub fn notices(&self) -> Rc<Notices> {
+        self.notices.borrow().clone()
+    }
+
     /// Publishes the control task's counts.
     pub fn set_counts(&self, counts: Counts) {
         self.counts.set(counts);
@@ -93,10 +164,11 @@
         self.listed.set(true);
     }
 
-    /// Whether a table and a list of backend servers have been read.
+    /// Whether a table and a list of backend servers have been read, and peers have had the time to
+    /// tell of a newer table.
     #[must_use]
-    pub fn is_loaded(&self) -> bool {
-        self.listed.get() && self.table.borrow().is_some()
+    pub fn is_loaded(&self, now: BootTime) -> bool {
+        self.listed.get() && self.table.borrow().is_some() && self.is_settled(now)
     }
 
     /// Records that the process has been asked to stop.
--- a/jujubewind/src/direct/control/fleet_change.rs
+++ b/jujubewind/src/direct/control/fleet_change.rs
@@ -11,6 +11,8 @@
 pub enum FleetChange {
     /// The whole list of backend servers.
     Servers(Vec<Server>),
+    /// The list of backend servers in a store that was restored from an older copy.
+    Restored(Vec<Server>),
     /// A backend server that was added or updated.
     Listed(Server),
     /// A backend server that was removed.
--- a/jujubewind/src/direct/control/message.rs
+++ b/jujubewind/src/direct/control/message.rs
@@ -11,6 +11,8 @@
 use crate::direct::Digest;
 use crate::direct::Job;
 use crate::direct::JobId;
+use crate::direct::Notice;
+use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::ServiceId;
 use crate::direct::Table;
@@ -45,6 +47,13 @@
         /// The outcome at the primary server.
         outcome: Outcome,
     },
+    /// A backend server announced something of itself.
+    Notice {
+        /// The server.
+        server: Rc<Server>,
+        /// What it announced.
+        notice: Notice,
+    },
     /// A backend server failed as a helper.
     HelperFailed(ServerId),
     /// Asks for one retry from a service's budget.
--- a/jujubewind/src/direct/control/placing.rs
+++ b/jujubewind/src/direct/control/placing.rs
@@ -21,15 +21,18 @@
 use crate::types::Tokens;
 
 impl Core {
-    /// The servers that may take a request; quarantined ones only if there are no others.
+    /// The servers that may take a request; quarantined ones only if there are no others. A server
+    /// that asked for a pause gets nothing.
     pub(super) fn candidates(&self, now: MonoTime, service: &ServiceId) -> Vec<Candidate> {
         let health = |id: &ServerId| self.health.get(id);
         let usable = |id: &ServerId| health(id).is_none_or(|health| health.is_usable(now));
         let candidate = |server: &Rc<Server>| Candidate {
             server: server.clone(),
             load: self.ledger.load(now, &server.id),
+            strained: self.notices.is_strained(now, &server.id),
         };
-        let ready = || self.roster.ready(service);
+        let may_send = |server: &&Rc<Server>| self.notices.allow(now, server);
+        let ready = || self.accepting(service).filter(may_send);
         let healthy: Vec<Candidate> = ready()
             .filter(|server| usable(&server.id))
             .map(candidate)
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -19,10 +19,13 @@
 use super::limits::FULL_UPDATE_PERIOD;
 use super::limits::TICK_PERIOD;
 use crate::conviction::Fingerprint;
+use crate::direct::BootTime;
 use crate::direct::Digest;
 use crate::direct::Job;
 use crate::direct::JobId;
+use crate::direct::Notice;
 use crate::direct::OutboundDigest;
+use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::Shared;
 use crate::direct::Stamp;
@@ -46,6 +49,8 @@
     replies: HashMap<JobId, Sender<Verdict>>,
     /// Whether something changed that may allow queued requests to be placed.
     dirty: bool,
+    /// Whether a backend server announced something that the peers have not been told.
+    has_notices: bool,
     last_full_update: MonoTime,
     last_expiry: MonoTime,
 }
@@ -75,6 +80,7 @@
         outbound,
         replies: HashMap::new(),
         dirty: false,
+        has_notices: false,
         last_full_update: now,
         last_expiry: now,
     };
@@ -126,6 +132,7 @@
                 fingerprint,
                 outcome,
             } => self.finish(now, job, &server, fingerprint, outcome),
+            Message::Notice { server, notice } => self.record_notice(now, &server, notice),
             Message::HelperFailed(server) => self.core.quarantine(now, &server),
             Message::Retry { service, reply } => {
                 let granted = self.core.take_retry(now, &service);
@@ -136,10 +143,7 @@
             }
             Message::Configure(table) => self.core.configure(table),
             Message::Fleet(change) => self.apply_fleet_change(now, change),
-            Message::PeerLoad(digest) => {
-                self.core.merge(now, digest);
-                self.dirty = true;
-            }
+            Message::PeerLoad(digest) => self.merge(now, digest),
             Message::Tick(_) => self.tick(now),
         }
     }
@@ -166,6 +170,45 @@
         }
     }
 
+    /// Takes over what a peer tells.
+    fn merge(&mut self, now: MonoTime, digest: Digest) {
+        let state = &self.shared.state;
+        let was_newest = state.is_newest();
+        state.hear_peer(digest.newest);
+        if was_newest && !state.is_newest() {
+            crate::event!(
+                warn,
+                "newer_table_known",
+                peer = digest.node,
+                version = digest.newest
+            );
+        }
+        let has_notices = !digest.notices.is_empty();
+        self.core.merge(now, digest);
+        if has_notices {
+            state.set_notices(self.core.notices().clone());
+        }
+        self.dirty = true;
+    }
+
+    /// Records a backend server's announcement and sends nothing new there from now on.
+    fn record_notice(&mut self, now: MonoTime, server: &Server, notice: Notice) {
+        if !self.core.record_notice(now, server, notice) {
+            return;
+        }
+        crate::event!(
+            info,
+            "server_announcement",
+            server = server.id,
+            leaving = notice.leaving,
+            pause = notice.pause.unwrap_or_default()
+        );
+        self.shared.metrics.count_notice(notice);
+        self.shared.state.set_notices(self.core.notices().clone());
+        self.has_notices = true;
+        self.dirty = true;
+    }
+
     /// Sends a verdict; releases the placement if the request's task has ended.
     fn send_verdict(&mut self, job: JobId, reply: &Sender<Verdict>, verdict: Verdict) {
         if reply.send(verdict).is_err() {
@@ -191,10 +234,11 @@
 
     fn apply_fleet_change(&mut self, now: MonoTime, change: FleetChange) {
         match &change {
-            FleetChange::Servers(_) => self.shared.state.mark_listed(),
+            FleetChange::Servers(_) | FleetChange::Restored(_) => self.shared.state.mark_listed(),
             FleetChange::Peers(peers) => self.peers = peers.iter().cloned().collect(),
             FleetChange::PeerListed(node, addr) => {
                 self.peers.insert(node.clone(), *addr);
+                self.greet(now, *addr);
             }
             FleetChange::PeerRemoved(node) => {
                 self.peers.remove(node);
@@ -232,6 +276,21 @@
         }
     }
 
+    /// Tells a peer that has just been listed which table is in force and who takes no requests.
+    fn greet(&mut self, now: MonoTime, addr: SocketAddr) {
+        self.stamp.number += 1;
+        let digest = Digest {
+            node: self.node.clone(),
+            stamp: self.stamp,
+            rows: Vec::new(),
+            suspects: Vec::new(),
+            notices: self.core.notices().to_peers(now),
+            newest: self.shared.state.vouched_version(BootTime::now()),
+        };
+        let to = Rc::new([addr]);
+        let _ = self.outbound.send(OutboundDigest { digest, to });
+    }
+
     /// Sends changed rows to peers, and periodically all of them.
     fn send_updates(&mut self, now: MonoTime) {
         if self.peers.is_empty() {
@@ -242,11 +301,17 @@
             self.last_full_update = now;
         }
         let (rows, suspects) = self.core.take_updates(now, all);
-        if rows.is_empty() && suspects.is_empty() && !all {
+        let has_notices = std::mem::take(&mut self.has_notices);
+        if rows.is_empty() && suspects.is_empty() && !has_notices && !all {
             return;
         }
         self.stamp.number += 1;
         let mut suspects = Some(suspects);
+        let mut notices = Some(if all || has_notices {
+            self.core.notices().to_peers(now)
+        } else {
+            Vec::new()
+        });
         let mut chunks: Vec<_> = rows.chunks(ROWS_PER_DATAGRAM).map(<[_]>::to_vec).collect();
         if chunks.is_empty() {
             chunks.push(Vec::new());
@@ -258,6 +323,8 @@
                 stamp: self.stamp,
                 rows,
                 suspects: suspects.take().unwrap_or_default(),
+                notices: notices.take().unwrap_or_default(),
+                newest: self.shared.state.vouched_version(BootTime::now()),
             };
             let to = to.clone();
             let _ = self.outbound.send(OutboundDigest { digest, to });
--- a/jujubewind/src/direct/daemon/readiness.rs
+++ b/jujubewind/src/direct/daemon/readiness.rs
@@ -21,8 +21,9 @@
 
 impl Handler for Readiness {
     async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Reply {
-        let fresh = self.state.is_fresh(BootTime::now());
-        let ready = self.state.is_loaded() && fresh && !self.state.is_stopping();
+        let now = BootTime::now();
+        let fresh = self.state.is_fresh(now);
+        let ready = self.state.is_loaded(now) && fresh && !self.state.is_stopping();
         if ready {
             http::plain(StatusCode::OK, "ready\n")
         } else {
--- a/jujubewind/src/direct/dialect.rs
+++ b/jujubewind/src/direct/dialect.rs
@@ -9,6 +9,7 @@
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
 
+use super::Notice;
 use super::Order;
 use super::OrderReply;
 use super::ServerId;
@@ -116,6 +117,9 @@
     /// Builds the order that releases a reservation at the engine `server`.
     fn release(&self, server: &ServerId, reservation: &ReservationId) -> Request<Full<Bytes>>;
 
+    /// What the backend server announces of itself in a response of any kind.
+    fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
+
     /// Interprets the status of the response to an order.
     fn parse_order_reply(&self, order: Order, status: StatusCode) -> OrderReply;
 
--- a/jujubewind/src/direct/fleet/limits.rs
+++ b/jujubewind/src/direct/fleet/limits.rs
@@ -14,3 +14,10 @@
 pub const MIN_QUARANTINE: Millis = Millis(1_000);
 /// The longest quarantine period.
 pub const MAX_QUARANTINE: Millis = Millis(8_000);
+/// The longest pause that a backend server may ask for.
+pub const MAX_PAUSE: Millis = Millis(60_000);
+/// How long it is remembered that a server was leaving after its registration has gone: an older
+/// copy of the list could show it again.
+pub const LEAVING_MEMORY: Millis = Millis(60_000);
+/// How long it is remembered that a server was removed, for the same reason.
+pub const REMOVAL_MEMORY: Millis = Millis(60_000);
--- a/jujubewind/src/direct/fleet/mod.rs
+++ b/jujubewind/src/direct/fleet/mod.rs
@@ -3,12 +3,18 @@
 mod health;
 mod id;
 mod limits;
+mod notice;
+mod notices;
+mod peer_notice;
 mod roster;
 mod server;
 mod state;
 
 pub use health::Health;
 pub use id::ServerId;
+pub use notice::Notice;
+pub use notices::Notices;
+pub use peer_notice::PeerNotice;
 pub use roster::Roster;
 pub use server::Server;
 pub use state::ServerState;
--- a/jujubewind/src/direct/fleet/roster.rs
+++ b/jujubewind/src/direct/fleet/roster.rs
@@ -8,8 +8,10 @@
 use super::ServerState;
 use super::limits::MIN_OUTAGE;
 use super::limits::RELISTING_GRACE;
+use super::limits::REMOVAL_MEMORY;
 use crate::conviction::Crash;
 use crate::direct::ServiceId;
+use crate::types::Incarnation;
 use crate::types::MonoTime;
 
 /// A listed server.
@@ -28,14 +30,23 @@
     outage_start: Option<MonoTime>,
     /// Until when missing servers are kept after the last outage.
     grace_end: MonoTime,
+    /// Incarnations that were removed, and when.
+    removed: BTreeMap<ServerId, (Option<Incarnation>, MonoTime)>,
 }
 
 impl Roster {
     /// Adds or updates a server; returns whether it has restarted since it was last listed.
-    pub fn insert(&mut self, server: Server) -> bool {
-        let known = self.servers.get(&server.id);
-        let restarted = known.is_some_and(|known| known.server.started != server.started);
+    ///
+    /// An incarnation that was draining stays so: it never takes requests again.
+    pub fn insert(&mut self, mut server: Server) -> bool {
+        let known = self.servers.get(&server.id).map(|known| &known.server);
+        let restarted = known.is_some_and(|known| known.started != server.started);
+        let is_same = server.started.is_some() && !restarted;
+        if is_same && known.is_some_and(|known| known.state == ServerState::Draining) {
+            server.state = ServerState::Draining;
+        }
         let id = server.id.clone();
+        self.removed.remove(&id);
         let server = Rc::new(server);
         self.servers.insert(
             id,
@@ -50,7 +61,7 @@
     /// Removes a server, or marks it to expire if an outage may have caused its removal.
     pub fn remove(&mut self, now: MonoTime, id: &ServerId) {
         if now >= self.grace_end {
-            self.servers.remove(id);
+            self.drop_server(now, id);
             return;
         }
         if let Some(listed) = self.servers.get_mut(id) {
@@ -70,6 +81,25 @@
         }
     }
 
+    /// Merges the list of a store that was restored from an older copy.
+    ///
+    /// A missing server is kept as after an outage, one that was leaving stays so, and one that was
+    /// removed since is not taken back before it registers again.
+    pub fn restore(&mut self, now: MonoTime, mut servers: Vec<Server>) {
+        self.grace_end = now.after(RELISTING_GRACE);
+        servers.retain(|server| !self.was_removed(server));
+        for server in &mut servers {
+            let known = self.get(&server.id);
+            let is_same = |known: &&Rc<Server>| known.started == server.started;
+            if let Some(known) = known.filter(is_same)
+                && known.state == ServerState::Draining
+            {
+                server.state = ServerState::Draining;
+            }
+        }
+        self.replace_all(now, servers);
+    }
+
     /// Records that the list can no longer be read.
     pub fn begin_outage(&mut self, now: MonoTime) {
         self.outage_start.get_or_insert(now);
@@ -97,8 +127,10 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            self.servers.remove(id);
+            self.drop_server(now, id);
         }
+        self.removed
+            .retain(|_, (_, at)| now.since(*at) < REMOVAL_MEMORY);
         gone
     }
 
@@ -128,6 +160,24 @@
             .filter(|server| server.state == ServerState::Ready)
     }
 
+    /// Whether an incarnation of a server is listed.
+    #[must_use]
+    pub fn lists(&self, id: &ServerId, started: Option<Incarnation>) -> bool {
+        self.get(id).is_some_and(|server| server.started == started)
+    }
+
+    fn was_removed(&self, server: &Server) -> bool {
+        let removed = self.removed.get(&server.id);
+        removed.is_some_and(|(started, _)| *started == server.started)
+    }
+
+    fn drop_server(&mut self, now: MonoTime, id: &ServerId) {
+        if let Some(listed) = self.servers.remove(id) {
+            let removal = (listed.server.started, now);
+            self.removed.insert(id.clone(), removal);
+        }
+    }
+
     /// The number of listed servers.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/jujubewind/src/direct/plan/candidate.rs
+++ b/jujubewind/src/direct/plan/candidate.rs
@@ -21,6 +21,8 @@
     pub server: Rc<Server>,
     /// Its load.
     pub load: ServerLoad,
+    /// Whether it has asked a peer for a pause.
+    pub strained: bool,
 }
 
 impl Candidate {
--- a/jujubewind/src/direct/plan/engine_plan.rs
+++ b/jujubewind/src/direct/plan/engine_plan.rs
@@ -12,6 +12,7 @@
 use super::limits::MIXING_COST;
 use super::limits::PART_COST;
 use super::limits::RESERVABLE_PERMILLE;
+use super::limits::STRAINED_COST;
 use crate::direct::Engine;
 use crate::scheduler::Work;
 use crate::types::DomainId;
@@ -251,6 +252,9 @@
         if job_is_sensitive {
             extra = extra.saturating_add(candidate.packing(engine));
         }
+        if candidate.strained {
+            extra = extra.saturating_add(Work::from_millis(STRAINED_COST));
+        }
         if candidate.server.domain != *domain {
             extra = extra.saturating_add(Work::from_millis(CROSS_DOMAIN_COST));
         }
--- a/jujubewind/src/direct/plan/limits.rs
+++ b/jujubewind/src/direct/plan/limits.rs
@@ -17,6 +17,8 @@
 pub const MIXING_COST: Millis = Millis(30);
 /// The cost of each engine in another failure domain, for the network latency.
 pub const CROSS_DOMAIN_COST: Millis = Millis(5);
+/// The cost of an engine that asked a peer for a pause.
+pub const STRAINED_COST: Millis = Millis(300);
 /// The `max_gap` up to which a request is latency-sensitive: streams that people read as they are
 /// generated.
 pub const LATENCY_SENSITIVE_GAP: Millis = Millis(300);
--- a/jujubewind/src/direct/plan/plain_plan.rs
+++ b/jujubewind/src/direct/plan/plain_plan.rs
@@ -6,8 +6,8 @@
 use crate::scheduler::Work;
 use crate::types::DomainId;
 
-/// The candidate with the fewest requests for each slot, preferably in `domain`; `None` if all are
-/// full.
+/// The candidate with the fewest requests for each slot, preferably in `domain` and one that asked no
+/// peer for a pause; `None` if all are full.
 #[must_use]
 pub fn place_plain(candidates: &[Candidate], domain: &DomainId) -> Option<Placement> {
     let has_room = |candidate: &&Candidate| {
@@ -21,6 +21,7 @@
     let cost = |candidate: &&Candidate| {
         let slots = candidate.server.slots.max(1);
         (
+            candidate.strained,
             candidate.load.requests / slots,
             candidate.server.domain != *domain,
             candidate.load.requests,
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -11,6 +11,7 @@
 use super::first_token_histogram::decade;
 use super::first_token_histogram::histogram;
 use super::reason_counter::ReasonCounter;
+use crate::direct::Notice;
 use crate::direct::Outcome;
 use crate::refusal::Reason;
 use crate::types::Millis;
@@ -23,6 +24,12 @@
     outcome: &'static str,
 }
 
+/// The label of counters by kind of announcement.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NoticeLabel {
+    kind: &'static str,
+}
+
 /// The label of histograms by decade of the prompt's length.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DecadeLabel {
@@ -53,6 +60,7 @@
     refusals: ReasonCounter,
     outcomes: Family<OutcomeLabel, Counter>,
     retries: Counter,
+    notices: Family<NoticeLabel, Counter>,
     first_event: Family<DecadeLabel, Histogram>,
     answer: Family<DecadeLabel, Histogram>,
     max_gap: Family<DecadeLabel, Histogram>,
@@ -72,6 +80,7 @@
             refusals: ReasonCounter::default(),
             outcomes: Family::default(),
             retries: Counter::default(),
+            notices: Family::default(),
             first_event: family(),
             answer: family(),
             max_gap: family(),
@@ -105,6 +114,17 @@
         self.retries.inc();
     }
 
+    /// Counts an announcement of a backend server.
+    pub fn count_notice(&self, notice: Notice) {
+        let kinds = [
+            ("leaving", notice.leaving),
+            ("pause", notice.pause.is_some()),
+        ];
+        for (kind, _) in kinds.into_iter().filter(|(_, is_set)| *is_set) {
+            self.notices.get_or_create(&NoticeLabel { kind }).inc();
+        }
+    }
+
     /// Records the time to the first event of a stream.
     pub fn record_first_event(&self, prompt: Tokens, took: Millis) {
         observe(&self.first_event, prompt, took);
@@ -150,6 +170,11 @@
             self.outcomes.clone(),
         );
         registry.register("repeats", "Requests sent once more", self.retries.clone());
+        registry.register(
+            "notices",
+            "Announcements of backend servers that want fewer or no requests, by kind",
+            self.notices.clone(),
+        );
         registry.register(
             "first_event_seconds",
             "Time to first event",
--- a/jujubewind/tests/direct/core.rs
+++ b/jujubewind/tests/direct/core.rs
@@ -14,6 +14,7 @@
 use jujubewind::refusal::Reason;
 use jujubewind::types::Incarnation;
 use jujubewind::types::Millis;
+use jujubewind::types::Revision;
 
 use crate::fixture::at;
 use crate::fixture::core;
@@ -46,6 +47,8 @@
         },
         rows,
         suspects,
+        notices: Vec::new(),
+        newest: Revision::ZERO,
     }
 }
 
--- a/jujubewind/tests/direct/entry_state.rs
+++ b/jujubewind/tests/direct/entry_state.rs
@@ -78,6 +78,76 @@
     assert_eq!(state.table_age(boot(3_500)), Some(Millis(500)));
 }
 
+fn trusting_state() -> EntryState {
+    let state = EntryState::default();
+    state.set_staleness_limits(StalenessLimits {
+        keys: Millis(4_750),
+        ready: Millis(2_500),
+    });
+    state.install_table(table(5));
+    state
+}
+
+#[test]
+fn table_is_not_trusted_while_a_peer_knows_a_newer_one() {
+    let state = trusting_state();
+    state.confirm_version(boot(1_000), Revision(5));
+
+    let before = state.is_trusted(boot(1_100));
+    state.hear_peer(Revision(6));
+    let during = state.is_trusted(boot(1_100));
+    state.install_table(table(6));
+
+    assert!(before);
+    assert!(!during);
+    assert!(state.is_trusted(boot(1_100)));
+}
+
+#[test]
+fn older_version_in_the_store_confirms_nothing() {
+    let state = trusting_state();
+
+    state.confirm_version(boot(1_000), Revision(4));
+    let by_older = state.is_trusted(boot(1_100));
+    state.confirm_version(boot(1_000), Revision(5));
+
+    assert!(!by_older);
+    assert!(state.is_trusted(boot(1_100)));
+}
+
+#[test]
+fn starting_entry_waits_for_a_peer_that_vouches_for_a_version() {
+    let state = trusting_state();
+    state.confirm_version(boot(1_000), Revision(5));
+    state.await_peers(boot(1_400));
+
+    let waiting = state.is_trusted(boot(1_100));
+    let vouched = state.vouched_version(boot(1_100));
+    state.hear_peer(Revision::ZERO);
+    let still_waiting = state.is_trusted(boot(1_100));
+    state.hear_peer(Revision(5));
+
+    assert!(!waiting);
+    assert_eq!(
+        vouched,
+        Revision::ZERO,
+        "it must not vouch for what it has only read"
+    );
+    assert!(!still_waiting);
+    assert!(state.is_trusted(boot(1_100)));
+    assert_eq!(state.vouched_version(boot(1_100)), Revision(5));
+}
+
+#[test]
+fn starting_entry_does_not_wait_for_peers_without_end() {
+    let state = trusting_state();
+    state.confirm_version(boot(1_000), Revision(5));
+
+    state.await_peers(boot(1_400));
+
+    assert!(state.is_trusted(boot(1_400)));
+}
+
 #[test]
 fn longest_matching_prefix_of_the_host_wins() {
     let mut table = Table::new(Revision(1), Limits::default());
--- a/jujubewind/tests/direct/fixture.rs
+++ b/jujubewind/tests/direct/fixture.rs
@@ -107,6 +107,7 @@
     let candidate = |(number, assignments): (usize, &Vec<Assignment>)| Candidate {
         server: Rc::new(server(number)),
         load: load(assignments),
+        strained: false,
     };
     assignments.iter().enumerate().map(candidate).collect()
 }
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod ledger;
 mod load;
 mod logs;
+mod notices;
 mod plan;
 mod queue;
 mod reservation;
