Bound responses that never end, and tell slow streams from stalled ones

Cause: a plain response was collected without a bound, an event of a stream grew without one, and any byte counted as a sign of life, so that a stream that trickled bytes ended only at its deadline. A slow but sound stream was given up even if no other engine could take over. A second copy of a response without an id passed for the next one's, and one that met an order counted as the order's success. Change: 64 KiB for a head, 8 MiB for a response, 1 MiB for an event; progress is a numbered event; a silent source is left only once a retry is granted; a success needs the request's id, an order's response must have none; bytes that are no response are an outcome of their own and no crash.

--- a/jujubewind/src/direct/api/engine_reservation.rs
+++ b/jujubewind/src/direct/api/engine_reservation.rs
@@ -7,10 +7,12 @@
 use flume::Receiver;
 use flume::Sender;
 use http_body_util::BodyExt;
+use http_body_util::Limited;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
 
 use super::gateway::Gateway;
+use super::limits::MAX_ORDER_RESPONSE_BYTES;
 use super::limits::ORDER_TIMEOUT;
 use crate::direct::BootTime;
 use crate::direct::Dialect;
@@ -132,8 +134,14 @@
         };
         let status = response.status();
         self.gateway.note(&self.server, status, response.headers());
+        let head = dialect.parse_response(status, response.headers());
+        if head.id.is_some() {
+            // A late copy of the response to an earlier request on this connection.
+            return OrderReply::Missing;
+        }
         let reply = dialect.parse_order_reply(order, status);
-        if response.into_body().collect().await.is_ok() {
+        let body = Limited::new(response.into_body(), MAX_ORDER_RESPONSE_BYTES);
+        if body.collect().await.is_ok() {
             connection.give_back();
         }
         reply
--- a/jujubewind/src/direct/api/events.rs
+++ b/jujubewind/src/direct/api/events.rs
@@ -4,6 +4,8 @@
 
 /// The blank line that ends an event.
 const DELIMITER: &[u8] = b"\n\n";
+/// The longest event.
+const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 /// The prefix of the line with an event's id.
 const ID_PREFIX: &[u8] = b"id:";
 
@@ -44,14 +46,22 @@
 impl EventSplitter {
     /// Appends bytes and returns all events that are complete now.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Events> {
+        // A delimiter ends in the new bytes.
+        let searched = self.buffer.len().saturating_sub(DELIMITER.len() - 1);
         self.buffer.extend_from_slice(bytes);
-        let mut windows = self.buffer.windows(DELIMITER.len());
-        let end = windows.rposition(|window| window == DELIMITER)?;
+        let mut windows = self.buffer[searched..].windows(DELIMITER.len());
+        let end = searched + windows.rposition(|window| window == DELIMITER)?;
         let rest = self.buffer.split_off(end + DELIMITER.len());
         let complete = std::mem::replace(&mut self.buffer, rest);
         Some(Events::new(complete))
     }
 
+    /// Whether the partial event is longer than any event may be.
+    #[must_use]
+    pub const fn is_overlong(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
+    }
+
     /// Whether a partial event is buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -4,10 +4,13 @@
 use std::rc::Rc;
 
 use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
 use hyper::StatusCode;
 
 use super::super::hop::end_to_end;
 use super::super::limits::FIRST_EVENT_PERMILLE;
+use super::super::limits::MAX_RESPONSE_BYTES;
 use super::super::limits::MIN_RESPONSE_TIMEOUT;
 use super::super::limits::RESERVATION_RETRY_DELAY;
 use super::super::reservations::Reservations;
@@ -140,6 +143,9 @@
                 self.log_attempt_failure(&grant.placement, "unsent", &cause);
                 Err(AttemptError::NotRun(Reason::BackendDown))
             }
+            Some(Err(fault)) if fault.is_malformed() => {
+                Err(self.fail_attempt(grant, "malformed", fault, Outcome::Malformed))
+            }
             Some(Err(fault)) => Err(self.fail_attempt(grant, "broken", fault, Outcome::Broken)),
             None => {
                 let timeout = timeout.unwrap_or_default();
@@ -167,7 +173,8 @@
             self.end_refused(upstream.grant, head.culprit.as_deref(), status);
             return Err(AttemptError::NotRun(Reason::QueueFull));
         }
-        let is_valid = !status.is_success() || head.sealed;
+        // Without its id, a late copy of another response could pass for a success.
+        let is_valid = !status.is_success() || (head.sealed && head.id.is_some());
         if !is_valid || claims_not_run(status) {
             return Err(self.fail_attempt(upstream.grant, "faulty", status, Outcome::Faulty));
         }
@@ -221,7 +228,7 @@
             connection,
         } = upstream;
         let (head, body) = response.into_parts();
-        match body.collect().await {
+        match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
             Ok(body) => {
                 let failed = head.status.is_server_error();
                 let outcome = if failed {
@@ -236,6 +243,10 @@
                 *reply.headers_mut() = end_to_end(&head.headers);
                 Some(reply)
             }
+            Err(error) if error.is::<LengthLimitError>() => {
+                self.fail_attempt(grant, "malformed", error, Outcome::Malformed);
+                None
+            }
             Err(error) => {
                 self.fail_attempt(grant, "cut", error, Outcome::Broken);
                 None
--- a/jujubewind/src/direct/api/limits.rs
+++ b/jujubewind/src/direct/api/limits.rs
@@ -21,6 +21,10 @@
 pub const FIRST_EVENT_PERMILLE: u64 = 350;
 /// The longest gap between two events of a stream, in thousandths of the client timeout.
 pub const EVENT_GAP_PERMILLE: u64 = 600;
+/// The longest response of a plain service, and of an engine that refuses a request.
+pub const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
+/// The longest response to an order.
+pub const MAX_ORDER_RESPONSE_BYTES: usize = 64 * 1_024;
 /// How long an engine may take to answer a request to reserve or release memory.
 pub const ORDER_TIMEOUT: Millis = Millis(500);
 /// The delay before memory is requested from other engines.
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -25,6 +25,14 @@
 use crate::http::Reply;
 use crate::http::TruncatedBody;
 use crate::types::Millis;
+use crate::types::MonoTime;
+
+/// The backend server sends no events.
+const SILENT: &str = "silent";
+/// Reserved memory can no longer serve the request.
+const MEMORY_LOST: &str = "memory_lost";
+/// The backend server sends bytes that are no events.
+const MALFORMED: &str = "malformed";
 
 /// A frame of the response, or its early end.
 type Item = Result<Frame<Bytes>, TruncatedBody>;
@@ -40,6 +48,8 @@
 enum Step {
     Events(Bytes),
     End,
+    /// The stream makes no progress; it may be slow but sound.
+    Silent,
     Broken(&'static str),
 }
 
@@ -52,6 +62,10 @@
     last: Option<u64>,
     status: StatusCode,
     gaps: GapTracker,
+    /// When the stream last made progress.
+    progress: MonoTime,
+    /// Whether a silent backend server is waited for until the deadline, as no other may take over.
+    patient: bool,
 }
 
 impl<D: Dialect> Relay<D> {
@@ -69,6 +83,8 @@
         let (head, body) = response.into_parts();
         let relay = Self {
             last: exchange.call.last,
+            progress: exchange.gateway.clock.now(),
+            patient: false,
             exchange,
             target,
             source: Some(Source {
@@ -92,8 +108,16 @@
             match self.step().await {
                 Step::Events(bytes) => return Some((Ok(Frame::data(bytes)), self)),
                 Step::End => return None,
+                Step::Silent if self.exchange.may_retry(&self.target).await => {
+                    if !self.resume(SILENT).await {
+                        return Some((Err(TruncatedBody), self));
+                    }
+                }
+                Step::Silent => self.patient = true,
                 Step::Broken(what) => {
-                    if !self.resume(what).await {
+                    let may_retry = self.exchange.may_retry(&self.target).await;
+                    if !may_retry || !self.resume(what).await {
+                        self.end_broken(what);
                         return Some((Err(TruncatedBody), self));
                     }
                 }
@@ -108,18 +132,20 @@
         let client_timeout = self.target.route.client_timeout.get();
         let event_timeout = Millis(client_timeout * EVENT_GAP_PERMILLE / 1_000);
         let left = self.exchange.left(&self.target);
-        let resumable = self.target.route.resumable;
-        let wait = if resumable {
-            event_timeout.min(left)
-        } else {
+        let quiet = self.exchange.gateway.clock.now().since(self.progress);
+        let is_patient = self.patient || !self.target.route.resumable;
+        let wait = if is_patient {
             left
+        } else {
+            event_timeout.saturating_sub(quiet).min(left)
         };
         let reading = compio::time::timeout(wait.duration(), source.body.frame());
         let Some(frame) = source.grant.while_held(reading).await else {
-            return Step::Broken("memory_lost");
+            return Step::Broken(MEMORY_LOST);
         };
         match frame {
-            Err(_) => Step::Broken("silent"),
+            Err(_) if is_patient || wait == left => Step::Broken(SILENT),
+            Err(_) => Step::Silent,
             Ok(Some(Err(_))) => Step::Broken("broken"),
             Ok(Some(Ok(frame))) => self.accept_frame(frame),
             Ok(None) if self.events.has_partial_event() => Step::Broken("torn"),
@@ -135,6 +161,9 @@
             return Step::Events(Bytes::new());
         };
         let Some(events) = self.events.push(&bytes) else {
+            if self.events.is_overlong() {
+                return Step::Broken(MALFORMED);
+            }
             return Step::Events(Bytes::new());
         };
         if !events.follow(self.last) {
@@ -145,8 +174,13 @@
         {
             self.exchange.log_first_event(&source.grant.placement);
         }
+        let now = self.exchange.gateway.clock.now();
+        // Events without an id, such as comments, do not show that a numbered stream goes on.
+        if events.last.is_some() || self.last.is_none() {
+            self.progress = now;
+        }
         self.last = events.last.or(self.last);
-        self.gaps.record(self.exchange.gateway.clock.now());
+        self.gaps.record(now);
         Step::Events(events.bytes)
     }
 
@@ -160,16 +194,17 @@
         }
     }
 
-    /// Resumes the stream at another backend server after the last complete event.
-    async fn resume(&mut self, what: &'static str) -> bool {
+    /// Ends the attempt at the current backend server, if there is one.
+    fn end_broken(&mut self, what: &'static str) {
         let Some(source) = self.source.take() else {
-            return false;
+            return;
         };
         let left = self.exchange.left(&self.target);
         let outcome = match what {
-            "silent" if left == Millis::ZERO => Outcome::Abandoned,
-            "memory_lost" => Outcome::Abandoned,
-            "silent" => Outcome::Silent,
+            SILENT if left == Millis::ZERO => Outcome::Abandoned,
+            MEMORY_LOST => Outcome::Abandoned,
+            SILENT => Outcome::Silent,
+            MALFORMED => Outcome::Malformed,
             _ => Outcome::Broken,
         };
         self.exchange.log_attempt_failure(
@@ -181,9 +216,13 @@
         source.grant.finish(outcome);
         drop(source.connection);
         self.events = EventSplitter::default();
-        if !self.exchange.may_retry(&self.target).await {
-            return false;
-        }
+    }
+
+    /// Resumes the stream at another backend server after the last complete event; a retry has been
+    /// granted.
+    async fn resume(&mut self, what: &'static str) -> bool {
+        self.end_broken(what);
+        let left = self.exchange.left(&self.target);
         let opening = self.exchange.open(self.target.clone(), self.last, true);
         let upstream = compio::time::timeout(left.duration(), opening).await;
         let Ok(Ok(upstream)) = upstream else {
@@ -197,6 +236,7 @@
             grant: upstream.grant,
             connection: upstream.connection,
         });
+        self.progress = self.exchange.gateway.clock.now();
         true
     }
 }
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -211,7 +211,7 @@
                 self.suspects.record_completion(fingerprint);
             }
             Outcome::Unreachable => health.record_unreachable(now),
-            Outcome::Faulty | Outcome::Silent | Outcome::Broken => {
+            Outcome::Faulty | Outcome::Malformed | Outcome::Silent | Outcome::Broken => {
                 let crash = self.roster.crash_identity(server);
                 if let Some(crash) = crash.filter(|_| outcome == Outcome::Broken) {
                     self.suspects.record_crash(now, fingerprint, &crash, false);
--- a/jujubewind/src/direct/control/outcome.rs
+++ b/jujubewind/src/direct/control/outcome.rs
@@ -11,6 +11,8 @@
         Unreachable = "unreachable",
         /// It answered with a server error or a malformed response.
         Faulty = "faulty",
+        /// It sent bytes that are no response, or more of them than a response may have.
+        Malformed = "malformed",
         /// It sent nothing until the timeout.
         Silent = "silent",
         /// The connection was lost while it ran the request.
--- a/jujubewind/src/direct/upstream/limits.rs
+++ b/jujubewind/src/direct/upstream/limits.rs
@@ -12,5 +12,7 @@
 pub const MAX_ONCE_IDLE: Millis = Millis(300);
 /// How long sent data may stay unacknowledged before the connection is closed.
 pub const TCP_USER_TIMEOUT: Millis = Millis(3_000);
+/// The longest head of a response, and the most bytes read ahead of a body.
+pub const MAX_HEAD_BYTES: usize = 64 * 1_024;
 /// Most idle connections kept to one backend server.
 pub const MAX_IDLE_CONNECTIONS: usize = 24;
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -16,6 +16,7 @@
 use super::Connection;
 use super::SendFault;
 use super::limits::CONNECT_TIMEOUT;
+use super::limits::MAX_HEAD_BYTES;
 use super::limits::MAX_IDLE_CONNECTIONS;
 use super::limits::MAX_ONCE_IDLE;
 use super::limits::TCP_USER_TIMEOUT;
@@ -119,6 +120,7 @@
     let timeout = u32::try_from(TCP_USER_TIMEOUT.get())?;
     setsockopt(&stream, TcpUserTimeout, &timeout)?;
     let (sender, connection) = Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(HyperStream::new_plain(stream))
         .await?;
     compio::runtime::spawn(async move {
--- a/jujubewind/src/direct/upstream/send_fault.rs
+++ b/jujubewind/src/direct/upstream/send_fault.rs
@@ -10,3 +10,11 @@
     #[error("the connection broke: {0}; whether it ran is unknown")]
     Lost(hyper::Error),
 }
+
+impl SendFault {
+    /// Whether the server sent bytes that are no response.
+    #[must_use]
+    pub fn is_malformed(&self) -> bool {
+        matches!(self, Self::Lost(error) if error.is_parse())
+    }
+}
