Follow the store through one entry a failure domain, and cross domains once

Change: direct::feed. The entries of a failure domain agree on one that watches the store; the others ask it each 400 ms for what came after their position, with an age that counts from their own question, and go to the next or to the store when it is silent or behind. A connection whose head takes more than 256 KiB is closed, as informational responses without end starved the other tasks.

--- a/jujubewind/src/direct/boot_time.rs
+++ b/jujubewind/src/direct/boot_time.rs
@@ -33,6 +33,12 @@
         Self(self.0.saturating_add(span.0))
     }
 
+    /// The time `span` earlier.
+    #[must_use]
+    pub const fn before(self, span: Millis) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
+
     /// The time elapsed since `earlier`.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Millis {
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -1,6 +1,7 @@
 //! The scheduling state machine of the control task, without I/O or clocks.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use super::Counts;
@@ -34,6 +35,7 @@
 use crate::types::DomainId;
 use crate::types::Millis;
 use crate::types::MonoTime;
+use crate::types::NodeId;
 
 /// Settings of the scheduling state machine.
 #[derive(Clone, Debug)]
@@ -57,7 +59,7 @@
     pub(super) queue: Queue,
     budgets: BTreeMap<ServiceId, Budget>,
     suspects: SuspectRegistry,
-    peers: usize,
+    peers: BTreeSet<NodeId>,
 }
 
 impl Core {
@@ -75,7 +77,7 @@
             queue: Queue::default(),
             budgets: BTreeMap::new(),
             suspects: SuspectRegistry::default(),
-            peers: 0,
+            peers: BTreeSet::new(),
         }
     }
 
@@ -108,12 +110,17 @@
                     gone.push(id);
                 }
             }
+            FleetChange::Grace(grace) => self.roster.extend_grace(now, grace),
             FleetChange::OutageStarted => self.roster.begin_outage(now),
             FleetChange::OutageEnded => self.roster.end_outage(now),
-            FleetChange::Peers(peers) => self.peers = peers.len(),
-            FleetChange::PeerListed(..) => self.peers += 1,
+            FleetChange::Peers(peers) => {
+                self.peers = peers.into_iter().map(|peer| peer.node).collect();
+            }
+            FleetChange::PeerListed(peer) => {
+                self.peers.insert(peer.node);
+            }
             FleetChange::PeerRemoved(peer) => {
-                self.peers = self.peers.saturating_sub(1);
+                self.peers.remove(&peer);
                 self.ledger.remove_peer(&peer);
             }
         }
@@ -264,6 +271,12 @@
             .merge(now, &digest.node, digest.stamp, digest.rows);
     }
 
+    /// Whether a digest of a peer arrived recently, so that it can pass on updates.
+    #[must_use]
+    pub fn is_live_peer(&self, now: MonoTime, peer: &NodeId) -> bool {
+        self.ledger.is_live(now, peer)
+    }
+
     /// Takes the rows and suspects to send to peers: those that changed, or every row if `all` is
     /// set.
     pub fn take_updates(&mut self, now: MonoTime, all: bool) -> (Vec<Row>, Vec<Suspect>) {
@@ -304,7 +317,7 @@
     }
 
     pub(super) fn entry_count(&self, now: MonoTime) -> usize {
-        self.peers.max(self.ledger.live_peers(now)) + 1
+        self.peers.len().max(self.ledger.live_peers(now)) + 1
     }
 
     /// Why no server of a service takes requests, if none does.
--- a/jujubewind/src/direct/control/entry_state.rs
+++ b/jujubewind/src/direct/control/entry_state.rs
@@ -55,6 +55,12 @@
         self.newest.set(self.newest.get().max(version));
     }
 
+    /// The newest version that this entry or a peer knows to have been in force.
+    #[must_use]
+    pub const fn newest(&self) -> Revision {
+        self.newest.get()
+    }
+
     /// Records the newest version that a peer vouches for; zero if it does not know yet.
     pub fn hear_peer(&self, version: Revision) {
         if version > Revision::ZERO {
--- a/jujubewind/src/direct/control/fleet_change.rs
+++ b/jujubewind/src/direct/control/fleet_change.rs
@@ -1,9 +1,9 @@
 //! Changes of the lists of backend servers and peers.
 
-use std::net::SocketAddr;
-
+use super::Peer;
 use crate::direct::Server;
 use crate::direct::ServerId;
+use crate::types::Millis;
 use crate::types::NodeId;
 
 /// A change of the lists, or of whether they can be read.
@@ -18,11 +18,14 @@
     /// A backend server that was removed.
     Removed(ServerId),
     /// The whole list of peers.
-    Peers(Vec<(NodeId, SocketAddr)>),
+    Peers(Vec<Peer>),
     /// A peer that was added or has a new address.
-    PeerListed(NodeId, SocketAddr),
+    PeerListed(Peer),
     /// A peer that was removed.
     PeerRemoved(NodeId),
+    /// Backend servers that are missing from the list are kept for this long, as another entry told
+    /// after an outage.
+    Grace(Millis),
     /// The lists can no longer be read.
     OutageStarted,
     /// The lists can be read again.
--- a/jujubewind/src/direct/control/message.rs
+++ b/jujubewind/src/direct/control/message.rs
@@ -68,7 +68,12 @@
     /// A change of the lists of backend servers and peers.
     Fleet(FleetChange),
     /// A digest from a peer.
-    PeerLoad(Digest),
+    PeerLoad {
+        /// The digest.
+        digest: Digest,
+        /// Whether it is to be passed on in this entry's failure domain.
+        pass_on: bool,
+    },
     /// A timer tick.
     Tick(MonoTime),
 }
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -1,6 +1,5 @@
 //! The control task, which owns the scheduling state and serializes access to it.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,11 +19,13 @@
 use super::limits::TICK_PERIOD;
 use crate::conviction::Fingerprint;
 use crate::direct::BootTime;
+use crate::direct::Datagram;
 use crate::direct::Digest;
 use crate::direct::Job;
 use crate::direct::JobId;
 use crate::direct::Notice;
-use crate::direct::OutboundDigest;
+use crate::direct::OutboundDatagram;
+use crate::direct::PeerRoutes;
 use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::Shared;
@@ -36,6 +37,8 @@
 
 /// Rows in one datagram, so that it stays below the smallest MTU.
 const ROWS_PER_DATAGRAM: usize = 16;
+/// Announcements of backend servers in one datagram.
+const NOTICES_PER_DATAGRAM: usize = 16;
 
 /// The scheduling state with its channels and timers.
 struct Task {
@@ -44,8 +47,12 @@
     shared: Shared,
     node: NodeId,
     stamp: Stamp,
-    peers: BTreeMap<NodeId, SocketAddr>,
-    outbound: Sender<OutboundDigest>,
+    routes: PeerRoutes,
+    /// One entry of each other failure domain, which passes updates on.
+    relays: Rc<[SocketAddr]>,
+    /// The number of full updates, which take turns among the relays.
+    turn: u64,
+    outbound: Sender<OutboundDatagram>,
     replies: HashMap<JobId, Sender<Verdict>>,
     /// Whether something changed that may allow queued requests to be placed.
     dirty: bool,
@@ -62,11 +69,12 @@
     settings: CoreSettings,
     timer: &TimerService,
     shared: Shared,
-    outbound: Sender<OutboundDigest>,
+    outbound: Sender<OutboundDatagram>,
 ) -> Control {
     let (tx, messages) = flume::unbounded();
     let control = Control::new(tx);
     let now = timer.clock().now();
+    let routes = PeerRoutes::new(node.clone(), settings.domain.clone());
     let task = Task {
         core: Core::new(settings, now),
         timer: timer.clone(),
@@ -76,7 +84,9 @@
             life: incarnation,
             number: 0,
         },
-        peers: BTreeMap::new(),
+        routes,
+        relays: Rc::new([]),
+        turn: 0,
         outbound,
         replies: HashMap::new(),
         dirty: false,
@@ -143,7 +153,12 @@
             }
             Message::Configure(table) => self.core.configure(table),
             Message::Fleet(change) => self.apply_fleet_change(now, change),
-            Message::PeerLoad(digest) => self.merge(now, digest),
+            Message::PeerLoad { digest, pass_on } => {
+                if pass_on {
+                    self.send_digest(Datagram::Load(digest.clone()), self.routes.near());
+                }
+                self.merge(now, digest);
+            }
             Message::Tick(_) => self.tick(now),
         }
     }
@@ -235,13 +250,18 @@
     fn apply_fleet_change(&mut self, now: MonoTime, change: FleetChange) {
         match &change {
             FleetChange::Servers(_) | FleetChange::Restored(_) => self.shared.state.mark_listed(),
-            FleetChange::Peers(peers) => self.peers = peers.iter().cloned().collect(),
-            FleetChange::PeerListed(node, addr) => {
-                self.peers.insert(node.clone(), *addr);
-                self.greet(now, *addr);
+            FleetChange::Peers(peers) => {
+                self.routes.replace_all(peers.clone());
+                self.choose_relays(now);
+            }
+            FleetChange::PeerListed(peer) => {
+                self.routes.insert(peer.clone());
+                self.choose_relays(now);
+                self.greet(now, peer.addr);
             }
             FleetChange::PeerRemoved(node) => {
-                self.peers.remove(node);
+                self.routes.remove(node);
+                self.choose_relays(now);
             }
             _ => {}
         }
@@ -287,18 +307,19 @@
             notices: self.core.notices().to_peers(now),
             newest: self.shared.state.vouched_version(BootTime::now()),
         };
-        let to = Rc::new([addr]);
-        let _ = self.outbound.send(OutboundDigest { digest, to });
+        self.send_digest(Datagram::Load(digest), Rc::new([addr]));
     }
 
     /// Sends changed rows to peers, and periodically all of them.
     fn send_updates(&mut self, now: MonoTime) {
-        if self.peers.is_empty() {
+        if self.routes.is_empty() {
             return;
         }
         let all = now.since(self.last_full_update) >= FULL_UPDATE_PERIOD;
         if all {
             self.last_full_update = now;
+            self.turn += 1;
+            self.choose_relays(now);
         }
         let (rows, suspects) = self.core.take_updates(now, all);
         let has_notices = std::mem::take(&mut self.has_notices);
@@ -307,27 +328,41 @@
         }
         self.stamp.number += 1;
         let mut suspects = Some(suspects);
-        let mut notices = Some(if all || has_notices {
+        let notices = if all || has_notices {
             self.core.notices().to_peers(now)
         } else {
             Vec::new()
-        });
-        let mut chunks: Vec<_> = rows.chunks(ROWS_PER_DATAGRAM).map(<[_]>::to_vec).collect();
-        if chunks.is_empty() {
-            chunks.push(Vec::new());
-        }
-        let to: Rc<[SocketAddr]> = self.peers.values().copied().collect();
-        for rows in chunks {
+        };
+        let mut rows = rows.chunks(ROWS_PER_DATAGRAM);
+        let mut notices = notices.chunks(NOTICES_PER_DATAGRAM);
+        let count = rows.len().max(notices.len()).max(1);
+        for _ in 0..count {
             let digest = Digest {
                 node: self.node.clone(),
                 stamp: self.stamp,
-                rows,
+                rows: rows.next().unwrap_or_default().to_vec(),
                 suspects: suspects.take().unwrap_or_default(),
-                notices: notices.take().unwrap_or_default(),
+                notices: notices.next().unwrap_or_default().to_vec(),
                 newest: self.shared.state.vouched_version(BootTime::now()),
             };
-            let to = to.clone();
-            let _ = self.outbound.send(OutboundDigest { digest, to });
+            if !self.relays.is_empty() {
+                self.send_digest(Datagram::Relay(digest.clone()), self.relays.clone());
+            }
+            self.send_digest(Datagram::Load(digest), self.routes.near());
+        }
+    }
+
+    /// Chooses who passes on updates in the other failure domains.
+    fn choose_relays(&mut self, now: MonoTime) {
+        let is_live = |peer: &NodeId| self.core.is_live_peer(now, peer);
+        self.relays = self.routes.relays(self.turn, is_live);
+    }
+
+    /// Sends a digest unless too many wait to be sent; the next full update makes up for it.
+    fn send_digest(&self, datagram: Datagram, to: Rc<[SocketAddr]>) {
+        let outgoing = OutboundDatagram { datagram, to };
+        if self.outbound.try_send(outgoing).is_err() {
+            self.shared.metrics.count_dropped_digest();
         }
     }
 }
--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -14,6 +14,7 @@
 use super::CoreSettings;
 use super::Dialect;
 use super::EntryState;
+use super::Feed;
 use super::Gateway;
 use super::GatewaySettings;
 use super::Message;
@@ -67,6 +68,8 @@
     pub control: Control,
     /// The state that request tasks read.
     pub state: Rc<EntryState>,
+    /// Its link to the entries that follow the same store.
+    pub feed: Rc<Feed>,
     /// Its timers.
     pub timer: TimerService,
     /// The address for callers.
@@ -100,9 +103,10 @@
             settings.core.clone(),
             &timer,
             shared.clone(),
-            outbound,
+            outbound.clone(),
         );
-        compio::runtime::spawn(link.run(outbox, control.clone())).detach();
+        let feed = Feed::new(state.clone(), outbound);
+        compio::runtime::spawn(link.run(outbox, control.clone(), feed.clone())).detach();
         let gateway = Rc::new(Gateway::new(
             dialect,
             control.clone(),
@@ -129,6 +133,7 @@
         let entry = Self {
             control,
             state,
+            feed,
             timer,
             listen,
             serving,
--- /dev/null
+++ b/jujubewind/src/direct/feed/limits.rs
@@ -0,0 +1,21 @@
+//! Limits of following the store through another entry.
+
+use crate::types::Millis;
+
+/// How often an entry asks.
+pub const ASK_INTERVAL: Millis = Millis(400);
+/// How long an answer may take.
+pub const ANSWER_TIMEOUT: Millis = Millis(400);
+/// Unanswered questions in a row after which a source counts as silent; datagrams may be lost.
+pub const MAX_UNANSWERED: u32 = 2;
+/// The greatest age of a source's knowledge: the wait of a watch and what the platform may add.
+pub const MAX_SOURCE_AGE: Millis = Millis(2_200);
+/// How long a source that was silent or stale is not asked again.
+pub const SOURCE_AVOIDANCE: Millis = Millis(4_000);
+/// The longest random delay before an entry reads the store because its sources are silent, so that
+/// not all do at once.
+pub const MAX_TAKEOVER_DELAY: Millis = Millis(300);
+/// The most changes that an entry remembers.
+pub const MAX_LOGGED_CHANGES: usize = 2_048;
+/// The changes in one answer, so that it stays below the smallest MTU.
+pub const CHANGES_PER_ANSWER: usize = 10;
--- /dev/null
+++ b/jujubewind/src/direct/feed/source.rs
@@ -0,0 +1,103 @@
+//! Whom an entry asks for changes.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::FeedRole;
+use super::limits::MAX_UNANSWERED;
+use super::limits::SOURCE_AVOIDANCE;
+use crate::direct::BootTime;
+use crate::types::DomainId;
+use crate::types::NodeId;
+
+/// Chooses the entry to ask: all entries of a failure domain agree on an order by their names, so
+/// that most of them ask the same one.
+#[derive(Clone, Debug)]
+pub struct FeedSource {
+    node: NodeId,
+    domain: DomainId,
+    /// The other entries of this failure domain.
+    peers: BTreeMap<NodeId, SocketAddr>,
+    /// Until when an entry is avoided; this one too, if it cannot reach the store.
+    avoided: BTreeMap<NodeId, BootTime>,
+    /// Unanswered questions in a row.
+    unanswered: u32,
+}
+
+impl FeedSource {
+    /// Creates the choice of the entry `node`, which knows no others yet.
+    #[must_use]
+    pub const fn new(node: NodeId, domain: DomainId) -> Self {
+        Self {
+            node,
+            domain,
+            peers: BTreeMap::new(),
+            avoided: BTreeMap::new(),
+            unanswered: 0,
+        }
+    }
+
+    /// Adds or updates another entry.
+    pub fn insert(&mut self, node: NodeId, addr: SocketAddr, domain: Option<&DomainId>) {
+        if domain == Some(&self.domain) {
+            self.peers.insert(node, addr);
+        }
+    }
+
+    /// Removes another entry.
+    pub fn remove(&mut self, node: &NodeId) {
+        self.peers.remove(node);
+    }
+
+    /// Forgets all other entries.
+    pub fn clear(&mut self) {
+        self.peers.clear();
+    }
+
+    /// How this entry follows the store now.
+    #[must_use]
+    pub fn role(&self, now: BootTime) -> FeedRole {
+        let is_usable = |node: &NodeId| self.avoided.get(node).is_none_or(|until| now >= *until);
+        let all = self.peers.keys().chain([&self.node]);
+        let best = all
+            .filter(|node| is_usable(node))
+            .min_by_key(|node| rank(node));
+        let addr = best.and_then(|node| Some((node, self.peers.get(node)?)));
+        addr.map_or(FeedRole::Reader, |(node, addr)| {
+            FeedRole::Follower(node.clone(), *addr)
+        })
+    }
+
+    /// Records an answer.
+    pub const fn record_answer(&mut self) {
+        self.unanswered = 0;
+    }
+
+    /// Records that a question was not answered; returns whether its entry is avoided from now on.
+    pub fn record_silence(&mut self, now: BootTime, node: &NodeId) -> bool {
+        self.unanswered += 1;
+        if self.unanswered < MAX_UNANSWERED {
+            return false;
+        }
+        self.avoid(now, node);
+        true
+    }
+
+    /// Avoids an entry whose knowledge is too old, or this one while it cannot reach the store.
+    pub fn avoid(&mut self, now: BootTime, node: &NodeId) {
+        self.unanswered = 0;
+        self.avoided
+            .insert(node.clone(), now.after(SOURCE_AVOIDANCE));
+    }
+
+    /// Records that this entry reaches the store.
+    pub fn record_reached(&mut self) {
+        self.avoided.remove(&self.node);
+    }
+}
+
+/// The place of an entry in the order, the same at all entries.
+fn rank(node: &NodeId) -> (u64, &NodeId) {
+    let hash = rapidhash::v3::rapidhash_v3(node.as_str().as_bytes());
+    (hash, node)
+}
--- a/jujubewind/src/direct/fleet/mod.rs
+++ b/jujubewind/src/direct/fleet/mod.rs
@@ -2,7 +2,7 @@
 
 mod health;
 mod id;
-mod limits;
+pub mod limits;
 mod notice;
 mod notices;
 mod peer_notice;
--- a/jujubewind/src/direct/fleet/roster.rs
+++ b/jujubewind/src/direct/fleet/roster.rs
@@ -12,6 +12,7 @@
 use crate::conviction::Crash;
 use crate::direct::ServiceId;
 use crate::types::Incarnation;
+use crate::types::Millis;
 use crate::types::MonoTime;
 
 /// A listed server.
@@ -100,6 +101,11 @@
         self.replace_all(now, servers);
     }
 
+    /// Keeps missing servers for `grace`, after an outage that another entry saw.
+    pub fn extend_grace(&mut self, now: MonoTime, grace: Millis) {
+        self.grace_end = self.grace_end.max(now.after(grace));
+    }
+
     /// Records that the list can no longer be read.
     pub fn begin_outage(&mut self, now: MonoTime) {
         self.outage_start.get_or_insert(now);
--- a/jujubewind/src/direct/load/ledger.rs
+++ b/jujubewind/src/direct/load/ledger.rs
@@ -9,18 +9,27 @@
 use super::ServerLoad;
 use super::Stamp;
 use super::limits::PEER_TIMEOUT;
+use super::limits::RELAY_TIMEOUT;
 use crate::direct::ServerId;
 use crate::scheduler::Work;
 use crate::types::MonoTime;
 use crate::types::NodeId;
 use crate::types::Tokens;
 
-/// The last known state of a peer; each row has the time at which it was received.
+/// The last known state of a peer.
 #[derive(Clone, Debug, Default)]
 struct Peer {
     last_heard: MonoTime,
     stamp: Stamp,
-    rows: BTreeMap<ServerId, (Row, MonoTime)>,
+    rows: BTreeMap<ServerId, Received>,
+}
+
+/// A row of a peer, when it was received and the number of its digest.
+#[derive(Clone, Debug)]
+struct Received {
+    row: Row,
+    at: MonoTime,
+    number: u64,
 }
 
 /// The load that all entries put on each backend server.
@@ -65,20 +74,26 @@
 
     /// Merges the rows of a peer's digest.
     ///
-    /// A digest older than the last one is ignored, and a new incarnation of a peer clears its old
-    /// rows.
+    /// Digests may overtake each other on their ways, so that of each row the newest counts. A new
+    /// incarnation of a peer clears its old rows.
     pub fn merge(&mut self, now: MonoTime, peer: &NodeId, stamp: Stamp, rows: Vec<Row>) {
         let peer = self.peers.entry(peer.clone()).or_default();
-        if stamp < peer.stamp {
+        if stamp.life < peer.stamp.life {
             return;
         }
         if stamp.life > peer.stamp.life {
             peer.rows.clear();
         }
-        peer.stamp = stamp;
+        peer.stamp = peer.stamp.max(stamp);
         peer.last_heard = now;
+        let number = stamp.number;
         for row in rows {
-            peer.rows.insert(row.server.clone(), (row, now));
+            let known = peer.rows.get(&row.server);
+            if known.is_none_or(|known| known.number <= number) {
+                let server = row.server.clone();
+                let at = now;
+                peer.rows.insert(server, Received { row, at, number });
+            }
         }
     }
 
@@ -94,6 +109,13 @@
         self.peers.values().filter(is_live).count()
     }
 
+    /// Whether a peer's last digest is recent enough for it to pass on updates.
+    #[must_use]
+    pub fn is_live(&self, now: MonoTime, peer: &NodeId) -> bool {
+        let known = self.peers.get(peer);
+        known.is_some_and(|peer| now.since(peer.last_heard) < RELAY_TIMEOUT)
+    }
+
     /// The load of one server from all entries.
     #[must_use]
     pub fn load(&self, now: MonoTime, server: &ServerId) -> ServerLoad {
@@ -106,7 +128,7 @@
             if now.since(peer.last_heard) >= PEER_TIMEOUT {
                 continue;
             }
-            if let Some((row, at)) = peer.rows.get(server) {
+            if let Some(Received { row, at, .. }) = peer.rows.get(server) {
                 load.add(row, row.remaining(now.since(*at)));
             }
         }
--- a/jujubewind/src/direct/load/limits.rs
+++ b/jujubewind/src/direct/load/limits.rs
@@ -4,6 +4,9 @@
 
 /// How long a peer's rows count after its last digest; four times its full update period.
 pub const PEER_TIMEOUT: Millis = Millis(2_000);
+/// How long after its last digest a peer is chosen to pass on updates; two full update periods and
+/// a little more.
+pub const RELAY_TIMEOUT: Millis = Millis(1_200);
 /// How long after its predicted end a prefill may still be running, in thousandths of its predicted
 /// duration.
 pub const OVERRUN_PERMILLE: u64 = 500;
--- a/jujubewind/src/direct/upstream/connection.rs
+++ b/jujubewind/src/direct/upstream/connection.rs
@@ -7,13 +7,13 @@
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use hyper::header::HeaderMap;
 
 use super::Pool;
 use super::SendFault;
 use super::limits::DEFAULT_IDLE_TIMEOUT;
 use super::limits::IDLE_MARGIN;
+use super::pool::Sender;
 use crate::direct::ServerId;
 use crate::types::Millis;
 
@@ -24,14 +24,14 @@
 /// A connection that serves one request at a time; dropping it without `give_back` closes it.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     server: ServerId,
     pool: Rc<Pool>,
     idle_timeout: Millis,
 }
 
 impl Connection {
-    pub(super) fn new(sender: SendRequest<Full<Bytes>>, server: ServerId, pool: Rc<Pool>) -> Self {
+    pub(super) const fn new(sender: Sender, server: ServerId, pool: Rc<Pool>) -> Self {
         Self {
             sender,
             server,
@@ -48,8 +48,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFault> {
-        match self.sender.try_send_request(request).await {
+        self.sender.budget.begin();
+        match self.sender.requests.try_send_request(request).await {
             Ok(response) => {
+                self.sender.budget.end();
                 self.idle_timeout = idle_timeout(response.headers());
                 Ok(response)
             }
--- a/jujubewind/src/direct/upstream/limits.rs
+++ b/jujubewind/src/direct/upstream/limits.rs
@@ -14,5 +14,8 @@
 pub const TCP_USER_TIMEOUT: Millis = Millis(3_000);
 /// The longest head of a response, and the most bytes read ahead of a body.
 pub const MAX_HEAD_BYTES: usize = 64 * 1_024;
+/// The most bytes that a server may send before the head of its response is complete, with those of
+/// the body that are read in the same go.
+pub const MAX_BYTES_BEFORE_HEAD: usize = 256 * 1_024;
 /// Most idle connections kept to one backend server.
 pub const MAX_IDLE_CONNECTIONS: usize = 24;
--- a/jujubewind/src/direct/upstream/mod.rs
+++ b/jujubewind/src/direct/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers.
 
 mod connection;
+mod head_limit;
 mod limits;
 mod pool;
 mod send_fault;
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -15,6 +15,8 @@
 
 use super::Connection;
 use super::SendFault;
+use super::head_limit::HeadBudget;
+use super::head_limit::HeadLimit;
 use super::limits::CONNECT_TIMEOUT;
 use super::limits::MAX_HEAD_BYTES;
 use super::limits::MAX_IDLE_CONNECTIONS;
@@ -26,10 +28,17 @@
 use crate::types::Millis;
 use crate::types::MonoTime;
 
+/// The sending end of a connection.
+#[derive(Debug)]
+pub(super) struct Sender {
+    pub(super) requests: SendRequest<Full<Bytes>>,
+    pub(super) budget: HeadBudget,
+}
+
 /// An idle connection.
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    sender: Sender,
     since: MonoTime,
     timeout: Millis,
 }
@@ -84,8 +93,8 @@
         self.idle.borrow_mut().remove(server);
     }
 
-    pub(super) fn put(&self, server: &ServerId, sender: SendRequest<Full<Bytes>>, timeout: Millis) {
-        if sender.is_closed() || timeout == Millis::ZERO {
+    pub(super) fn put(&self, server: &ServerId, sender: Sender, timeout: Millis) {
+        if sender.requests.is_closed() || timeout == Millis::ZERO {
             return;
         }
         let since = self.clock.now();
@@ -101,27 +110,31 @@
         }
     }
 
-    fn take(&self, server: &ServerId, once: bool) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, server: &ServerId, once: bool) -> Option<Sender> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let stack = idle.get_mut(server)?;
-        stack.retain(|idle| now.since(idle.since) < idle.timeout && !idle.sender.is_closed());
+        stack.retain(|idle| {
+            now.since(idle.since) < idle.timeout && !idle.sender.requests.is_closed()
+        });
         let is_recent = |idle: &Idle| !once || now.since(idle.since) < MAX_ONCE_IDLE;
         let index = stack
             .iter()
-            .rposition(|idle| idle.sender.is_ready() && is_recent(idle))?;
+            .rposition(|idle| idle.sender.requests.is_ready() && is_recent(idle))?;
         Some(stack.remove(index).sender)
     }
 }
 
-async fn open(server: &Server) -> anyhow::Result<SendRequest<Full<Bytes>>> {
+async fn open(server: &Server) -> anyhow::Result<Sender> {
     let stream = TcpStream::connect(server.addr).await?;
     stream.set_nodelay(true)?;
     let timeout = u32::try_from(TCP_USER_TIMEOUT.get())?;
     setsockopt(&stream, TcpUserTimeout, &timeout)?;
-    let (sender, connection) = Builder::new()
+    let budget = HeadBudget::new();
+    let stream = HeadLimit::new(HyperStream::new_plain(stream), budget.clone());
+    let (requests, connection) = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(HyperStream::new_plain(stream))
+        .handshake(stream)
         .await?;
     compio::runtime::spawn(async move {
         if let Err(error) = connection.await {
@@ -129,5 +142,5 @@
         }
     })
     .detach();
-    Ok(sender)
+    Ok(Sender { requests, budget })
 }
--- a/jujubewind/src/direct/upstream/send_fault.rs
+++ b/jujubewind/src/direct/upstream/send_fault.rs
@@ -1,5 +1,8 @@
 //! Why a request got no response.
 
+use std::error::Error;
+use std::io::ErrorKind;
+
 /// An error of sending a request, by whether the request may have run.
 #[derive(Debug, thiserror::Error)]
 pub enum SendFault {
@@ -15,6 +18,12 @@
     /// Whether the server sent bytes that are no response.
     #[must_use]
     pub fn is_malformed(&self) -> bool {
-        matches!(self, Self::Lost(error) if error.is_parse())
+        let Self::Lost(error) = self else {
+            return false;
+        };
+        let cause = error.source().and_then(|cause| cause.downcast_ref());
+        let is_endless =
+            cause.is_some_and(|cause: &std::io::Error| cause.kind() == ErrorKind::InvalidData);
+        error.is_parse() || is_endless
     }
 }
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -61,6 +61,7 @@
     outcomes: Family<OutcomeLabel, Counter>,
     retries: Counter,
     notices: Family<NoticeLabel, Counter>,
+    dropped_digests: Counter,
     first_event: Family<DecadeLabel, Histogram>,
     answer: Family<DecadeLabel, Histogram>,
     max_gap: Family<DecadeLabel, Histogram>,
@@ -81,6 +82,7 @@
             outcomes: Family::default(),
             retries: Counter::default(),
             notices: Family::default(),
+            dropped_digests: Counter::default(),
             first_event: family(),
             answer: family(),
             max_gap: family(),
@@ -114,6 +116,11 @@
         self.retries.inc();
     }
 
+    /// Counts a digest that was not sent as too many were waiting.
+    pub fn count_dropped_digest(&self) {
+        self.dropped_digests.inc();
+    }
+
     /// Counts an announcement of a backend server.
     pub fn count_notice(&self, notice: Notice) {
         let kinds = [
@@ -175,6 +182,11 @@
             "Announcements of backend servers that want fewer or no requests, by kind",
             self.notices.clone(),
         );
+        registry.register(
+            "dropped_digests",
+            "Updates to peers that were not sent as too many were waiting",
+            self.dropped_digests.clone(),
+        );
         registry.register(
             "first_event_seconds",
             "Time to first event",
--- a/jujubewind/tests/direct/ledger.rs
+++ b/jujubewind/tests/direct/ledger.rs
@@ -138,3 +138,20 @@
     assert!(second.is_empty());
     assert_eq!(third.iter().map(|row| row.leads).collect::<Vec<_>>(), [0]);
 }
+
+/// Updates reach an entry by two ways, and one may overtake another.
+#[test]
+fn overtaken_digest_still_brings_the_rows_that_the_newer_one_lacks() {
+    let mut ledger = Ledger::default();
+    let peer = "entry-2".parse().expect("a name");
+    let stamp = |number| Stamp {
+        life: Incarnation(1),
+        number,
+    };
+
+    ledger.merge(at(0), &peer, stamp(2), vec![row(0, 100, 2)]);
+    ledger.merge(at(0), &peer, stamp(1), vec![row(0, 900, 9), row(1, 50, 1)]);
+
+    assert_eq!(ledger.load(at(0), &server(0).id).requests, 2);
+    assert_eq!(ledger.load(at(0), &server(1).id).requests, 1);
+}
