--- a/jujubewind/src/direct/control/entry_state.rs
+++ b/jujubewind/src/direct/control/entry_state.rs
@@ -25,6 +25,10 @@
     notices: RefCell<Rc<Notices>>,
     /// The newest version that this entry or a peer knows to have been in force.
     newest: Cell<Revision>,
+    /// Until when confirmations may be of an older copy of the store.
+    doubt_end: Cell<BootTime>,
+    /// Whether the table was confirmed although a newer one had been in force.
+    is_disproved: Cell<bool>,
     /// Until when peers may still tell of a newer version than a starting entry has read.
     settles_at: Cell<Option<BootTime>>,
 }
@@ -44,15 +48,32 @@
         if current.as_ref().is_some_and(is_current) {
             return false;
         }
-        self.learn_version(table.version);
+        if table.version >= self.newest.get() {
+            self.newest.set(table.version);
+            self.is_disproved.set(false);
+        }
         *current = Some(Rc::new(table));
         true
     }
 
     /// Records that a version is or was in force. After the store was restored from an older copy,
     /// peers know of versions that it doesn't have.
-    pub fn learn_version(&self, version: Revision) {
-        self.newest.set(self.newest.get().max(version));
+    ///
+    /// The table stays trusted up to its age, as it was the newest when it was confirmed; unless the
+    /// entry is starting or the store was restored, so that an older copy may have confirmed it.
+    pub fn learn_version(&self, now: BootTime, version: Revision) {
+        if version <= self.newest.get() {
+            return;
+        }
+        self.newest.set(version);
+        if !self.is_settled(now) || now < self.doubt_end.get() {
+            self.is_disproved.set(true);
+        }
+    }
+
+    /// Records that the store was restored: until `end`, what it confirms may be out of date.
+    pub fn doubt_confirmations(&self, end: BootTime) {
+        self.doubt_end.set(end);
     }
 
     /// The newest version that this entry or a peer knows to have been in force.
@@ -62,9 +83,9 @@
     }
 
     /// Records the newest version that a peer vouches for; zero if it does not know yet.
-    pub fn hear_peer(&self, version: Revision) {
+    pub fn hear_peer(&self, now: BootTime, version: Revision) {
         if version > Revision::ZERO {
-            self.learn_version(version);
+            self.learn_version(now, version);
             self.settles_at.set(None);
         }
     }
@@ -124,11 +145,11 @@
         self.staleness_limits.set(staleness_limits);
     }
 
-    /// Whether the table is new and fresh enough to authorize a request by its API key.
+    /// Whether the table is fresh enough to authorize a request by its API key.
     #[must_use]
     pub fn is_trusted(&self, now: BootTime) -> bool {
         let is_fresh = self.is_confirmed(now, self.staleness_limits.get().keys);
-        is_fresh && self.is_newest() && self.is_settled(now)
+        is_fresh && !self.is_disproved.get() && self.is_settled(now)
     }
 
     /// Whether the table is fresh enough for the process to report that it is ready.
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -189,7 +189,7 @@
     fn merge(&mut self, now: MonoTime, digest: Digest) {
         let state = &self.shared.state;
         let was_newest = state.is_newest();
-        state.hear_peer(digest.newest);
+        state.hear_peer(BootTime::now(), digest.newest);
         if was_newest && !state.is_newest() {
             crate::event!(
                 warn,
--- a/jujubewind/src/direct/feed/handle.rs
+++ b/jujubewind/src/direct/feed/handle.rs
@@ -80,7 +80,7 @@
 
     /// Passes on an answer of another entry.
     pub(in crate::direct) fn accept(&self, answer: FeedAnswer) {
-        self.state.hear_peer(answer.version);
+        self.state.hear_peer(BootTime::now(), answer.version);
         let _ = self.inbound.try_send(answer);
     }
 
--- a/jujubewind/src/direct/feed/limits.rs
+++ b/jujubewind/src/direct/feed/limits.rs
@@ -8,8 +8,9 @@
 pub const ANSWER_TIMEOUT: Millis = Millis(400);
 /// Unanswered questions in a row after which a source counts as silent; datagrams may be lost.
 pub const MAX_UNANSWERED: u32 = 2;
-/// The greatest age of a source's knowledge: the wait of a watch and what the platform may add.
-pub const MAX_SOURCE_AGE: Millis = Millis(2_200);
+/// The greatest age of a source's knowledge: twice the wait of its watch, as an answer confirms what
+/// was in force when the watch began, and the interval of its own questions if it asks another.
+pub const MAX_SOURCE_AGE: Millis = Millis(2_000);
 /// How long a source that was silent or stale is not asked again.
 pub const SOURCE_AVOIDANCE: Millis = Millis(4_000);
 /// The longest random delay before an entry reads the store because its sources are silent, so that
--- a/jujubewind/src/direct/feed/source.rs
+++ b/jujubewind/src/direct/feed/source.rs
@@ -54,6 +54,12 @@
         self.peers.clear();
     }
 
+    /// Whether there is no other entry in this failure domain.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.peers.is_empty()
+    }
+
     /// How this entry follows the store now.
     #[must_use]
     pub fn role(&self, now: BootTime) -> FeedRole {
