Wait for a stalled stream no longer than its caller does

Change: without a retry a silent stream is waited for as long as its caller waits for an event, then ended; a resumed one counts anew.

--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -64,7 +64,8 @@
     gaps: GapTracker,
     /// When the stream last made progress.
     progress: MonoTime,
-    /// Whether a silent backend server is waited for until the deadline, as no other may take over.
+    /// Whether a silent backend server is waited for as long as the caller waits, as no other may
+    /// take over.
     patient: bool,
 }
 
@@ -126,18 +127,15 @@
     }
 
     async fn step(&mut self) -> Step {
-        let Some(source) = self.source.as_mut() else {
-            return Step::End;
-        };
-        let client_timeout = self.target.route.client_timeout.get();
-        let event_timeout = Millis(client_timeout * EVENT_GAP_PERMILLE / 1_000);
         let left = self.exchange.left(&self.target);
         let quiet = self.exchange.gateway.clock.now().since(self.progress);
         let is_patient = self.patient || !self.target.route.resumable;
-        let wait = if is_patient {
-            left
-        } else {
-            event_timeout.saturating_sub(quiet).min(left)
+        let wait = match self.max_silence() {
+            Some(silence) => silence.saturating_sub(quiet).min(left),
+            None => left,
+        };
+        let Some(source) = self.source.as_mut() else {
+            return Step::End;
         };
         let reading = compio::time::timeout(wait.duration(), source.body.frame());
         let Some(frame) = source.grant.while_held(reading).await else {
@@ -156,6 +154,19 @@
         }
     }
 
+    /// How long the backend server may send no events; `None` if it is waited for until the deadline.
+    ///
+    /// A caller leaves after its client timeout, so a stream that no other engine may take over is
+    /// waited for as long.
+    fn max_silence(&self) -> Option<Millis> {
+        let client_timeout = self.target.route.client_timeout;
+        match (self.target.route.resumable, self.patient) {
+            (false, _) => None,
+            (true, true) => Some(client_timeout),
+            (true, false) => Some(Millis(client_timeout.get() * EVENT_GAP_PERMILLE / 1_000)),
+        }
+    }
+
     fn accept_frame(&mut self, frame: Frame<Bytes>) -> Step {
         let Ok(bytes) = frame.into_data() else {
             return Step::Events(Bytes::new());
@@ -237,6 +248,7 @@
             connection: upstream.connection,
         });
         self.progress = self.exchange.gateway.clock.now();
+        self.patient = false;
         true
     }
 }
