--- /dev/null
+++ b/jujubewind/src/direct/control/availability.rs
@@ -0,0 +1,52 @@
+//! Which backend servers take requests, by what they announced.
+
+use std::rc::Rc;
+
+use super::Core;
+use crate::direct::Notice;
+use crate::direct::Notices;
+use crate::direct::Server;
+use crate::direct::ServiceId;
+use crate::direct::plan;
+use crate::refusal::Reason;
+use crate::refusal::Refusal;
+use crate::types::Millis;
+use crate::types::MonoTime;
+
+impl Core {
+    /// Records a backend server's announcement; returns whether it was news.
+    pub fn record_notice(&mut self, now: MonoTime, server: &Server, notice: Notice) -> bool {
+        self.notices.record(now, server, notice)
+    }
+
+    /// The announcements of backend servers that are in force.
+    #[must_use]
+    pub const fn notices(&self) -> &Notices {
+        &self.notices
+    }
+
+    /// Why no server of a service takes requests, if none does.
+    pub(super) fn unavailable(&self, now: MonoTime, service: &ServiceId) -> Option<Refusal> {
+        let mut pauses = self.accepting(service).peekable();
+        if pauses.peek().is_none() {
+            return Some(Refusal {
+                reason: Reason::NoBackend,
+                retry: plan::MIN_RETRY_DELAY,
+            });
+        }
+        let shortest = pauses
+            .map(|server| self.notices.pause(now, &server.id))
+            .min();
+        let retry = shortest.filter(|pause| *pause > Millis::ZERO)?;
+        Some(Refusal {
+            reason: Reason::QueueFull,
+            retry,
+        })
+    }
+
+    /// The servers of a service that have not announced that they leave.
+    pub(super) fn accepting(&self, service: &ServiceId) -> impl Iterator<Item = &Rc<Server>> {
+        let ready = self.roster.ready(service);
+        ready.filter(|server| !self.notices.is_leaving(server))
+    }
+}
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -20,12 +20,10 @@
 use crate::direct::Job;
 use crate::direct::JobId;
 use crate::direct::Ledger;
-use crate::direct::Notice;
 use crate::direct::Notices;
 use crate::direct::Queue;
 use crate::direct::Roster;
 use crate::direct::Row;
-use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::ServiceId;
 use crate::direct::Table;
@@ -236,17 +234,6 @@
         }
     }
 
-    /// Records a backend server's announcement; returns whether it was news.
-    pub fn record_notice(&mut self, now: MonoTime, server: &Server, notice: Notice) -> bool {
-        self.notices.record(now, server, notice)
-    }
-
-    /// The announcements of backend servers that are in force.
-    #[must_use]
-    pub const fn notices(&self) -> &Notices {
-        &self.notices
-    }
-
     /// Quarantines a backend server that failed as a helper.
     pub fn quarantine(&mut self, now: MonoTime, server: &ServerId) {
         self.health
@@ -320,31 +307,6 @@
         self.peers.len().max(self.ledger.live_peers(now)) + 1
     }
 
-    /// Why no server of a service takes requests, if none does.
-    fn unavailable(&self, now: MonoTime, service: &ServiceId) -> Option<Refusal> {
-        let mut pauses = self.accepting(service).peekable();
-        if pauses.peek().is_none() {
-            return Some(Refusal {
-                reason: Reason::NoBackend,
-                retry: plan::MIN_RETRY_DELAY,
-            });
-        }
-        let shortest = pauses
-            .map(|server| self.notices.pause(now, &server.id))
-            .min();
-        let retry = shortest.filter(|pause| *pause > Millis::ZERO)?;
-        Some(Refusal {
-            reason: Reason::QueueFull,
-            retry,
-        })
-    }
-
-    /// The servers of a service that have not announced that they leave.
-    pub(super) fn accepting(&self, service: &ServiceId) -> impl Iterator<Item = &Rc<Server>> {
-        let ready = self.roster.ready(service);
-        ready.filter(|server| !self.notices.is_leaving(server))
-    }
-
     fn budget(&mut self, service: &ServiceId) -> &mut Budget {
         let (limits, started) = (self.settings.budget.clone(), self.started);
         let new = || Budget::new(limits, started);
--- a/jujubewind/src/direct/control/mod.rs
+++ b/jujubewind/src/direct/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control task and the state it owns: servers, load, queue, retry budgets and suspects.
 
+mod availability;
 mod candidate_set;
 mod core;
 mod counts;
@@ -14,6 +15,7 @@
 mod peer_routes;
 mod placing;
 mod task;
+mod updates;
 mod verdict;
 
 pub use core::Core;
