--- a/jujubewind/src/direct/api/reservations.rs
+++ b/jujubewind/src/direct/api/reservations.rs
@@ -34,7 +34,7 @@
     ) -> Option<Self> {
         let (owner, ended) = flume::bounded(0);
         let (lost_tx, lost) = flume::bounded(1);
-        let (taken_tx, taken) = flume::unbounded();
+        let (taken_tx, taken) = flume::bounded(helpers.len());
         let is_used = Rc::new(Cell::new(false));
         let mut ids = Vec::new();
         for (number, helper) in helpers.iter().enumerate() {
--- a/jujubewind/src/direct/feed/source.rs
+++ b/jujubewind/src/direct/feed/source.rs
@@ -47,6 +47,7 @@
     /// Removes another entry.
     pub fn remove(&mut self, node: &NodeId) {
         self.peers.remove(node);
+        self.avoided.remove(node);
     }
 
     /// Forgets all other entries.
--- a/jujubewind/tests/operations.rs
+++ b/jujubewind/tests/operations.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use jujubewind::direct::Notice;
 use jujubewind::direct::Outcome;
 use jujubewind::metrics::AgentMetrics;
 use jujubewind::metrics::DirectGauges;
@@ -39,6 +40,10 @@
     let agent = AgentMetrics::default().encode(0, Tokens(0));
     let direct = DirectMetrics::default();
     direct.count_outcome(Outcome::Served);
+    direct.count_notice(Notice {
+        leaving: true,
+        pause: None,
+    });
     direct.record_first_event(Tokens(1), Millis(1));
     direct.record_end(Tokens(1), Millis(1), Millis(1));
     let direct = direct.encode(&DirectGauges::default());
