Reserve the ports of daemons until they listen

Cause: the embedded system and the serving tests chose a free port by opening a listener and closing it again.

Change: ReservedAddr binds the port without listening and holds it. The system gives a bound port to no outgoing connection and to no search for a free port, while a daemon's listener, which sets SO_REUSEADDR, can bind it.

--- a/emulator/src/embedded/mod.rs
+++ b/emulator/src/embedded/mod.rs
@@ -2,7 +2,6 @@
 //!
 //! Each component runs on its own thread and communicates over loopback, as separate processes do.
 
-mod addrs;
 mod catalogue;
 mod client;
 mod daemon_thread;
--- a/emulator/src/embedded/system.rs
+++ b/emulator/src/embedded/system.rs
@@ -1,6 +1,8 @@
 //! Starts and holds all components of the embedded system.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::time::Instant;
 
 use cyper::Client;
@@ -16,7 +18,6 @@
 use super::MODEL;
 use super::Result;
 use super::SystemOptions;
-use super::addrs;
 use super::catalogue;
 use super::catalogue::SERVICE;
 use super::client;
@@ -25,6 +26,7 @@
 use crate::engine::core::EngineConfig;
 use crate::http::RunningServer;
 use crate::platform::PlatformOptions;
+use crate::reserved_addr::ReservedAddr;
 use crate::service::ServiceFaults;
 
 /// Failure domains, each with one entry.
@@ -53,6 +55,7 @@
     pub platform: RunningServer,
     daemons: Vec<DaemonThread>,
     peers: Vec<SocketAddr>,
+    reserved: Vec<ReservedAddr>,
     catalogue: TempDir,
     cost: Cost,
 }
@@ -70,10 +73,15 @@
             service: service()?,
             platform: platform()?,
             daemons: Vec::new(),
-            peers: addrs::free(DOMAINS.len())?,
+            peers: Vec::new(),
+            reserved: Vec::new(),
             catalogue: catalogue::write()?,
             cost: cost(options.speed),
         };
+        for _ in DOMAINS {
+            let peer = system.reserve(0)?;
+            system.peers.push(peer);
+        }
         system.start_agents()?;
         for index in 0..DOMAINS.len() {
             system.start_entry(index, options.port)?;
@@ -102,12 +110,11 @@
         backend: Backend,
         model: &str,
     ) -> Result<()> {
-        let addrs = addrs::free(2)?;
         let settings = AgentSettings {
             node: name.parse()?,
             domain: DOMAINS[index % DOMAINS.len()].parse()?,
-            listen: addrs[0],
-            admin: addrs[1],
+            listen: self.reserve(0)?,
+            admin: self.reserve(0)?,
             backend,
             models: vec![model.parse()?],
             memory: EngineConfig::default().capacity,
@@ -128,7 +135,7 @@
         let name = format!("entry-{}", index + 1);
         let offset = u16::try_from(index).unwrap_or(0);
         let port = if port == 0 { 0 } else { port + offset };
-        let listen = addrs::with_port(port)?;
+        let listen = self.reserve(port)?;
         let settings = EntrySettings {
             node: name.parse()?,
             domain: DOMAINS[index].parse()?,
@@ -148,6 +155,14 @@
         Ok(())
     }
 
+    /// Reserves a loopback port for a daemon; port 0 selects a free one.
+    fn reserve(&mut self, port: u16) -> Result<SocketAddr> {
+        let reserved = ReservedAddr::new(port)?;
+        let addr = reserved.addr();
+        self.reserved.push(reserved);
+        Ok(addr)
+    }
+
     async fn wait_ready(&mut self) -> Result<()> {
         let client = Client::new()?;
         let start = Instant::now();
@@ -191,17 +206,22 @@
         ..EngineOptions::default()
     };
     let serve = |listener| crate::engine::serve(listener, options);
-    Ok(RunningServer::start(addrs::listener(0)?, serve)?)
+    Ok(RunningServer::start(listener()?, serve)?)
 }
 
 fn service() -> Result<RunningServer> {
     let serve = |listener| crate::service::serve(listener, ServiceFaults::default());
-    Ok(RunningServer::start(addrs::listener(0)?, serve)?)
+    Ok(RunningServer::start(listener()?, serve)?)
 }
 
 fn platform() -> Result<RunningServer> {
     let serve = |listener| crate::platform::serve(listener, PlatformOptions::default());
-    Ok(RunningServer::start(addrs::listener(0)?, serve)?)
+    Ok(RunningServer::start(listener()?, serve)?)
+}
+
+/// Listens on a free loopback port.
+fn listener() -> std::io::Result<TcpListener> {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
 }
 
 /// Initial cost estimates of the agents: the engines' actual costs at `speed`.
--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod http;
 pub mod load;
 pub mod platform;
+pub mod reserved_addr;
 pub mod service;
