Expire rows of load that a peer no longer lists

Cause: the update that tells of the end of a peer's requests on a server may be lost. The peer's full updates list only servers with requests, and nothing else removed the row, so that it counted as load, memory and max_gap for as long as the peer was heard. Each placement also looked up every peer for every server.

Change: a row counts until two seconds (four full updates) after the last digest that listed it. Rows are kept by server, and old ones are dropped, so that a server's load costs as much as there are entries with requests on it.

Result: row_that_its_peer_no_longer_lists_expires was red (5 requests instead of 0) with the row's age ignored.

--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -277,9 +277,10 @@
         (rows, suspects)
     }
 
-    /// Drops expired suspects and servers; returns the dropped servers.
+    /// Drops expired suspects, rows of load and servers; returns the dropped servers.
     pub fn expire(&mut self, now: MonoTime) -> Vec<ServerId> {
         self.suspects.expire(now);
+        self.ledger.expire(now);
         let gone = self.roster.expire(now);
         let roster = &self.roster;
         self.notices
--- a/jujubewind/src/direct/load/ledger.rs
+++ b/jujubewind/src/direct/load/ledger.rs
@@ -16,12 +16,11 @@
 use crate::types::NodeId;
 use crate::types::Tokens;
 
-/// The last known state of a peer.
+/// The last digest of a peer.
 #[derive(Clone, Debug, Default)]
 struct Peer {
     last_heard: MonoTime,
     stamp: Stamp,
-    rows: BTreeMap<ServerId, Received>,
 }
 
 /// A row of a peer, when it was received and the number of its digest.
@@ -32,11 +31,23 @@
     number: u64,
 }
 
+impl Received {
+    /// Whether the row still counts.
+    ///
+    /// A peer repeats each of its rows in every full update, so that the end of its requests shows
+    /// by the row's age even if the update that told of it was lost.
+    fn is_current(&self, now: MonoTime) -> bool {
+        now.since(self.at) < PEER_TIMEOUT
+    }
+}
+
 /// The load that all entries put on each backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     assignments: BTreeMap<ServerId, Vec<Assignment>>,
     peers: BTreeMap<NodeId, Peer>,
+    /// The rows of each server by peer, so that a server's load costs as much as entries use it.
+    rows: BTreeMap<ServerId, BTreeMap<NodeId, Received>>,
     changed: BTreeSet<ServerId>,
 }
 
@@ -76,30 +87,40 @@
     ///
     /// Digests may overtake each other on their ways, so that of each row the newest counts. A new
     /// incarnation of a peer clears its old rows.
-    pub fn merge(&mut self, now: MonoTime, peer: &NodeId, stamp: Stamp, rows: Vec<Row>) {
-        let peer = self.peers.entry(peer.clone()).or_default();
+    pub fn merge(&mut self, now: MonoTime, node: &NodeId, stamp: Stamp, rows: Vec<Row>) {
+        let peer = self.peers.entry(node.clone()).or_default();
         if stamp.life < peer.stamp.life {
             return;
         }
-        if stamp.life > peer.stamp.life {
-            peer.rows.clear();
-        }
+        let is_restarted = stamp.life > peer.stamp.life;
         peer.stamp = peer.stamp.max(stamp);
         peer.last_heard = now;
+        if is_restarted {
+            self.remove_rows(node);
+        }
         let number = stamp.number;
         for row in rows {
-            let known = peer.rows.get(&row.server);
-            if known.is_none_or(|known| known.number <= number) {
-                let server = row.server.clone();
+            let known = self.rows.entry(row.server.clone()).or_default();
+            let is_newest = |known: &Received| known.number <= number;
+            if known.get(node).is_none_or(is_newest) {
                 let at = now;
-                peer.rows.insert(server, Received { row, at, number });
+                known.insert(node.clone(), Received { row, at, number });
             }
         }
     }
 
     /// Removes a peer that has left.
-    pub fn remove_peer(&mut self, peer: &NodeId) {
-        self.peers.remove(peer);
+    pub fn remove_peer(&mut self, node: &NodeId) {
+        self.peers.remove(node);
+        self.remove_rows(node);
+    }
+
+    /// Drops rows that their peers no longer list.
+    pub fn expire(&mut self, now: MonoTime) {
+        self.rows.retain(|_, rows| {
+            rows.retain(|_, received| received.is_current(now));
+            !rows.is_empty()
+        });
     }
 
     /// The number of peers whose last digest is recent.
@@ -124,12 +145,10 @@
             let row = Row::of(server.clone(), now, assignments);
             load.add(&row, row.read);
         }
-        for peer in self.peers.values() {
-            if now.since(peer.last_heard) >= PEER_TIMEOUT {
-                continue;
-            }
-            if let Some(Received { row, at, .. }) = peer.rows.get(server) {
-                load.add(row, row.remaining(now.since(*at)));
+        for received in self.rows.get(server).into_iter().flat_map(BTreeMap::values) {
+            if received.is_current(now) {
+                let row = &received.row;
+                load.add(row, row.remaining(now.since(received.at)));
             }
         }
         load
@@ -162,6 +181,12 @@
         assignments.iter().map(|assignment| assignment.job)
     }
 
+    fn remove_rows(&mut self, node: &NodeId) {
+        for rows in self.rows.values_mut() {
+            rows.remove(node);
+        }
+    }
+
     fn row(&self, server: ServerId, now: MonoTime) -> Row {
         let assignments = self.assignments.get(&server).map_or(&[][..], Vec::as_slice);
         Row::of(server, now, assignments)
--- a/jujubewind/src/direct/load/limits.rs
+++ b/jujubewind/src/direct/load/limits.rs
@@ -2,7 +2,8 @@
 
 use crate::types::Millis;
 
-/// How long a peer's rows count after its last digest; four times its full update period.
+/// How long a peer counts after its last digest, and a row after the last digest with it; four
+/// times the period in which an entry sends all of its rows.
 pub const PEER_TIMEOUT: Millis = Millis(2_000);
 /// How long after its last digest a peer is chosen to pass on updates; two full update periods and
 /// a little more.
--- a/jujubewind/tests/direct/ledger.rs
+++ b/jujubewind/tests/direct/ledger.rs
@@ -124,6 +124,23 @@
     assert_eq!(ledger.load(at(2_500), &server(0).id).requests, 0);
 }
 
+/// The update that tells of the end of a peer's requests may be lost.
+#[test]
+fn row_that_its_peer_no_longer_lists_expires() {
+    let mut ledger = Ledger::default();
+    let id = server(0).id;
+
+    ledger.merge(at(0), &peer(), stamp(1, 1), vec![row(0, 90, 5), row(1, 90, 3)]);
+    for number in 2..=6 {
+        let listed = vec![row(1, 90, 3)];
+        ledger.merge(at(500 * (number - 1)), &peer(), stamp(1, number), listed);
+    }
+    ledger.expire(at(2_500));
+
+    assert_eq!(ledger.load(at(2_500), &id).requests, 0);
+    assert_eq!(ledger.load(at(2_500), &server(1).id).requests, 3);
+}
+
 #[test]
 fn each_change_is_taken_once() {
     let mut ledger = Ledger::default();
