Predict the steps of a prefill and the pass before the first event

Cause: an engine takes a step for each chunk of a prompt, and the first event comes after a pass of decode steps.

The rate of the peers' work is estimated from the current period alone while that is the higher one, so that the spread widens as soon as a burst begins.

--- a/jujubewind/src/direct/engine.rs
+++ b/jujubewind/src/direct/engine.rs
@@ -1,7 +1,7 @@
 //! The cost model of an engine that works in passes.
 //!
-//! A pass prefills the prompts that have arrived and, if any request is decoding, takes `stride`
-//! decode steps of one token each. All requests that decode at the engine pause while it prefills.
+//! A pass prefills the prompts that have arrived, `chunk` tokens in a step, and, if any request is
+//! decoding, takes `stride` decode steps of one token each. All requests that decode at the engine pause while it prefills.
 
 use crate::scheduler::Work;
 use crate::types::Tokens;
@@ -23,7 +23,7 @@
         pub stride: u64,
         /// Most prompt tokens prefilled in one step.
         pub chunk: u64,
-        /// Nanoseconds for a decode step.
+        /// Nanoseconds for a step.
         pub step: u64,
         /// Nanoseconds for each request that decodes in a step.
         pub writer: u64,
@@ -44,7 +44,8 @@
         let linear = tokens.saturating_mul(self.token);
         let pairs = tokens.saturating_mul(tokens) / 2;
         let attention = (pairs / PAIRS_UNIT).saturating_mul(self.pairs);
-        Work(linear.saturating_add(attention) / NANOS_PER_MICRO)
+        let steps = tokens.div_ceil(self.chunk).saturating_mul(self.step);
+        Work(linear.saturating_add(attention).saturating_add(steps) / NANOS_PER_MICRO)
     }
 
     /// The time to decode `output` tokens on an otherwise idle engine.
--- a/jujubewind/src/direct/load/inflow.rs
+++ b/jujubewind/src/direct/load/inflow.rs
@@ -1,6 +1,7 @@
 //! The rate at which peers start prefill work.
 
 use super::limits::INFLOW_PERIOD;
+use super::limits::MIN_INFLOW_TIME;
 use crate::scheduler::Work;
 use crate::types::Millis;
 use crate::types::MonoTime;
@@ -29,10 +30,13 @@
     /// The work that peers start within `time`, if they go on as in the busier of both periods.
     #[must_use]
     pub fn within(&self, now: MonoTime, time: Millis) -> Work {
-        if now.since(self.start) >= INFLOW_PERIOD.saturating_add(INFLOW_PERIOD) {
+        let elapsed = now.since(self.start);
+        if elapsed >= INFLOW_PERIOD.saturating_add(INFLOW_PERIOD) {
             return Work::ZERO;
         }
-        let busier = self.current.max(self.previous).get();
-        Work(busier.saturating_mul(time.get()) / INFLOW_PERIOD.get())
+        let share =
+            |work: Work, period: Millis| work.get().saturating_mul(time.get()) / period.get();
+        let current = share(self.current, elapsed.max(MIN_INFLOW_TIME));
+        Work(current.max(share(self.previous, INFLOW_PERIOD)))
     }
 }
--- a/jujubewind/src/direct/load/limits.rs
+++ b/jujubewind/src/direct/load/limits.rs
@@ -13,6 +13,8 @@
 pub const OVERRUN_PERMILLE: u64 = 500;
 /// The period over which the work that peers start is added up.
 pub const INFLOW_PERIOD: Millis = Millis(500);
+/// The shortest time from which the rate of a period is estimated while it lasts.
+pub const MIN_INFLOW_TIME: Millis = Millis(100);
 /// How long it takes until a placement shows in the load that other entries see: two links and the
 /// entry that passes the update on.
 pub const VIEW_LAG: Millis = Millis(50);
--- a/jujubewind/src/direct/plan/engine_plan.rs
+++ b/jujubewind/src/direct/plan/engine_plan.rs
@@ -49,7 +49,7 @@
     /// Memory reserved on each helper.
     reserved: Vec<Tokens>,
     part: Work,
-    /// The predicted time to the first token.
+    /// The predicted time to the first event.
     first_token: Work,
     cost: Work,
     /// The total value of requests on engines whose room the part exceeds.
@@ -169,7 +169,8 @@
         let reserved = self.reserve(&primary, &helpers, memory)?;
         let all = || helpers.iter().chain([&primary]);
         let wait = all().map(|scored| scored.wait).max().unwrap_or_default();
-        let first_token = wait.saturating_add(part);
+        let decoding = self.first_pass(&primary, count);
+        let first_token = wait.saturating_add(part).saturating_add(decoding);
         let holds_memory = reserved.iter().any(|memory| *memory > Tokens::ZERO);
         if holds_memory && first_token > Work::from_millis(MAX_RESERVED_PREFILL) {
             return None;
@@ -192,8 +193,16 @@
     }
 }
 
-/// How a set of engines stores a prompt.
+/// How a set of engines stores a prompt and begins the answer.
 impl<'a> EnginePlan<'a> {
+    /// The duration of the pass after the prefill, which ends with the first event.
+    fn first_pass(&self, primary: &Scored<'a>, parts: u64) -> Work {
+        let load = &primary.candidate.load;
+        let own = Tokens(self.job.prompt.get() / parts);
+        let context = load.memory.saturating_add(own);
+        self.engine.pass_time(load.requests + 1, context)
+    }
+
     /// The first engine with room for the whole prompt, else the one with the most free memory.
     fn primary<'b>(
         &self,
--- a/jujubewind/tests/direct/plan.rs
+++ b/jujubewind/tests/direct/plan.rs
@@ -180,12 +180,13 @@
 }
 
 #[test]
-fn the_cost_model_gives_the_published_times() {
+fn prefill_takes_a_step_for_each_chunk_of_the_prompt() {
     let engine = engine();
 
     let times = [4_960, 45_000, 182_000].map(|prompt| engine.prefill_time(Tokens(prompt)).millis());
 
-    assert_eq!(times, [Millis(35), Millis(457), Millis(3_865)]);
+    // 32.2 and 2.0 ms for 4,960 tokens and their pairs, and three steps of 1.31 ms.
+    assert_eq!(times, [Millis(39), Millis(485), Millis(3_982)]);
     assert_eq!(engine.pass_time(1, Tokens::ZERO).millis(), Millis(45));
     assert_eq!(engine.pass_time(0, Tokens::ZERO), Work::ZERO);
 }
--- a/jujubewind/tests/direct/stale_views.rs
+++ b/jujubewind/tests/direct/stale_views.rs
@@ -136,7 +136,8 @@
     }
 
     fn deliver(&mut self, now: u64) {
-        while let Some((_, from, digest)) = self.updates.pop_front_if(|(due, ..)| *due <= now) {
+        while self.updates.front().is_some_and(|(due, ..)| *due <= now) {
+            let (_, from, digest) = self.updates.pop_front().expect("an update");
             for (number, core) in self.cores.iter_mut().enumerate() {
                 if number != from {
                     core.merge(at(now), digest.clone());
