Pass on what a reader missed when the store's history was compacted

Cause: a reader whose watch came too late for the store's history read all lists again and began a new log of changes.

Change: the reader compares the lists with what it knew and logs the difference, so that the others go on. It begins a new log if the difference does not fit into one answer or the store was restored from a copy.

--- a/jujubewind/src/direct/feed/log.rs
+++ b/jujubewind/src/direct/feed/log.rs
@@ -7,6 +7,7 @@
 use super::FeedPosition;
 use super::limits::CHANGES_PER_ANSWER;
 use super::limits::MAX_LOGGED_CHANGES;
+use crate::types::Revision;
 
 /// The latest changes of one era, by revision.
 #[derive(Clone, Debug, Default)]
@@ -41,6 +42,20 @@
         }
     }
 
+    /// Adds the changes that led to `position`, of which the single revisions are not known, and the
+    /// version of the configuration there. Starts anew if they do not fit into one answer.
+    pub fn resume(&mut self, position: FeedPosition, changes: Vec<FeedChange>, version: Revision) {
+        if changes.len() >= CHANGES_PER_ANSWER || self.reached.era != position.era {
+            self.restart(position);
+            return;
+        }
+        for change in changes {
+            self.push(position.revision, change);
+        }
+        self.push(position.revision, FeedChange::Configured(version));
+        self.reach(position.revision);
+    }
+
     /// Records that all changes up to a revision have been added.
     pub fn reach(&mut self, revision: u64) {
         self.reached.revision = self.reached.revision.max(revision);
--- a/jujubewind/tests/direct/feed.rs
+++ b/jujubewind/tests/direct/feed.rs
@@ -67,6 +67,30 @@
     source
 }
 
+#[test]
+fn a_log_goes_on_after_everything_was_read_again() {
+    let mut log = log(&[11]);
+    let removed = FeedChange::Removed(server(0).id);
+
+    log.resume(position(1, 15), vec![removed], Revision(7));
+
+    let content = log.content(position(1, 11));
+    assert_eq!(told(content), Some((vec![15, 15], position(1, 15), false)));
+}
+
+/// Changes of one revision are told together, and a datagram has room for few.
+#[test]
+fn a_log_starts_anew_if_too_much_was_missed() {
+    let mut log = log(&[11]);
+    let removed = vec![FeedChange::Removed(server(0).id); 10];
+
+    log.resume(position(1, 15), removed, Revision(7));
+
+    assert_eq!(told(log.content(position(1, 11))), None);
+    let content = log.content(position(1, 15));
+    assert_eq!(told(content), Some((vec![], position(1, 15), false)));
+}
+
 #[test]
 fn log_tells_what_came_after_a_position() {
     let log = log(&[11, 13, 17]);
