Ask stale sources again after a second, and try the store after three

Change: an entry whose answer is too old is passed over for one second, one that is silent for four as before; after three stale answers in a row an entry tries the store itself.

Result: the new test of sources was red before (up to eight were asked, none again after a second); the 500 histories of feed_fleet pass.

--- a/jujubewind/src/direct/feed/limits.rs
+++ b/jujubewind/src/direct/feed/limits.rs
@@ -11,8 +11,13 @@
 /// The greatest age of a source's knowledge: twice the wait of its watch, as an answer confirms what
 /// was in force when the watch began, and the interval of its own questions if it asks another.
 pub const MAX_SOURCE_AGE: Millis = Millis(2_000);
-/// How long a source that was silent or stale is not asked again.
+/// How long a source that was silent is not asked again.
 pub const SOURCE_AVOIDANCE: Millis = Millis(4_000);
+/// How long a source that was stale is not asked again: after an outage of the store it is soon
+/// fresh, and until then all entries call the store.
+pub const STALE_AVOIDANCE: Millis = Millis(1_000);
+/// Stale sources in a row after which an entry tries the store itself.
+pub const MAX_STALE: u32 = 3;
 /// The longest random delay before an entry reads the store because its sources are silent, so that
 /// not all do at once.
 pub const MAX_TAKEOVER_DELAY: Millis = Millis(300);
--- a/jujubewind/src/direct/feed/source.rs
+++ b/jujubewind/src/direct/feed/source.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 
 use super::FeedRole;
+use super::limits::MAX_STALE;
 use super::limits::MAX_UNANSWERED;
 use super::limits::SOURCE_AVOIDANCE;
+use super::limits::STALE_AVOIDANCE;
 use crate::direct::BootTime;
 use crate::types::DomainId;
 use crate::types::NodeId;
@@ -22,6 +24,8 @@
     avoided: BTreeMap<NodeId, BootTime>,
     /// Unanswered questions in a row.
     unanswered: u32,
+    /// Answers in a row that were too old.
+    stale: u32,
 }
 
 impl FeedSource {
@@ -34,6 +38,7 @@
             peers: BTreeMap::new(),
             avoided: BTreeMap::new(),
             unanswered: 0,
+            stale: 0,
         }
     }
 
@@ -65,6 +70,9 @@
     #[must_use]
     pub fn role(&self, now: BootTime) -> FeedRole {
         let is_usable = |node: &NodeId| self.avoided.get(node).is_none_or(|until| now >= *until);
+        if self.stale >= MAX_STALE && is_usable(&self.node) {
+            return FeedRole::Reader;
+        }
         let all = self.peers.keys().chain([&self.node]);
         let best = all
             .filter(|node| is_usable(node))
@@ -78,6 +86,15 @@
     /// Records an answer.
     pub const fn record_answer(&mut self) {
         self.unanswered = 0;
+        self.stale = 0;
+    }
+
+    /// Records an answer that was too old: its entry does not reach the store at the moment.
+    pub fn record_stale(&mut self, now: BootTime, node: &NodeId) {
+        self.unanswered = 0;
+        self.stale += 1;
+        self.avoided
+            .insert(node.clone(), now.after(STALE_AVOIDANCE));
     }
 
     /// Records that a question was not answered; returns whether its entry is avoided from now on.
@@ -90,7 +107,7 @@
         true
     }
 
-    /// Avoids an entry whose knowledge is too old, or this one while it cannot reach the store.
+    /// Avoids an entry that is silent, or this one while it cannot reach the store.
     pub fn avoid(&mut self, now: BootTime, node: &NodeId) {
         self.unanswered = 0;
         self.avoided
@@ -100,6 +117,7 @@
     /// Records that this entry reaches the store.
     pub fn record_reached(&mut self) {
         self.avoided.remove(&self.node);
+        self.stale = 0;
     }
 }
 
--- a/jujubewind/tests/direct/feed.rs
+++ b/jujubewind/tests/direct/feed.rs
@@ -220,6 +220,29 @@
     assert_eq!(source.role(boot(200)), FeedRole::Reader);
 }
 
+/// While the store is away, no entry asks all others before it tries the store, and soon after they
+/// follow the reader again.
+#[test]
+fn entry_tries_the_store_after_three_stale_sources_and_asks_them_again_a_second_later() {
+    let mut asked = Vec::new();
+    for own in 0..9 {
+        let mut source = source(own, 9);
+        let first = source.role(boot(0));
+        let mut count = 0;
+        while let FeedRole::Follower(node, _) = source.role(boot(100)) {
+            source.record_stale(boot(100), &node);
+            count += 1;
+        }
+        source.record_reached();
+
+        assert_eq!(source.role(boot(1_100)), first);
+        asked.push(count);
+    }
+
+    asked.sort_unstable();
+    assert_eq!(asked, [0, 1, 2, 3, 3, 3, 3, 3, 3]);
+}
+
 #[test]
 fn entry_whose_sources_are_all_silent_reads_the_store_itself() {
     let mut source = source(0, 5);
--- a/jujubewind/tests/direct/feed_fleet.rs
+++ b/jujubewind/tests/direct/feed_fleet.rs
@@ -204,13 +204,13 @@
             entry.source.record_silence(boot, node);
             return;
         };
-        entry.source.record_answer();
         let age = age.filter(|age| *age <= MAX_SOURCE_AGE);
         let (Some(age), FeedContent::Changes { changes, to, more }) = (age, content) else {
-            entry.source.avoid(boot, node);
+            entry.source.record_stale(boot, node);
             entry.next = now;
             return;
         };
+        entry.source.record_answer();
         for (at, change) in changes {
             entry.log.push(at, change);
         }
