Count dropped questions and answers about the store's changes

Cause: a question or answer that found a queue full was dropped without a trace. Result: question_that_finds_the_queue_full_is_counted.

--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -105,7 +105,7 @@
             shared.clone(),
             outbound.clone(),
         );
-        let feed = Feed::new(state.clone(), outbound);
+        let feed = Feed::new(&shared, outbound);
         compio::runtime::spawn(link.run(outbox, control.clone(), feed.clone())).detach();
         let gateway = Rc::new(Gateway::new(
             dialect,
--- a/jujubewind/src/direct/feed/handle.rs
+++ b/jujubewind/src/direct/feed/handle.rs
@@ -14,6 +14,8 @@
 use crate::direct::Datagram;
 use crate::direct::EntryState;
 use crate::direct::OutboundDatagram;
+use crate::direct::Shared;
+use crate::metrics::DirectMetrics;
 
 /// Answers that may wait to be read; more are dropped, as the asking entry asks again.
 const MAX_WAITING_ANSWERS: usize = 16;
@@ -25,6 +27,7 @@
     /// Until when missing backend servers are kept after an outage of the store.
     grace_end: RefCell<BootTime>,
     state: Rc<EntryState>,
+    metrics: Rc<DirectMetrics>,
     outbound: Sender<OutboundDatagram>,
     inbound: Sender<FeedAnswer>,
     answers: Receiver<FeedAnswer>,
@@ -33,12 +36,13 @@
 impl Feed {
     /// Creates the handle; `outbound` sends datagrams to peers.
     #[must_use]
-    pub fn new(state: Rc<EntryState>, outbound: Sender<OutboundDatagram>) -> Rc<Self> {
+    pub fn new(shared: &Shared, outbound: Sender<OutboundDatagram>) -> Rc<Self> {
         let (inbound, answers) = flume::bounded(MAX_WAITING_ANSWERS);
         Rc::new(Self {
             log: RefCell::default(),
             grace_end: RefCell::default(),
-            state,
+            state: shared.state.clone(),
+            metrics: shared.metrics.clone(),
             outbound,
             inbound,
             answers,
@@ -81,11 +85,16 @@
     /// Passes on an answer of another entry.
     pub(in crate::direct) fn accept(&self, answer: FeedAnswer) {
         self.state.hear_peer(BootTime::now(), answer.version);
-        let _ = self.inbound.try_send(answer);
+        if self.inbound.try_send(answer).is_err() {
+            self.metrics.count_dropped_feed();
+        }
     }
 
     fn send(&self, datagram: Datagram, addr: SocketAddr) {
         let to = Rc::new([addr]);
-        let _ = self.outbound.try_send(OutboundDatagram { datagram, to });
+        let outgoing = OutboundDatagram { datagram, to };
+        if self.outbound.try_send(outgoing).is_err() {
+            self.metrics.count_dropped_feed();
+        }
     }
 }
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -62,6 +62,7 @@
     retries: Counter,
     notices: Family<NoticeLabel, Counter>,
     dropped_digests: Counter,
+    dropped_feed: Counter,
     first_event: Family<DecadeLabel, Histogram>,
     answer: Family<DecadeLabel, Histogram>,
     max_gap: Family<DecadeLabel, Histogram>,
@@ -83,6 +84,7 @@
             retries: Counter::default(),
             notices: Family::default(),
             dropped_digests: Counter::default(),
+            dropped_feed: Counter::default(),
             first_event: family(),
             answer: family(),
             max_gap: family(),
@@ -121,6 +123,12 @@
         self.dropped_digests.inc();
     }
 
+    /// Counts a question or answer about the store's changes that was dropped as too many were
+    /// waiting.
+    pub fn count_dropped_feed(&self) {
+        self.dropped_feed.inc();
+    }
+
     /// Counts an announcement of a backend server.
     pub fn count_notice(&self, notice: Notice) {
         let kinds = [
@@ -187,6 +195,11 @@
             "Updates to peers that were not sent as too many were waiting",
             self.dropped_digests.clone(),
         );
+        registry.register(
+            "dropped_feed",
+            "Questions and answers about the store's changes that were dropped as too many were waiting",
+            self.dropped_feed.clone(),
+        );
         registry.register(
             "first_event_seconds",
             "Time to first event",
--- a/jujubewind/tests/direct/feed.rs
+++ b/jujubewind/tests/direct/feed.rs
@@ -1,14 +1,21 @@
 //! Following the store through another entry: what is told, whom to ask, and how old it is.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use jujubewind::direct::BootTime;
+use jujubewind::direct::Feed;
 use jujubewind::direct::FeedChange;
 use jujubewind::direct::FeedContent;
 use jujubewind::direct::FeedLog;
 use jujubewind::direct::FeedPosition;
+use jujubewind::direct::FeedQuestion;
 use jujubewind::direct::FeedRole;
 use jujubewind::direct::FeedSource;
+use jujubewind::direct::Pool;
+use jujubewind::direct::Shared;
+use jujubewind::metrics::DirectGauges;
+use jujubewind::timer::Clock;
 use jujubewind::types::DomainId;
 use jujubewind::types::NodeId;
 use jujubewind::types::Revision;
@@ -266,3 +273,27 @@
 
     assert_eq!(changes, [(12, FeedChange::Listed(server(3)))]);
 }
+
+#[test]
+fn question_that_finds_the_queue_full_is_counted() {
+    let shared = Shared {
+        state: Rc::default(),
+        pool: Pool::new(Clock::start()),
+        metrics: Rc::default(),
+    };
+    let (outbound, _outbox) = flume::bounded(1);
+    let feed = Feed::new(&shared, outbound);
+    let question = FeedQuestion {
+        number: 1,
+        since: position(1, 10),
+    };
+
+    feed.ask(question.clone(), addr(1));
+    feed.ask(question, addr(1));
+
+    let text = shared.metrics.encode(&DirectGauges::default());
+    assert!(
+        text.contains("jujube_direct_dropped_feed_total 1"),
+        "{text}"
+    );
+}
