--- a/emulator/src/embedded/system.rs
+++ b/emulator/src/embedded/system.rs
@@ -55,6 +55,7 @@
     pub platform: RunningServer,
     daemons: Vec<DaemonThread>,
     peers: Vec<SocketAddr>,
+    /// The addresses of the daemons; held so that nothing else binds them first.
     reserved: Vec<ReservedAddr>,
     catalogue: TempDir,
     cost: Cost,
--- a/jujubewind/src/direct/control/mod.rs
+++ b/jujubewind/src/direct/control/mod.rs
@@ -6,6 +6,7 @@
 mod counts;
 mod entry_state;
 mod fleet_change;
+mod fleet_changes;
 mod grant;
 mod handle;
 mod limits;
--- a/jujubewind/src/direct/engine.rs
+++ b/jujubewind/src/direct/engine.rs
@@ -1,7 +1,8 @@
 //! The cost model of an engine that works in passes.
 //!
 //! A pass prefills the prompts that have arrived, `chunk` tokens in a step, and, if any request is
-//! decoding, takes `stride` decode steps of one token each. All requests that decode at the engine pause while it prefills.
+//! decoding, takes `stride` decode steps of one token each. All requests that decode at the engine
+//! pause while it prefills.
 
 use crate::scheduler::Work;
 use crate::types::Tokens;
--- a/jujubewind/src/direct/plan/engine_plan.rs
+++ b/jujubewind/src/direct/plan/engine_plan.rs
@@ -4,15 +4,12 @@
 use super::Helper;
 use super::Job;
 use super::Placement;
-use super::limits::CROSS_DOMAIN_COST;
-use super::limits::LATENCY_SENSITIVE_GAP;
 use super::limits::MAX_HELPERS;
 use super::limits::MAX_RESERVED_PREFILL;
 use super::limits::MIN_PART;
-use super::limits::MIXING_COST;
 use super::limits::PART_COST;
 use super::limits::RESERVABLE_PERMILLE;
-use super::limits::STRAINED_COST;
+use super::scored::Scored;
 use crate::direct::Engine;
 use crate::scheduler::Work;
 use crate::types::DomainId;
@@ -29,18 +26,6 @@
     candidates: Vec<Scored<'a>>,
 }
 
-/// A candidate with its scores.
-#[derive(Clone, Copy, Debug)]
-struct Scored<'a> {
-    candidate: &'a Candidate,
-    /// Prefill work that disrupts no request there.
-    room: Work,
-    /// The expected time before a new part starts.
-    wait: Work,
-    /// The cost of a part there besides the wait.
-    extra: Work,
-}
-
 /// A set of engines and its cost.
 #[derive(Debug)]
 struct EngineSet<'a> {
@@ -245,47 +230,6 @@
     }
 }
 
-impl<'a> Scored<'a> {
-    fn new(engine: &Engine, job: &Job, candidate: &'a Candidate, domain: &DomainId) -> Self {
-        let pass = candidate.pass(engine);
-        let is_sensitive = candidate.is_latency_sensitive(LATENCY_SENSITIVE_GAP);
-        let job_is_sensitive = job
-            .max_gap
-            .is_some_and(|max_gap| max_gap <= LATENCY_SENSITIVE_GAP);
-        let mixes = is_sensitive != job_is_sensitive;
-        let mut extra = if mixes {
-            Work::from_millis(MIXING_COST)
-        } else {
-            Work::ZERO
-        };
-        if job_is_sensitive {
-            extra = extra.saturating_add(candidate.packing(engine));
-        }
-        if candidate.strained {
-            extra = extra.saturating_add(Work::from_millis(STRAINED_COST));
-        }
-        if candidate.server.domain != *domain {
-            extra = extra.saturating_add(Work::from_millis(CROSS_DOMAIN_COST));
-        }
-        Self {
-            candidate,
-            room: candidate.room(engine),
-            wait: candidate.load.backlog.saturating_add(Work(pass.get() / 2)),
-            extra,
-        }
-    }
-
-    /// The order of preference; the spread decides among servers that are nearly as good.
-    fn rank(&self) -> Work {
-        let cost = self.wait.saturating_add(self.extra);
-        cost.saturating_add(self.candidate.spread)
-    }
-
-    fn is_same_server(&self, other: &Self) -> bool {
-        self.candidate.server.id == other.candidate.server.id
-    }
-}
-
 impl EngineSet<'_> {
     fn placement(self) -> Placement {
         let helpers = self
--- a/jujubewind/src/direct/plan/mod.rs
+++ b/jujubewind/src/direct/plan/mod.rs
@@ -14,6 +14,7 @@
 mod placement;
 mod plain_plan;
 mod queue;
+mod scored;
 mod spread;
 
 pub use candidate::Candidate;
