Refuse queued requests when a process stops

Change: once a stopping process accepts no more requests (2.5 s after the signal) it refuses the queued ones as not run, and those that cannot be placed at once, so that their callers return elsewhere in time.

Result: a_stop_refuses_queued_requests_before_the_process_ends was red without the message to the control task (the connection closed without an answer).

--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -59,6 +59,8 @@
     budgets: BTreeMap<ServiceId, Budget>,
     suspects: SuspectRegistry,
     pub(super) peers: BTreeSet<NodeId>,
+    /// Whether this process stops and queues no requests.
+    is_draining: bool,
 }
 
 impl Core {
@@ -77,6 +79,7 @@
             budgets: BTreeMap::new(),
             suspects: SuspectRegistry::default(),
             peers: BTreeSet::new(),
+            is_draining: false,
         }
     }
 
@@ -113,6 +116,9 @@
         {
             return Some(self.assign(now, &mut set, &job, placement));
         }
+        if self.is_draining {
+            return Some(refuse(Reason::Stopping, plan::MIN_RETRY_DELAY));
+        }
         let wait = self.estimated_wait(now, &set, &job);
         let retry = wait.clamp(plan::MIN_RETRY_DELAY, plan::MAX_RETRY_DELAY);
         if now.after(wait) >= job.queue_deadline() {
@@ -154,6 +160,18 @@
         verdicts
     }
 
+    /// Refuses the queued requests, and from now on those that cannot be placed at once: a process
+    /// that stops may end before their turn comes, and other entries can still serve them.
+    pub fn drain(&mut self) -> Vec<(JobId, Verdict)> {
+        self.is_draining = true;
+        let waiting: Vec<JobId> = self.queue.iter().map(|job| job.id).collect();
+        let refuse = |id| {
+            self.queue.remove(id);
+            (id, refuse(Reason::Stopping, plan::MIN_RETRY_DELAY))
+        };
+        waiting.into_iter().map(refuse).collect()
+    }
+
     /// Records that a request's first token arrived.
     pub fn mark_prefilled(&mut self, job: JobId) {
         self.ledger.mark_prefilled(job);
--- a/jujubewind/src/direct/control/message.rs
+++ b/jujubewind/src/direct/control/message.rs
@@ -74,6 +74,8 @@
         /// Whether it is to be passed on in this entry's failure domain.
         pass_on: bool,
     },
+    /// No request is queued any more, as this process stops.
+    Drain,
     /// A timer tick.
     Tick(MonoTime),
 }
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -149,6 +149,10 @@
                 }
                 self.merge(now, digest);
             }
+            Message::Drain => {
+                let verdicts = self.core.drain();
+                self.send_verdicts(verdicts);
+            }
             Message::Tick(_) => self.tick(now),
         }
     }
@@ -175,6 +179,14 @@
         }
     }
 
+    fn send_verdicts(&mut self, verdicts: Vec<(JobId, Verdict)>) {
+        for (job, verdict) in verdicts {
+            if let Some(reply) = self.replies.remove(&job) {
+                self.send_verdict(job, &reply, verdict);
+            }
+        }
+    }
+
     /// Sends a verdict; releases the placement if the request's task has ended.
     fn send_verdict(&mut self, job: JobId, reply: &Sender<Verdict>, verdict: Verdict) {
         if reply.send(verdict).is_err() {
@@ -240,10 +252,7 @@
         if !std::mem::take(&mut self.dirty) || !self.core.has_waiting() {
             return;
         }
-        for (job, verdict) in self.core.poll(now) {
-            if let Some(reply) = self.replies.remove(&job) {
-                self.send_verdict(job, &reply, verdict);
-            }
-        }
+        let verdicts = self.core.poll(now);
+        self.send_verdicts(verdicts);
     }
 }
--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -172,6 +172,7 @@
             if elapsed >= settings.accept {
                 gateway.refuse();
                 self.serving.close();
+                self.control.send(Message::Drain);
             }
             let is_drained = elapsed >= settings.accept && gateway.open() == 0;
             if is_drained || elapsed >= settings.grace {
