Keep a silent stream until another engine has taken it over

Change: the silent engine is kept until another one responds; if none does while the caller waits, it is waited for.

Result: a_slow_stream_that_no_other_engine_accepts_is_not_cut was red (broken off after two events).

--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -110,9 +110,7 @@
                 Step::Events(bytes) => return Some((Ok(Frame::data(bytes)), self)),
                 Step::End => return None,
                 Step::Silent if self.exchange.may_retry(&self.target).await => {
-                    if !self.resume(SILENT).await {
-                        return Some((Err(TruncatedBody), self));
-                    }
+                    self.replace_silent().await;
                 }
                 Step::Silent => self.patient = true,
                 Step::Broken(what) => {
@@ -234,14 +232,40 @@
     async fn resume(&mut self, what: &'static str) -> bool {
         self.end_broken(what);
         let left = self.exchange.left(&self.target);
-        let opening = self.exchange.open(self.target.clone(), self.last, true);
-        let upstream = compio::time::timeout(left.duration(), opening).await;
-        let Ok(Ok(upstream)) = upstream else {
+        let Some(upstream) = self.open_again(left).await else {
             return false;
         };
-        if !upstream.response.status().is_success() {
-            return false;
+        self.continue_at(upstream);
+        true
+    }
+
+    /// Resumes the stream at another backend server if one responds while the caller waits. If none
+    /// does, the silent one is kept, as it may be slow but sound.
+    async fn replace_silent(&mut self) {
+        if let Some(source) = &self.source {
+            self.exchange.exclude(&source.grant.placement.primary.id);
+        }
+        let quiet = self.exchange.gateway.clock.now().since(self.progress);
+        let patience = self.target.route.client_timeout.saturating_sub(quiet);
+        match self.open_again(patience).await {
+            Some(upstream) => {
+                self.end_broken(SILENT);
+                self.continue_at(upstream);
+            }
+            None => self.patient = true,
         }
+    }
+
+    /// Sends the rest of the stream to another backend server.
+    async fn open_again(&self, timeout: Millis) -> Option<UpstreamResponse> {
+        let opening = self.exchange.open(self.target.clone(), self.last, true);
+        let timeout = timeout.min(self.exchange.left(&self.target));
+        let opened = compio::time::timeout(timeout.duration(), opening).await;
+        let upstream = opened.ok()?.ok()?;
+        upstream.response.status().is_success().then_some(upstream)
+    }
+
+    fn continue_at(&mut self, upstream: UpstreamResponse) {
         self.source = Some(Source {
             body: upstream.response.into_body(),
             grant: upstream.grant,
@@ -249,6 +273,5 @@
         });
         self.progress = self.exchange.gateway.clock.now();
         self.patient = false;
-        true
     }
 }
