Release reserved memory once the primary engine has left

Change: reservations whose prompt has no first token yet are given up, with the attempt, once the primary engine has left the list or restarted; they check for it every 200 ms.

--- a/jujubewind/src/direct/api/engine_reservation.rs
+++ b/jujubewind/src/direct/api/engine_reservation.rs
@@ -12,6 +12,7 @@
 use hyper::header::HeaderValue;
 
 use super::gateway::Gateway;
+use super::limits::DEPARTURE_CHECK_PERIOD;
 use super::limits::MAX_ORDER_RESPONSE_BYTES;
 use super::limits::ORDER_TIMEOUT;
 use crate::direct::BootTime;
@@ -22,6 +23,7 @@
 use crate::direct::Reservation;
 use crate::direct::SendFault;
 use crate::direct::Server;
+use crate::direct::ServerId;
 use crate::direct::Step;
 use crate::types::Millis;
 
@@ -29,6 +31,8 @@
 pub struct EngineReservation<D> {
     pub(super) gateway: Rc<Gateway<D>>,
     pub(super) server: Rc<Server>,
+    /// The engine that the request is sent to.
+    pub(super) primary: ServerId,
     pub(super) reservation: Reservation,
     /// Whether the request has begun to use the memory.
     pub(super) is_used: Rc<Cell<bool>>,
@@ -42,8 +46,8 @@
     /// Reserves the memory, reports the result to `taken`, and keeps the reservation until no order
     /// can set memory aside any more.
     pub async fn run(self, taken: Sender<bool>) {
-        let now = BootTime::now();
-        let mut hold = MemoryHold::new(now, self.gateway.settings.reservations);
+        let started = BootTime::now();
+        let mut hold = MemoryHold::new(started, self.gateway.settings.reservations);
         let mut taken = Some(taken);
         loop {
             if self.ended.is_disconnected() {
@@ -51,6 +55,9 @@
             }
             if self.is_used.get() {
                 hold.mark_used();
+            } else if hold.is_held() && self.gateway.has_departed(started, &self.primary) {
+                self.give_up().await;
+                continue;
             }
             match hold.step(BootTime::now()) {
                 Step::Send(order) => {
@@ -77,6 +84,7 @@
         if self.ended.is_disconnected() {
             return compio::time::sleep(delay).await;
         }
+        let delay = delay.min(DEPARTURE_CHECK_PERIOD.duration());
         let _ = compio::time::timeout(delay, self.ended.recv_async()).await;
     }
 
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -84,7 +84,8 @@
         let tries = self.reservations.get() + 1;
         self.reservations.set(tries);
         let name = format!("{}x{tries}", self.call.id);
-        let Some(reservations) = Reservations::take(&self.gateway, &name, helpers).await else {
+        let Some(reservations) = Reservations::take(&self.gateway, &name, &grant.placement).await
+        else {
             let cause = "an engine refused to reserve memory";
             self.log_attempt_failure(&grant.placement, "no_memory", cause);
             drop(grant);
--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -27,6 +27,7 @@
 use crate::direct::Pool;
 use crate::direct::ReservationLimits;
 use crate::direct::Server;
+use crate::direct::ServerId;
 use crate::direct::Shared;
 use crate::entry::Failure;
 use crate::http;
@@ -160,6 +161,11 @@
         pause > Millis::ZERO
     }
 
+    /// Whether a backend server left the list or restarted after `since`.
+    pub(super) fn has_departed(&self, since: BootTime, server: &ServerId) -> bool {
+        self.state.has_departed(since, server)
+    }
+
     pub(super) async fn sleep(&self, delay: Millis) {
         compio::time::sleep(delay.duration()).await;
     }
--- a/jujubewind/src/direct/api/limits.rs
+++ b/jujubewind/src/direct/api/limits.rs
@@ -31,3 +31,5 @@
 pub const RESERVATION_RETRY_DELAY: Millis = Millis(100);
 /// The least remaining time with which a request is sent again.
 pub const MIN_RETRY_TIME: Millis = Millis(50);
+/// How often a reservation checks whether the engine that its request was sent to has left.
+pub const DEPARTURE_CHECK_PERIOD: Millis = Millis(200);
--- a/jujubewind/src/direct/api/reservations.rs
+++ b/jujubewind/src/direct/api/reservations.rs
@@ -10,7 +10,7 @@
 use super::engine_reservation::EngineReservation;
 use super::gateway::Gateway;
 use crate::direct::Dialect;
-use crate::direct::Helper;
+use crate::direct::Placement;
 use crate::direct::Reservation;
 use crate::direct::ReservationId;
 
@@ -30,8 +30,9 @@
     pub async fn take<D: Dialect>(
         gateway: &Rc<Gateway<D>>,
         name: &str,
-        helpers: &[Helper],
+        placement: &Placement,
     ) -> Option<Self> {
+        let helpers = &placement.helpers;
         let (owner, ended) = flume::bounded(0);
         let (lost_tx, lost) = flume::bounded(1);
         let (taken_tx, taken) = flume::bounded(helpers.len());
@@ -47,6 +48,7 @@
             let reservation = EngineReservation {
                 gateway: gateway.clone(),
                 server: helper.server.clone(),
+                primary: placement.primary.id.clone(),
                 reservation: Reservation {
                     id,
                     memory: helper.memory,
--- a/jujubewind/src/direct/control/entry_state.rs
+++ b/jujubewind/src/direct/control/entry_state.rs
@@ -2,12 +2,15 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use super::Counts;
+use super::limits::DEPARTURE_MEMORY;
 use crate::direct::BootTime;
 use crate::direct::Freshness;
 use crate::direct::Notices;
+use crate::direct::ServerId;
 use crate::direct::StalenessLimits;
 use crate::direct::Table;
 use crate::types::Millis;
@@ -23,6 +26,8 @@
     listed: Cell<bool>,
     counts: Cell<Counts>,
     notices: RefCell<Rc<Notices>>,
+    /// When backend servers left the list or restarted.
+    departures: RefCell<BTreeMap<ServerId, BootTime>>,
     /// The newest version that this entry or a peer knows to have been in force.
     newest: Cell<Revision>,
     /// Until when confirmations may be of an older copy of the store.
@@ -56,6 +61,20 @@
         true
     }
 
+    /// Records that a backend server left the list or restarted.
+    pub fn record_departure(&self, now: BootTime, server: ServerId) {
+        let mut departures = self.departures.borrow_mut();
+        departures.retain(|_, at| now.since(*at) < DEPARTURE_MEMORY);
+        departures.insert(server, now);
+    }
+
+    /// Whether a backend server left the list or restarted after `since`.
+    #[must_use]
+    pub fn has_departed(&self, since: BootTime, server: &ServerId) -> bool {
+        let departures = self.departures.borrow();
+        departures.get(server).is_some_and(|at| *at >= since)
+    }
+
     /// Records that a version is or was in force. After the store was restored from an older copy,
     /// peers know of versions that it doesn't have.
     ///
--- a/jujubewind/src/direct/control/limits.rs
+++ b/jujubewind/src/direct/control/limits.rs
@@ -7,5 +7,7 @@
 pub const TICK_PERIOD: Millis = Millis(20);
 /// How often all rows are sent to peers, changed or not; four updates fit into the peer timeout.
 pub const FULL_UPDATE_PERIOD: Millis = Millis(500);
+/// How long it is remembered that a backend server has left; no request lasts longer.
+pub const DEPARTURE_MEMORY: Millis = Millis(600_000);
 /// How often expired suspects and servers are dropped.
 pub const EXPIRY_PERIOD: Millis = Millis(500);
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -17,6 +17,7 @@
 use super::limits::EXPIRY_PERIOD;
 use super::limits::TICK_PERIOD;
 use crate::conviction::Fingerprint;
+use crate::direct::BootTime;
 use crate::direct::Datagram;
 use crate::direct::Job;
 use crate::direct::JobId;
@@ -229,7 +230,7 @@
             _ => {}
         }
         for server in self.core.apply_fleet_change(now, change) {
-            self.shared.pool.forget(&server);
+            self.forget_server(server);
         }
         self.dirty = true;
     }
@@ -243,10 +244,15 @@
         self.shared.state.set_counts(self.core.counts(now));
         for server in self.core.expire(now) {
             crate::event!(warn, "server_lapsed", server = server);
-            self.shared.pool.forget(&server);
+            self.forget_server(server);
         }
     }
 
+    fn forget_server(&self, server: ServerId) {
+        self.shared.pool.forget(&server);
+        self.shared.state.record_departure(BootTime::now(), server);
+    }
+
     /// Retries the queued requests after a change and sends the resulting verdicts.
     fn poll(&mut self, now: MonoTime) {
         if !std::mem::take(&mut self.dirty) || !self.core.has_waiting() {
