--- a/jujubewind/src/direct/fleet/roster.rs
+++ b/jujubewind/src/direct/fleet/roster.rs
@@ -65,8 +65,12 @@
             self.drop_server(now, id);
             return;
         }
-        if let Some(listed) = self.servers.get_mut(id) {
-            listed.expires = Some(self.grace_end);
+        let Some(listed) = self.servers.get_mut(id) else {
+            return;
+        };
+        if listed.expires.replace(self.grace_end).is_none() {
+            let grace = now.until(self.grace_end);
+            crate::event!(info, "server_kept", server = id, grace = grace);
         }
     }
 
