Tests that fail: servers that left are used by an entry that lost the store

What callers could see: a request at a server that has left. An entry that alone lost the store keeps what is missing from the list for 1.8 s after its own outage, though its peers saw the servers leave. Two more tests pass and guard what must stay: an outage common to all keeps servers, and a server that registers again is used again.

--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod core;
+mod departures;
 mod entry_state;
 mod events;
 mod feed;
