Tell peers which backend servers left the list

Cause: an entry that lost the store keeps what is missing from the list for 1.8 s after its outage, as registrations may have expired. It took its own outage for the store's, and nobody told it what its peers had read all the time. Change: each full update tells for 5 s which servers left the list, seen outside the grace period; entries use none of them, also while they cannot read the list, and look again right before a request is sent. A removal that is told is forgotten 2.5 s later, so a server that registers again is used again; an outage common to all is no evidence against any server. Why it works: peers in touch hear of each departure within an update, whatever their own way to the store.

--- a/jujubewind/src/direct/control/availability.rs
+++ b/jujubewind/src/direct/control/availability.rs
@@ -27,7 +27,7 @@
 
     /// Why no server of a service takes requests, if none does.
     pub(super) fn unavailable(&self, now: MonoTime, service: &ServiceId) -> Option<Refusal> {
-        let mut pauses = self.accepting(service).peekable();
+        let mut pauses = self.accepting(now, service).peekable();
         if pauses.peek().is_none() {
             return Some(Refusal {
                 reason: Reason::NoBackend,
@@ -44,9 +44,14 @@
         })
     }
 
-    /// The servers of a service that have not announced that they leave.
-    pub(super) fn accepting(&self, service: &ServiceId) -> impl Iterator<Item = &Rc<Server>> {
+    /// The servers of a service that have not left, by their own announcement or by the list of any
+    /// entry.
+    pub(super) fn accepting(
+        &self,
+        now: MonoTime,
+        service: &ServiceId,
+    ) -> impl Iterator<Item = &Rc<Server>> {
         let ready = self.roster.ready(service);
-        ready.filter(|server| !self.notices.is_leaving(server))
+        ready.filter(move |server| !self.notices.has_left(now, server))
     }
 }
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -9,11 +9,9 @@
 use super::Verdict;
 use super::candidate_set::CandidateSet;
 use crate::conviction::Fingerprint;
-use crate::conviction::Suspect;
 use crate::conviction::SuspectRegistry;
 use crate::direct::Budget;
 use crate::direct::BudgetLimits;
-use crate::direct::Digest;
 use crate::direct::Engine;
 use crate::direct::Health;
 use crate::direct::Job;
@@ -22,7 +20,6 @@
 use crate::direct::Notices;
 use crate::direct::Queue;
 use crate::direct::Roster;
-use crate::direct::Row;
 use crate::direct::ServerId;
 use crate::direct::ServiceId;
 use crate::direct::Table;
@@ -54,10 +51,12 @@
     pub(super) roster: Roster,
     pub(super) health: BTreeMap<ServerId, Health>,
     pub(super) notices: Notices,
+    /// Whether servers left the list since [`Core::take_delisted`] was called.
+    pub(super) has_delisted: bool,
     pub(super) ledger: Ledger,
     pub(super) queue: Queue,
     budgets: BTreeMap<ServiceId, Budget>,
-    suspects: SuspectRegistry,
+    pub(super) suspects: SuspectRegistry,
     pub(super) peers: BTreeSet<NodeId>,
     /// Whether this process stops and queues no requests.
     is_draining: bool,
@@ -74,6 +73,7 @@
             roster: Roster::default(),
             health: BTreeMap::new(),
             notices: Notices::default(),
+            has_delisted: false,
             ledger: Ledger::default(),
             queue: Queue::default(),
             budgets: BTreeMap::new(),
@@ -226,35 +226,6 @@
         self.budget(service).take(now, entries)
     }
 
-    /// Merges a digest from a peer.
-    pub fn merge(&mut self, now: MonoTime, digest: Digest) {
-        self.suspects.merge(now, &digest.suspects);
-        for notice in &digest.notices {
-            self.notices.merge(now, notice);
-        }
-        self.ledger
-            .merge(now, &digest.node, digest.stamp, digest.rows);
-    }
-
-    /// Whether a digest of a peer arrived recently, so that it can pass on updates.
-    #[must_use]
-    pub fn is_live_peer(&self, now: MonoTime, peer: &NodeId) -> bool {
-        self.ledger.is_live(now, peer)
-    }
-
-    /// Takes the rows and suspects to send to peers: those that changed, or every row if `all` is
-    /// set.
-    pub fn take_updates(&mut self, now: MonoTime, all: bool) -> (Vec<Row>, Vec<Suspect>) {
-        let changed = self.ledger.take_changed(now);
-        let rows = if all { self.ledger.rows(now) } else { changed };
-        let entries = self.entry_count(now);
-        let mut suspects = self.suspects.take_urgent(now, entries);
-        if all {
-            suspects.extend(self.suspects.take(now));
-        }
-        (rows, suspects)
-    }
-
     /// Drops expired suspects, rows of load and servers; returns the dropped servers.
     pub fn expire(&mut self, now: MonoTime) -> Vec<ServerId> {
         self.suspects.expire(now);
@@ -263,7 +234,14 @@
         let roster = &self.roster;
         self.notices
             .expire(now, |id, started| roster.lists(id, started));
-        gone
+        self.notices.expire_delistings(now, roster.is_readable());
+        self.note_removals(now, &gone);
+        gone.iter().map(|server| server.id.clone()).collect()
+    }
+
+    /// Whether servers left the list since the last call.
+    pub fn take_delisted(&mut self) -> bool {
+        std::mem::take(&mut self.has_delisted)
     }
 
     /// Whether requests are queued.
--- a/jujubewind/src/direct/control/fleet_changes.rs
+++ b/jujubewind/src/direct/control/fleet_changes.rs
@@ -1,8 +1,13 @@
 //! How changes of the lists of backend servers and entries reach the scheduling state.
 
+use std::rc::Rc;
+
 use super::Core;
 use super::FleetChange;
+use crate::direct::Delisting;
+use crate::direct::Server;
 use crate::direct::ServerId;
+use crate::direct::ServerState;
 use crate::types::MonoTime;
 
 impl Core {
@@ -12,19 +17,25 @@
         let mut gone = Vec::new();
         match change {
             FleetChange::Servers(servers) => {
-                self.roster.replace_all(now, servers);
+                let removed = self.roster.replace_all(now, servers);
+                self.note_list(now, &removed);
                 self.health.retain(|id, _| self.roster.get(id).is_some());
             }
-            FleetChange::Restored(servers) => self.roster.restore(now, servers),
+            FleetChange::Restored(servers) => {
+                self.roster.restore(now, servers);
+                self.note_list(now, &[]);
+            }
             FleetChange::Listed(server) => {
                 let id = server.id.clone();
                 if self.roster.insert(server) {
                     self.health.remove(&id);
-                    gone.push(id);
+                    gone.push(id.clone());
                 }
+                self.note_listing(now, &id);
             }
             FleetChange::Removed(id) => {
-                self.roster.remove(now, &id);
+                let removed = self.roster.remove(now, &id);
+                self.note_removals(now, removed.as_slice());
                 if self.roster.get(&id).is_none() {
                     self.health.remove(&id);
                     gone.push(id);
@@ -46,4 +57,37 @@
         }
         gone
     }
+
+    /// Notes which servers a new list leaves out or shows as draining.
+    fn note_list(&mut self, now: MonoTime, removed: &[Rc<Server>]) {
+        self.note_removals(now, removed);
+        let listed: Vec<ServerId> = self.roster.iter().map(|server| server.id.clone()).collect();
+        for id in &listed {
+            self.note_listing(now, id);
+        }
+    }
+
+    pub(super) fn note_removals(&mut self, now: MonoTime, removed: &[Rc<Server>]) {
+        for server in removed {
+            let is_news = self
+                .notices
+                .record_delisting(now, server, Delisting::Removed);
+            self.has_delisted |= is_news;
+        }
+    }
+
+    fn note_listing(&mut self, now: MonoTime, id: &ServerId) {
+        let Some(server) = self.roster.get(id) else {
+            return;
+        };
+        match server.state {
+            ServerState::Draining => {
+                let is_news = self
+                    .notices
+                    .record_delisting(now, server, Delisting::Draining);
+                self.has_delisted |= is_news;
+            }
+            ServerState::Ready => self.notices.record_listing(id),
+        }
+    }
 }
--- a/jujubewind/src/direct/control/mod.rs
+++ b/jujubewind/src/direct/control/mod.rs
@@ -5,6 +5,7 @@
 mod core;
 mod counts;
 mod entry_state;
+mod exchange;
 mod fleet_change;
 mod fleet_changes;
 mod grant;
--- a/jujubewind/src/direct/control/placing.rs
+++ b/jujubewind/src/direct/control/placing.rs
@@ -33,7 +33,7 @@
             strained: self.notices.is_strained(now, &server.id),
             spread: spread.draw(),
         };
-        let ready = self.accepting(service).filter(may_send);
+        let ready = self.accepting(now, service).filter(may_send);
         let mut candidates: Vec<Candidate> = ready.map(candidate).collect();
         let is_usable = |candidate: &Candidate| {
             let health = self.health.get(&candidate.server.id);
@@ -48,7 +48,7 @@
     /// The random costs of a placement, by the work that each server has probably been sent by other
     /// entries and that does not show here yet.
     fn spread(&self, now: MonoTime, service: &ServiceId) -> Spread {
-        let servers = u64::try_from(self.accepting(service).count()).unwrap_or(u64::MAX);
+        let servers = u64::try_from(self.accepting(now, service).count()).unwrap_or(u64::MAX);
         let unseen = Work(self.ledger.unseen(now).get() / servers.max(1));
         Spread::new(&self.settings.node, now, unseen)
     }
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -232,6 +232,9 @@
         for server in self.core.apply_fleet_change(now, change) {
             self.forget_server(server);
         }
+        if self.core.take_delisted() {
+            self.publish_notices();
+        }
         self.dirty = true;
     }
 
@@ -246,6 +249,12 @@
             crate::event!(warn, "server_lapsed", server = server);
             self.forget_server(server);
         }
+        self.publish_notices();
+    }
+
+    /// Publishes who takes no requests, for those that were placed and are not yet sent.
+    pub(super) fn publish_notices(&self) {
+        self.shared.state.set_notices(self.core.notices().clone());
     }
 
     fn forget_server(&self, server: ServerId) {
--- a/jujubewind/src/direct/control/updates.rs
+++ b/jujubewind/src/direct/control/updates.rs
@@ -36,7 +36,7 @@
         let has_notices = !digest.notices.is_empty();
         self.core.merge(now, digest);
         if has_notices {
-            state.set_notices(self.core.notices().clone());
+            self.publish_notices();
         }
         self.dirty = true;
     }
@@ -54,7 +54,7 @@
             pause = notice.pause.unwrap_or_default()
         );
         self.shared.metrics.count_notice(notice);
-        self.shared.state.set_notices(self.core.notices().clone());
+        self.publish_notices();
         self.has_notices = true;
         self.dirty = true;
     }
--- a/jujubewind/src/direct/fleet/limits.rs
+++ b/jujubewind/src/direct/fleet/limits.rs
@@ -19,5 +19,11 @@
 /// How long it is remembered that a server was leaving after its registration has gone: an older
 /// copy of the list could show it again.
 pub const LEAVING_MEMORY: Millis = Millis(60_000);
+/// How long an entry tells its peers that a server has left the list: longer than an update and its
+/// repetitions take to arrive.
+pub const TELLING_SPAN: Millis = Millis(5_000);
+/// How long a removal counts after a peer has told it for the last time: past the grace period after
+/// an outage, in which this entry would keep the server, and the next check for expired ones.
+pub const TOLD_MEMORY: Millis = Millis(2_500);
 /// How long it is remembered that a server was removed, for the same reason.
 pub const REMOVAL_MEMORY: Millis = Millis(60_000);
--- a/jujubewind/src/direct/fleet/mod.rs
+++ b/jujubewind/src/direct/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! The backend servers that the platform lists, and their health.
 
+mod delisting;
+mod delistings;
 mod health;
 mod id;
 pub mod limits;
@@ -10,6 +12,8 @@
 mod server;
 mod state;
 
+pub use delisting::Delisting;
+pub use delistings::Delistings;
 pub use health::Health;
 pub use id::ServerId;
 pub use notice::Notice;
--- a/jujubewind/src/direct/fleet/notices.rs
+++ b/jujubewind/src/direct/fleet/notices.rs
@@ -1,7 +1,10 @@
-//! Which backend servers asked for no requests, in responses to this entry or to its peers.
+//! Which backend servers take no requests, by what they announced to this entry or to its peers, or
+//! as they left the list.
 
 use std::collections::BTreeMap;
 
+use super::Delisting;
+use super::Delistings;
 use super::Notice;
 use super::PeerNotice;
 use super::Server;
@@ -27,6 +30,7 @@
     paused: BTreeMap<ServerId, MonoTime>,
     /// Until when a server accepts nothing from a peer.
     strained: BTreeMap<ServerId, MonoTime>,
+    delistings: Delistings,
 }
 
 impl Notices {
@@ -43,8 +47,24 @@
         is_leaving || is_longer
     }
 
-    /// Merges an announcement to a peer. A pause asked of a peer does not bind this entry.
-    pub fn merge(&mut self, now: MonoTime, peer: &PeerNotice) {
+    /// Records that a server left the list; returns whether it was news.
+    pub fn record_delisting(
+        &mut self,
+        now: MonoTime,
+        server: &Server,
+        delisting: Delisting,
+    ) -> bool {
+        self.delistings.record(now, server, delisting)
+    }
+
+    /// Records that a server is listed as ready.
+    pub fn record_listing(&mut self, server: &ServerId) {
+        self.delistings.clear(server);
+    }
+
+    /// Merges what a peer knows; returns whether it tells of a delisting for the first time. A pause
+    /// asked of a peer does not bind this entry.
+    pub fn merge(&mut self, now: MonoTime, peer: &PeerNotice) -> bool {
         if peer.notice.leaving {
             self.mark_leaving(now, &peer.server, peer.started);
         }
@@ -53,6 +73,9 @@
             let known = self.strained.entry(peer.server.clone()).or_default();
             *known = until.max(*known);
         }
+        let (server, started) = (&peer.server, peer.started);
+        peer.delisting
+            .is_some_and(|delisting| self.delistings.merge(now, server, started, delisting))
     }
 
     /// Whether this incarnation has announced that it is leaving.
@@ -62,6 +85,12 @@
         known.is_some_and(|leaving| leaving.started == server.started)
     }
 
+    /// Whether this incarnation has announced that it is leaving, or left the list.
+    #[must_use]
+    pub fn has_left(&self, now: MonoTime, server: &Server) -> bool {
+        self.is_leaving(server) || self.delistings.include(now, server)
+    }
+
     /// The time for which nothing may be sent to a server; zero if it may.
     #[must_use]
     pub fn pause(&self, now: MonoTime, server: &ServerId) -> Millis {
@@ -78,10 +107,10 @@
     /// Whether a new request may be sent to a server.
     #[must_use]
     pub fn allow(&self, now: MonoTime, server: &Server) -> bool {
-        !self.is_leaving(server) && self.pause(now, &server.id) == Millis::ZERO
+        !self.has_left(now, server) && self.pause(now, &server.id) == Millis::ZERO
     }
 
-    /// The announcements to this entry and the leaving servers, for peers.
+    /// The announcements to this entry, the leaving servers and the latest delistings, for peers.
     #[must_use]
     pub fn to_peers(&self, now: MonoTime) -> Vec<PeerNotice> {
         let leaving = self.leaving.iter().map(|(server, leaving)| PeerNotice {
@@ -91,6 +120,7 @@
                 leaving: true,
                 pause: None,
             },
+            delisting: None,
         });
         let is_paused = |(_, until): &(&ServerId, &MonoTime)| now < **until;
         let paused = self.paused.iter().filter(is_paused);
@@ -101,8 +131,16 @@
                 leaving: false,
                 pause: Some(now.until(*until)),
             },
+            delisting: None,
         });
-        leaving.chain(paused).collect()
+        let delisted = self.delistings.to_peers(now);
+        let delisted = delisted.map(|(server, started, delisting)| PeerNotice {
+            server: server.clone(),
+            started,
+            notice: Notice::default(),
+            delisting: Some(delisting),
+        });
+        leaving.chain(paused).chain(delisted).collect()
     }
 
     /// Drops what no longer matters; `is_listed` tells whether an incarnation is listed.
@@ -118,6 +156,11 @@
         self.strained.retain(|_, until| now < *until);
     }
 
+    /// Drops delistings that no longer matter; `can_read` tells whether this entry reads the list.
+    pub fn expire_delistings(&mut self, now: MonoTime, can_read: bool) {
+        self.delistings.expire(now, can_read);
+    }
+
     fn mark_leaving(
         &mut self,
         now: MonoTime,
--- a/jujubewind/src/direct/fleet/peer_notice.rs
+++ b/jujubewind/src/direct/fleet/peer_notice.rs
@@ -1,11 +1,12 @@
-//! A backend server's announcement, as sent to peers.
+//! What an entry tells its peers of a backend server.
 
+use super::Delisting;
 use super::Notice;
 use super::ServerId;
 use crate::types::Incarnation;
 
 crate::data! {
-    /// An announcement of one incarnation of a backend server.
+    /// What one incarnation of a backend server announced, or how it left the list.
     pub struct PeerNotice {
         /// The server.
         pub server: ServerId,
@@ -13,5 +14,7 @@
         pub started: Option<Incarnation>,
         /// What it announced; the pause is what remains of it.
         pub notice: Notice,
+        /// How it left the list.
+        pub delisting: Option<Delisting>,
     }
 }
--- a/jujubewind/src/direct/fleet/roster.rs
+++ b/jujubewind/src/direct/fleet/roster.rs
@@ -59,31 +59,30 @@
         restarted
     }
 
-    /// Removes a server, or marks it to expire if an outage may have caused its removal.
-    pub fn remove(&mut self, now: MonoTime, id: &ServerId) {
+    /// Removes a server and returns it, or marks it to expire if an outage may have caused its
+    /// removal.
+    pub fn remove(&mut self, now: MonoTime, id: &ServerId) -> Option<Rc<Server>> {
         if now >= self.grace_end {
-            self.drop_server(now, id);
-            return;
+            return self.drop_server(now, id);
         }
-        let Some(listed) = self.servers.get_mut(id) else {
-            return;
-        };
+        let listed = self.servers.get_mut(id)?;
         if listed.expires.replace(self.grace_end).is_none() {
             let grace = now.until(self.grace_end);
             crate::event!(info, "server_kept", server = id, grace = grace);
         }
+        None
     }
 
-    /// Replaces the whole list; missing servers are removed.
-    pub fn replace_all(&mut self, now: MonoTime, servers: Vec<Server>) {
+    /// Replaces the whole list; missing servers are removed. Returns those that were.
+    pub fn replace_all(&mut self, now: MonoTime, servers: Vec<Server>) -> Vec<Rc<Server>> {
         let kept: Vec<ServerId> = servers.iter().map(|server| server.id.clone()).collect();
         let gone: Vec<ServerId> = self.servers.keys().cloned().collect();
-        for id in gone.iter().filter(|id| !kept.contains(id)) {
-            self.remove(now, id);
-        }
+        let missing = gone.iter().filter(|id| !kept.contains(id));
+        let removed = missing.filter_map(|id| self.remove(now, id)).collect();
         for server in servers {
             self.insert(server);
         }
+        removed
     }
 
     /// Merges the list of a store that was restored from an older copy.
@@ -127,8 +126,8 @@
         }
     }
 
-    /// Drops servers that were not listed again in time; returns their identifiers.
-    pub fn expire(&mut self, now: MonoTime) -> Vec<ServerId> {
+    /// Drops servers that were not listed again in time; returns them.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<Rc<Server>> {
         let is_expired = |listed: &Listed| listed.expires.is_some_and(|expires| expires <= now);
         let gone: Vec<ServerId> = self
             .servers
@@ -136,12 +135,10 @@
             .filter(|(_, listed)| is_expired(listed))
             .map(|(id, _)| id.clone())
             .collect();
-        for id in &gone {
-            self.drop_server(now, id);
-        }
         self.removed
             .retain(|_, (_, at)| now.since(*at) < REMOVAL_MEMORY);
-        gone
+        let dropped = gone.iter().filter_map(|id| self.drop_server(now, id));
+        dropped.collect()
     }
 
     /// Looks up a server.
@@ -181,11 +178,21 @@
         removed.is_some_and(|(started, _)| *started == server.started)
     }
 
-    fn drop_server(&mut self, now: MonoTime, id: &ServerId) {
-        if let Some(listed) = self.servers.remove(id) {
-            let removal = (listed.server.started, now);
-            self.removed.insert(id.clone(), removal);
-        }
+    fn drop_server(&mut self, now: MonoTime, id: &ServerId) -> Option<Rc<Server>> {
+        let server = self.servers.remove(id)?.server;
+        self.removed.insert(id.clone(), (server.started, now));
+        Some(server)
+    }
+
+    /// Whether the list can be read, as far as is known.
+    #[must_use]
+    pub const fn is_readable(&self) -> bool {
+        self.outage_start.is_none()
+    }
+
+    /// All listed servers.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Server>> {
+        self.servers.values().map(|listed| &listed.server)
     }
 
     /// The number of listed servers.
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -66,6 +66,7 @@
 pub use feed::FeedRole;
 pub use feed::FeedSource;
 pub use feed::limits as feed_limits;
+pub use fleet::Delisting;
 pub use fleet::Health;
 pub use fleet::Notice;
 pub use fleet::Notices;
--- a/jujubewind/tests/direct/notices.rs
+++ b/jujubewind/tests/direct/notices.rs
@@ -176,6 +176,7 @@
         server: server(0).id,
         started: Some(Incarnation(1)),
         notice: LEAVING,
+        delisting: None,
     };
     notices.merge(at(10), &old);
 
