--- a/jujubewind/tests/direct/departures.rs
+++ b/jujubewind/tests/direct/departures.rs
@@ -102,6 +102,18 @@
     assert!(!uses(&mut cut_off, 2_600, 0));
 }
 
+/// Requests look again right before they are sent, in what the notices say.
+#[test]
+fn server_that_left_is_refused_to_requests_that_were_placed_before() {
+    let mut core = core(2);
+
+    core.apply_fleet_change(at(1_000), draining(0));
+    core.apply_fleet_change(at(1_000), removed(1));
+
+    assert!(!core.notices().allow(at(1_100), &server(0)));
+    assert!(!core.notices().allow(at(1_100), &server(1)));
+}
+
 #[test]
 fn server_whose_registration_expired_in_a_common_outage_is_kept() {
     let (mut cut_off, mut peer) = (core(2), core_of("entry-2", 2));
