--- a/jujubewind/src/conviction/crash_history.rs
+++ b/jujubewind/src/conviction/crash_history.rs
@@ -18,7 +18,7 @@
 
 /// A reported crash, with the time of the report on this process's clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct CrashReport {
+pub(super) struct CrashReport {
     alone: bool,
     cleared: bool,
     at: MonoTime,
@@ -64,11 +64,7 @@
 
     /// Returns how the request may run.
     pub(super) fn verdict(&self, now: MonoTime) -> Verdict {
-        let counted = || {
-            self.reports
-                .values()
-                .filter(|report| report.is_counted(now))
-        };
+        let counted = || self.counted(now).map(|(_, report)| report);
         let alone = counted().filter(|report| report.alone).count();
         let total = counted().count();
         if alone < ALONE_LIMIT && total < TOTAL_LIMIT {
@@ -86,6 +82,12 @@
         })
     }
 
+    /// Returns the crashes that count against the request, by id.
+    pub(super) fn counted(&self, now: MonoTime) -> impl Iterator<Item = (&u64, &CrashReport)> {
+        let reports = self.reports.iter();
+        reports.filter(move |(_, report)| report.is_counted(now))
+    }
+
     /// Removes crashes older than [`CRASH_TTL`].
     pub(super) fn expire(&mut self, now: MonoTime) {
         self.reports
--- a/jujubewind/src/conviction/suspect_registry.rs
+++ b/jujubewind/src/conviction/suspect_registry.rs
@@ -33,6 +33,13 @@
         history.map_or(Verdict::Run, |history| history.verdict(now))
     }
 
+    /// Returns the number of crashes that are counted against the request.
+    #[must_use]
+    pub fn crashes(&self, now: MonoTime, fingerprint: Fingerprint) -> usize {
+        let history = self.histories.get(&fingerprint);
+        history.map_or(0, |history| history.counted(now).count())
+    }
+
     /// Records that a backend server crashed while it ran the request, `alone` or with others.
     pub fn record_crash(
         &mut self,
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -198,6 +198,14 @@
                 let crash = self.roster.crash_identity(server);
                 if let Some(crash) = crash.filter(|_| outcome == Outcome::Broken) {
                     self.suspects.record_crash(now, fingerprint, &crash, false);
+                    let crashes = self.suspects.crashes(now, fingerprint);
+                    crate::event!(
+                        info,
+                        "crash_recorded",
+                        server = server,
+                        print = fingerprint,
+                        crashes = crashes
+                    );
                 }
                 if health.record_failure(now) {
                     crate::event!(
