Convict parts of prompts that crash backend servers

What callers saw: broken answers and refusals while backend servers ended one after the other, for as long as requests with one part in their prompts came. Cause: a conviction knew a request only as a whole, by a digest of caller, path and body; requests that share a fatal part and nothing else had one or two crashes each, so none was ever refused. Change: crashes are also attributed to each part of the prompt that others may share, if the answer was only beginning. An answer that goes on for a second or ends clears its parts here and, by what entries exchange, elsewhere; a part is not blamed for crashes that something else explains which the request lacks. Queued and repeated requests are checked too. A response without a length or chunks that ends at once is no success. Histories with crashes that count are evicted last. Why it works: a fatal part is at every crash and never at a success; a sound one has successes, or is not at every crash.

--- a/jujubewind/src/conviction/crash_history.rs
+++ b/jujubewind/src/conviction/crash_history.rs
@@ -40,7 +40,7 @@
             at: MonoTime::from_micros(at),
         };
         let Some(ours) = self.reports.get_mut(&mark.crash) else {
-            if mark.age >= CRASH_TTL || self.reports.len() >= MAX_MARKS_PER_REQUEST {
+            if mark.age >= CRASH_TTL || !self.has_room(mark) {
                 return false;
             }
             self.reports.insert(mark.crash, theirs);
@@ -52,6 +52,27 @@
         known != (ours.alone, ours.cleared)
     }
 
+    /// Makes room for a crash that counts, if necessary in place of the oldest cleared one.
+    fn has_room(&mut self, mark: &Mark) -> bool {
+        if self.reports.len() < MAX_MARKS_PER_REQUEST {
+            return true;
+        }
+        let cleared = self.reports.iter().filter(|(_, report)| report.cleared);
+        let oldest = cleared.min_by_key(|(_, report)| report.at);
+        let Some(id) = oldest.map(|(id, _)| *id).filter(|_| !mark.cleared) else {
+            return false;
+        };
+        self.reports.remove(&id);
+        true
+    }
+
+    /// Whether all crashes that count against `other` count against this one as well.
+    pub(super) fn covers(&self, now: MonoTime, other: &Self) -> bool {
+        other
+            .counted(now)
+            .all(|(id, _)| self.reports.get(id).is_some_and(|own| own.is_counted(now)))
+    }
+
     /// Clears all crashes after the request completed. Returns whether any was still counted.
     pub(super) fn clear(&mut self) -> bool {
         let mut changed = false;
--- a/jujubewind/src/conviction/limits.rs
+++ b/jujubewind/src/conviction/limits.rs
@@ -10,9 +10,15 @@
 pub const CRASH_TTL: Millis = Millis(1_800_000);
 /// Maximum number of crash histories that one entry keeps; the oldest is evicted first.
 pub const MAX_HISTORIES: usize = 512;
-/// Maximum number of crashes kept per request.
-pub const MAX_MARKS_PER_REQUEST: usize = 4;
+/// Maximum number of crashes kept per request or part: enough to compare what shares them.
+pub const MAX_MARKS_PER_REQUEST: usize = 8;
 /// Maximum number of suspects in one message.
-pub const MAX_SUSPECTS_PER_MESSAGE: usize = 16;
+pub const MAX_SUSPECTS_PER_MESSAGE: usize = 8;
+/// How long an answer must go on until it shows that the parts of its prompt are sound.
+pub const PROGRESS_SPAN: Millis = Millis(1_000);
+/// How long after an answer on a part went on no crash is attributed to the part.
+pub const SOUND_SPAN: Millis = Millis(5_000);
+/// Maximum number of sound parts that one entry keeps.
+pub const MAX_SOUND_PARTS: usize = 4_096;
 /// Number of sends of one change per doubling of the number of entries.
 pub const SENDS_PER_DOUBLING: u32 = 3;
--- a/jujubewind/src/conviction/mod.rs
+++ b/jujubewind/src/conviction/mod.rs
@@ -4,12 +4,18 @@
 //! server. If it completes, it is cleared; if it keeps crashing servers, it is convicted and
 //! refused until the crashes expire. Entries share suspects by gossip; nothing is stored on the
 //! platform.
+//!
+//! Without agents, the parts of a prompt that requests share are suspected as well: each part of a
+//! request whose answer was only beginning. A part is convicted if nothing else that the crashed
+//! requests share explains the same crashes, and no answer on it goes on.
 
 mod crash;
 mod crash_history;
 mod fingerprint;
 pub mod limits;
 mod mark;
+mod prints;
+mod sound_parts;
 mod suspect;
 mod suspect_registry;
 mod verdict;
@@ -17,6 +23,8 @@
 pub use crash::Crash;
 pub use fingerprint::Fingerprint;
 pub use mark::Mark;
+pub use prints::Prints;
+pub use sound_parts::SoundParts;
 pub use suspect::Suspect;
 pub use suspect_registry::SuspectRegistry;
 pub use verdict::Verdict;
--- a/jujubewind/src/conviction/suspect_registry.rs
+++ b/jujubewind/src/conviction/suspect_registry.rs
@@ -9,12 +9,15 @@
 use super::Crash;
 use super::Fingerprint;
 use super::Mark;
+use super::Prints;
 use super::Suspect;
 use super::Verdict;
 use super::crash_history::CrashHistory;
 use super::limits::MAX_HISTORIES;
 use super::limits::MAX_SUSPECTS_PER_MESSAGE;
 use super::limits::SENDS_PER_DOUBLING;
+use super::limits::TOTAL_LIMIT;
+use crate::refusal::Refusal;
 use crate::types::MonoTime;
 
 /// The crash histories of suspected and convicted requests, and the changes still to be gossiped.
@@ -33,6 +36,31 @@
         history.map_or(Verdict::Run, |history| history.verdict(now))
     }
 
+    /// Returns the refusal of a request that is convicted, as a whole or by a part of its prompt.
+    ///
+    /// A part is not to blame if something that the request lacks shares all of its crashes.
+    #[must_use]
+    pub fn refusal(&self, now: MonoTime, prints: &Prints) -> Option<Refusal> {
+        let blamed = |part: &&Fingerprint| self.is_blamed(now, **part, prints);
+        let part = prints.parts.iter().find(blamed).copied();
+        match self.verdict(now, part.unwrap_or(prints.request)) {
+            Verdict::Refuse(refusal) => Some(refusal),
+            Verdict::Run | Verdict::Alone => None,
+        }
+    }
+
+    fn is_blamed(&self, now: MonoTime, part: Fingerprint, prints: &Prints) -> bool {
+        let Some(history) = self.histories.get(&part) else {
+            return false;
+        };
+        if history.counted(now).count() < TOTAL_LIMIT {
+            return false;
+        }
+        let others = self.histories.iter();
+        let mut absent = others.filter(|(print, _)| !prints.contain(**print));
+        !absent.any(|(_, other)| other.covers(now, history))
+    }
+
     /// Returns the number of crashes that are counted against the request.
     #[must_use]
     pub fn crashes(&self, now: MonoTime, fingerprint: Fingerprint) -> usize {
@@ -164,7 +192,7 @@
 
     fn merge_mark(&mut self, now: MonoTime, fingerprint: Fingerprint, mark: &Mark) {
         if !self.histories.contains_key(&fingerprint) && self.histories.len() >= MAX_HISTORIES {
-            self.drop_oldest();
+            self.drop_oldest(now);
         }
         let history = self.histories.entry(fingerprint).or_default();
         if history.merge(now, mark) {
@@ -175,11 +203,12 @@
         }
     }
 
-    fn drop_oldest(&mut self) {
+    /// Drops the oldest history among those with the fewest crashes that count.
+    fn drop_oldest(&mut self, now: MonoTime) {
         let oldest = self
             .histories
             .iter()
-            .min_by_key(|(_, history)| history.last());
+            .min_by_key(|(_, history)| (history.counted(now).count(), history.last()));
         if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
             self.histories.remove(&fingerprint);
         }
--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -20,6 +20,7 @@
 use super::target::Target;
 use super::upstream_response::UpstreamResponse;
 use crate::conviction::Fingerprint;
+use crate::conviction::Prints;
 use crate::direct::Call;
 use crate::direct::Dialect;
 use crate::direct::RouteKind;
@@ -32,6 +33,9 @@
 use crate::types::MonoTime;
 use crate::types::Tokens;
 
+/// Tells the fingerprint of a part from that of a request.
+const PART_TAG: &[u8] = b"part";
+
 /// The result of serving a request.
 type Result<T> = std::result::Result<T, Failure>;
 
@@ -49,7 +53,7 @@
     pub(super) call: Call,
     head: Parts,
     body: Bytes,
-    fingerprint: Fingerprint,
+    prints: Prints,
     arrived: MonoTime,
     draw: u64,
     excluded: RefCell<Vec<ServerId>>,
@@ -77,10 +81,16 @@
             caller.as_bytes(),
             &body,
         ];
-        let fingerprint = Fingerprint::of_parts(&parts);
+        let shared = call.parts.iter();
+        let shared =
+            shared.map(|part| Fingerprint::of_parts(&[PART_TAG, part.as_str().as_bytes()]));
+        let prints = Prints {
+            request: Fingerprint::of_parts(&parts),
+            parts: shared.collect(),
+        };
         Rc::new(Self {
             gateway,
-            fingerprint,
+            prints,
             draw: rapidhash::v3::rapidhash_v3(call.id.as_str().as_bytes()),
             call,
             head,
@@ -142,7 +152,7 @@
             let grant = self
                 .gateway
                 .control
-                .place(job, self.fingerprint, again)
+                .place(job, self.prints.clone(), again)
                 .await?;
             again = true;
             let current = self.resolve()?;
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -5,10 +5,13 @@
 use futures::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
+use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 
 use super::events::EventSplitter;
 use super::exchange::Exchange;
@@ -17,6 +20,7 @@
 use super::limits::EVENT_GAP_PERMILLE;
 use super::target::Target;
 use super::upstream_response::UpstreamResponse;
+use crate::conviction::limits::PROGRESS_SPAN;
 use crate::direct::Connection;
 use crate::direct::Dialect;
 use crate::direct::Grant;
@@ -62,6 +66,10 @@
     last: Option<u64>,
     status: StatusCode,
     gaps: GapTracker,
+    /// When the current backend server sent its first event.
+    began: Option<MonoTime>,
+    /// Whether the response tells its end, so that a closed connection is not mistaken for it.
+    is_framed: bool,
     /// When the stream last made progress.
     progress: MonoTime,
     /// Whether a silent backend server is waited for as long as the caller waits, as no other may
@@ -96,6 +104,8 @@
             events: EventSplitter::default(),
             status: head.status,
             gaps: GapTracker::default(),
+            began: None,
+            is_framed: is_framed(&head.headers),
         };
         let frames = stream::unfold(relay, Self::next);
         let mut reply = http::streamed(StreamBody::new(frames));
@@ -188,6 +198,12 @@
         if events.last.is_some() || self.last.is_none() {
             self.progress = now;
         }
+        let began = *self.began.get_or_insert(now);
+        if let Some(source) = &self.source
+            && now.since(began) >= PROGRESS_SPAN
+        {
+            source.grant.mark_progressed();
+        }
         self.last = events.last.or(self.last);
         self.gaps.record(now);
         Step::Events(events.bytes)
@@ -199,7 +215,13 @@
             let longest_gap = self.gaps.longest();
             self.exchange
                 .log_end(placement, self.status, Outcome::Served, longest_gap);
-            UpstreamResponse::finish(source.grant, source.connection, Outcome::Served);
+            let is_complete = self.is_framed || source.grant.has_progressed();
+            let outcome = if is_complete {
+                Outcome::Served
+            } else {
+                Outcome::Ended
+            };
+            UpstreamResponse::finish(source.grant, source.connection, outcome);
         }
     }
 
@@ -266,6 +288,8 @@
     }
 
     fn continue_at(&mut self, upstream: UpstreamResponse) {
+        self.began = None;
+        self.is_framed = is_framed(upstream.response.headers());
         self.source = Some(Source {
             body: upstream.response.into_body(),
             grant: upstream.grant,
@@ -275,3 +299,8 @@
         self.patient = false;
     }
 }
+
+/// Whether a response has a length or chunks; otherwise it ends with its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/jujubewind/src/direct/control/crashes.rs
@@ -0,0 +1,71 @@
+//! To which requests and parts of prompts a crash of a backend server is attributed.
+
+use super::Core;
+use crate::conviction::Fingerprint;
+use crate::conviction::Prints;
+use crate::conviction::Suspect;
+use crate::conviction::limits::TOTAL_LIMIT;
+use crate::direct::JobId;
+use crate::direct::ServerId;
+use crate::types::MonoTime;
+use crate::types::NodeId;
+
+impl Core {
+    /// Records that a request's answer went on past its beginning, so that its parts are sound.
+    pub fn mark_progressed(&mut self, now: MonoTime, job: JobId, prints: &Prints) {
+        self.progressed.insert(job);
+        self.record_sound_parts(now, prints);
+    }
+
+    pub(super) fn record_sound_parts(&mut self, now: MonoTime, prints: &Prints) {
+        for part in prints.parts.iter() {
+            self.sound_parts.record(now, *part);
+            self.suspects.record_completion(*part);
+        }
+    }
+
+    /// Attributes a crash to a request, and to the parts of its prompt if its answer was only
+    /// beginning.
+    pub(super) fn record_crash(
+        &mut self,
+        now: MonoTime,
+        server: &ServerId,
+        prints: &Prints,
+        has_progressed: bool,
+    ) {
+        let Some(crash) = self.roster.crash_identity(server) else {
+            return;
+        };
+        for print in prints.iter() {
+            let is_part = print != prints.request;
+            if is_part && (has_progressed || self.sound_parts.include(now, print)) {
+                continue;
+            }
+            self.suspects.record_crash(now, print, &crash, false);
+            crate::event!(
+                info,
+                "crash_recorded",
+                server = server,
+                print = print,
+                crashes = self.suspects.crashes(now, print)
+            );
+        }
+    }
+
+    /// Merges what a peer suspects. An answer that went on here clears a part there.
+    pub(super) fn merge_suspects(&mut self, now: MonoTime, peer: &NodeId, suspects: &[Suspect]) {
+        let prints = || suspects.iter().map(|suspect| suspect.print);
+        let is_convicted =
+            |core: &Self, print: &Fingerprint| core.suspects.crashes(now, *print) >= TOTAL_LIMIT;
+        let known: Vec<Fingerprint> = prints().filter(|print| is_convicted(self, print)).collect();
+        self.suspects.merge(now, suspects);
+        for print in prints() {
+            if self.sound_parts.include(now, print) {
+                self.suspects.record_completion(print);
+            }
+            if is_convicted(self, &print) && !known.contains(&print) {
+                crate::event!(warn, "content_convicted", print = print, peer = peer);
+            }
+        }
+    }
+}
--- a/jujubewind/src/direct/control/exchange.rs
+++ b/jujubewind/src/direct/control/exchange.rs
@@ -10,7 +10,7 @@
 impl Core {
     /// Merges a digest from a peer.
     pub fn merge(&mut self, now: MonoTime, digest: Digest) {
-        self.suspects.merge(now, &digest.suspects);
+        self.merge_suspects(now, &digest.node, &digest.suspects);
         for notice in &digest.notices {
             if self.notices.merge(now, notice) {
                 crate::event!(
--- a/jujubewind/src/direct/control/grant.rs
+++ b/jujubewind/src/direct/control/grant.rs
@@ -8,7 +8,7 @@
 use super::Control;
 use super::Message;
 use super::Outcome;
-use crate::conviction::Fingerprint;
+use crate::conviction::Prints;
 use crate::direct::JobId;
 use crate::direct::Placement;
 use crate::direct::api::Reservations;
@@ -20,26 +20,23 @@
     /// Where the request goes.
     pub placement: Placement,
     job: JobId,
-    fingerprint: Fingerprint,
+    prints: Prints,
     outcome: Cell<Outcome>,
     prefilled: Cell<bool>,
+    has_progressed: Cell<bool>,
     reservations: Option<Reservations>,
 }
 
 impl Grant {
-    pub(super) fn new(
-        control: Control,
-        placement: Placement,
-        job: JobId,
-        fingerprint: Fingerprint,
-    ) -> Self {
+    pub(super) fn new(control: Control, placement: Placement, job: JobId, prints: Prints) -> Self {
         Self {
             control,
             placement,
             job,
-            fingerprint,
+            prints,
             outcome: Cell::new(Outcome::Abandoned),
             prefilled: Cell::new(false),
+            has_progressed: Cell::new(false),
             reservations: None,
         }
     }
@@ -56,6 +53,22 @@
         is_first
     }
 
+    /// Records that the answer went on past its beginning.
+    pub fn mark_progressed(&self) {
+        if !self.has_progressed.replace(true) {
+            self.control.send(Message::Progressed {
+                job: self.job,
+                prints: self.prints.clone(),
+            });
+        }
+    }
+
+    /// Whether the answer went on past its beginning.
+    #[must_use]
+    pub const fn has_progressed(&self) -> bool {
+        self.has_progressed.get()
+    }
+
     /// Holds memory reservations on the helpers until the request ends.
     pub(in crate::direct) fn attach(&mut self, reservations: Reservations) {
         self.reservations = Some(reservations);
@@ -89,7 +102,7 @@
         self.control.send(Message::Finished {
             job: self.job,
             server: self.placement.primary.id.clone(),
-            fingerprint: self.fingerprint,
+            prints: self.prints.clone(),
             outcome: self.outcome.get(),
         });
     }
--- a/jujubewind/src/direct/control/handle.rs
+++ b/jujubewind/src/direct/control/handle.rs
@@ -8,7 +8,7 @@
 use super::Grant;
 use super::Message;
 use super::Verdict;
-use crate::conviction::Fingerprint;
+use crate::conviction::Prints;
 use crate::direct::Job;
 use crate::direct::JobId;
 use crate::direct::ServiceId;
@@ -51,12 +51,7 @@
     /// # Errors
     /// Returns the refusal if the request cannot be placed or the process is stopping; it was not
     /// run.
-    pub async fn place(
-        &self,
-        job: Job,
-        fingerprint: Fingerprint,
-        is_retry: bool,
-    ) -> Result<Grant, Refusal> {
+    pub async fn place(&self, job: Job, prints: Prints, is_retry: bool) -> Result<Grant, Refusal> {
         let id = job.id;
         let (reply, answer) = flume::bounded(1);
         let mut waiting = Waiting {
@@ -65,16 +60,14 @@
         };
         self.send(Message::Place {
             job,
-            fingerprint,
+            prints: prints.clone(),
             is_retry,
             reply,
         });
         let verdict = answer.recv_async().await;
         waiting.job = None;
         match verdict {
-            Ok(Verdict::Place(placement)) => {
-                Ok(Grant::new(self.clone(), placement, id, fingerprint))
-            }
+            Ok(Verdict::Place(placement)) => Ok(Grant::new(self.clone(), placement, id, prints)),
             Ok(Verdict::Refuse(refusal)) => Err(refusal),
             Err(_) => Err(Refusal {
                 reason: Reason::Stopping,
--- a/jujubewind/src/direct/control/message.rs
+++ b/jujubewind/src/direct/control/message.rs
@@ -7,7 +7,7 @@
 use super::FleetChange;
 use super::Outcome;
 use super::Verdict;
-use crate::conviction::Fingerprint;
+use crate::conviction::Prints;
 use crate::direct::Digest;
 use crate::direct::Job;
 use crate::direct::JobId;
@@ -25,8 +25,8 @@
     Place {
         /// The request.
         job: Job,
-        /// Identifies its content.
-        fingerprint: Fingerprint,
+        /// Identify its content.
+        prints: Prints,
         /// Whether it was admitted before.
         is_retry: bool,
         /// Receives the verdict.
@@ -36,14 +36,21 @@
     Withdraw(JobId),
     /// A request's first token arrived, so its prompt has been prefilled.
     Prefilled(JobId),
+    /// A request's answer went on past its beginning.
+    Progressed {
+        /// The request.
+        job: JobId,
+        /// Identify the request's content.
+        prints: Prints,
+    },
     /// A request no longer uses its backend servers.
     Finished {
         /// The request.
         job: JobId,
         /// The primary server.
         server: ServerId,
-        /// Identifies the request's content.
-        fingerprint: Fingerprint,
+        /// Identify the request's content.
+        prints: Prints,
         /// The outcome at the primary server.
         outcome: Outcome,
     },
--- a/jujubewind/src/direct/control/outcome.rs
+++ b/jujubewind/src/direct/control/outcome.rs
@@ -5,6 +5,8 @@
     pub enum Outcome {
         /// It answered successfully.
         Served = "served",
+        /// Its response ended with the connection soon after it had begun, so it may have been cut off.
+        Ended = "ended",
         /// It reported that it did not run the request.
         Refused = "refused",
         /// No connection could be opened.
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -16,7 +16,7 @@
 use super::Verdict;
 use super::limits::EXPIRY_PERIOD;
 use super::limits::TICK_PERIOD;
-use crate::conviction::Fingerprint;
+use crate::conviction::Prints;
 use crate::direct::BootTime;
 use crate::direct::Datagram;
 use crate::direct::Job;
@@ -114,10 +114,10 @@
         match message {
             Message::Place {
                 job,
-                fingerprint,
+                prints,
                 is_retry,
                 reply,
-            } => self.place(now, job, fingerprint, is_retry, reply),
+            } => self.place(now, job, prints, is_retry, reply),
             Message::Withdraw(job) => {
                 self.replies.remove(&job);
                 self.core.withdraw(job);
@@ -130,9 +130,10 @@
             Message::Finished {
                 job,
                 server,
-                fingerprint,
+                prints,
                 outcome,
-            } => self.finish(now, job, &server, fingerprint, outcome),
+            } => self.finish(now, job, &server, prints, outcome),
+            Message::Progressed { job, prints } => self.core.mark_progressed(now, job, &prints),
             Message::Notice { server, notice } => self.record_notice(now, &server, notice),
             Message::HelperFailed(server) => self.core.quarantine(now, &server),
             Message::Retry { service, reply } => {
@@ -162,15 +163,15 @@
         &mut self,
         now: MonoTime,
         job: Job,
-        fingerprint: Fingerprint,
+        prints: Prints,
         is_retry: bool,
         reply: Sender<Verdict>,
     ) {
         let id = job.id;
         let verdict = if is_retry {
-            self.core.place_or_queue(now, job)
+            self.core.readmit(now, job, prints)
         } else {
-            self.core.admit(now, job, fingerprint)
+            self.core.admit(now, job, prints)
         };
         match verdict {
             Some(verdict) => self.send_verdict(id, &reply, verdict),
@@ -200,11 +201,11 @@
         now: MonoTime,
         job: JobId,
         server: &ServerId,
-        fingerprint: Fingerprint,
+        prints: Prints,
         outcome: Outcome,
     ) {
         self.shared.metrics.count_outcome(outcome);
-        self.core.finish(now, job, server, fingerprint, outcome);
+        self.core.finish(now, job, server, prints, outcome);
         self.dirty = true;
         if matches!(outcome, Outcome::Unreachable | Outcome::Silent) {
             self.shared.pool.forget(server);
--- a/jujubewind/src/direct/dialect.rs
+++ b/jujubewind/src/direct/dialect.rs
@@ -51,6 +51,11 @@
     }
 }
 
+crate::name! {
+    /// The id of a part of a prompt that other prompts may share.
+    pub struct PartId;
+}
+
 crate::data! {
     /// The parsed head of a caller's request.
     pub struct Call {
@@ -64,6 +69,8 @@
         pub size: Option<Size>,
         /// The last event that the caller has of a stream.
         pub last: Option<u64>,
+        /// The parts of the prompt that other requests may share.
+        pub parts: Vec<PartId>,
     }
 }
 
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -51,6 +51,7 @@
 pub use dialect::CallId;
 pub use dialect::Dialect;
 pub use dialect::ForwardHeaders;
+pub use dialect::PartId;
 pub use dialect::Reservation;
 pub use dialect::ReservationId;
 pub use dialect::ResponseHead;
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -14,6 +14,7 @@
 mod notices;
 mod peer_routes;
 mod plan;
+mod poison_parts;
 mod queue;
 mod reservation;
 mod roster;
