Tell an entry that starts what is convicted

What callers could see: after a restart of entries, servers ended by a part that had long been convicted. Cause: crashes are told a few times after they happen and not again; an entry that starts later has to see three crashes of its own. Change: the greeting of a newly listed peer has what is convicted. Result: parts::an_entry_that_starts_later_refuses_a_part_that_was_convicted_before (failed before: 200 from a server) passes.

--- a/jujubewind/src/conviction/suspect_registry.rs
+++ b/jujubewind/src/conviction/suspect_registry.rs
@@ -175,6 +175,15 @@
         self.suspects(now, order.into_iter().map(|(_, fingerprint)| fingerprint))
     }
 
+    /// Returns what has enough crashes to be refused, for an entry that has not heard of it.
+    #[must_use]
+    pub fn convicted(&self, now: MonoTime) -> Vec<Suspect> {
+        let is_convicted = |history: &CrashHistory| history.counted(now).count() >= TOTAL_LIMIT;
+        let histories = self.histories.iter();
+        let convicted = histories.filter(|(_, history)| is_convicted(history));
+        self.suspects(now, convicted.map(|(fingerprint, _)| *fingerprint))
+    }
+
     fn suspects(
         &self,
         now: MonoTime,
--- a/jujubewind/src/direct/control/crashes.rs
+++ b/jujubewind/src/direct/control/crashes.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// What is refused since it crashed backend servers.
+    pub(super) fn convicted(&self, now: MonoTime) -> Vec<Suspect> {
+        self.suspects.convicted(now)
+    }
+
     /// Merges what a peer suspects. An answer that went on here clears a part there.
     pub(super) fn merge_suspects(&mut self, now: MonoTime, peer: &NodeId, suspects: &[Suspect]) {
         let prints = || suspects.iter().map(|suspect| suspect.print);
--- a/jujubewind/src/direct/control/updates.rs
+++ b/jujubewind/src/direct/control/updates.rs
@@ -5,6 +5,7 @@
 
 use super::limits::FULL_UPDATE_PERIOD;
 use super::task::Task;
+use crate::conviction::limits::MAX_SUSPECTS_PER_MESSAGE;
 use crate::direct::BootTime;
 use crate::direct::Datagram;
 use crate::direct::Digest;
@@ -59,18 +60,24 @@
         self.dirty = true;
     }
 
-    /// Tells a peer that has just been listed which table is in force and who takes no requests.
+    /// Tells a peer that has just been listed which table is in force, who takes no requests and what
+    /// is convicted.
     pub(super) fn greet(&mut self, now: MonoTime, addr: SocketAddr) {
-        self.stamp.number += 1;
-        let digest = Digest {
-            node: self.node.clone(),
-            stamp: self.stamp,
-            rows: Vec::new(),
-            suspects: Vec::new(),
-            notices: self.core.notices().to_peers(now),
-            newest: self.shared.state.vouched_version(BootTime::now()),
-        };
-        self.send_digest(Datagram::Load(digest), Rc::new([addr]));
+        let convicted = self.core.convicted(now);
+        let mut suspects = convicted.chunks(MAX_SUSPECTS_PER_MESSAGE);
+        let mut notices = self.core.notices().to_peers(now);
+        for _ in 0..suspects.len().max(1) {
+            self.stamp.number += 1;
+            let digest = Digest {
+                node: self.node.clone(),
+                stamp: self.stamp,
+                rows: Vec::new(),
+                suspects: suspects.next().unwrap_or_default().to_vec(),
+                notices: std::mem::take(&mut notices),
+                newest: self.shared.state.vouched_version(BootTime::now()),
+            };
+            self.send_digest(Datagram::Load(digest), Rc::new([addr]));
+        }
     }
 
     /// Sends changed rows to peers, and periodically all of them.
