Count no crash of a server that responds later, nor parts for one request

Cause: a broken connection was taken for a crash, and the parts of one request were convicted by its own attempts. Change: a response 0.5 s after the break or later clears that server's crash everywhere; a part is not blamed for crashes that a single request explains; retries are refused for their parts only, as they were never refused for themselves.

--- a/jujubewind/src/conviction/crash_history.rs
+++ b/jujubewind/src/conviction/crash_history.rs
@@ -9,6 +9,7 @@
 use super::Verdict;
 use super::limits::ALONE_LIMIT;
 use super::limits::CRASH_TTL;
+use super::limits::LATE_RESPONSE;
 use super::limits::MAX_MARKS_PER_REQUEST;
 use super::limits::TOTAL_LIMIT;
 use crate::refusal::Reason;
@@ -66,6 +67,16 @@
         true
     }
 
+    /// Clears a crash if it was reported long enough ago that a response now is none from before.
+    /// Returns whether it was counted.
+    pub(super) fn disprove(&mut self, now: MonoTime, crash: u64) -> bool {
+        let Some(report) = self.reports.get_mut(&crash) else {
+            return false;
+        };
+        let is_settled = now.since(report.at) >= LATE_RESPONSE;
+        is_settled && !std::mem::replace(&mut report.cleared, true)
+    }
+
     /// Whether all crashes that count against `other` count against this one as well.
     pub(super) fn covers(&self, now: MonoTime, other: &Self) -> bool {
         other
--- a/jujubewind/src/conviction/limits.rs
+++ b/jujubewind/src/conviction/limits.rs
@@ -14,6 +14,8 @@
 pub const MAX_MARKS_PER_REQUEST: usize = 8;
 /// Maximum number of suspects in one message.
 pub const MAX_SUSPECTS_PER_MESSAGE: usize = 8;
+/// How long after a crash responses that were on their way may still arrive.
+pub const LATE_RESPONSE: Millis = Millis(500);
 /// How long an answer must go on until it shows that the parts of its prompt are sound.
 pub const PROGRESS_SPAN: Millis = Millis(1_000);
 /// How long after an answer on a part went on no crash is attributed to the part.
--- a/jujubewind/src/conviction/prints.rs
+++ b/jujubewind/src/conviction/prints.rs
@@ -20,12 +20,6 @@
         let parts = self.parts.iter().copied();
         parts.chain([self.request])
     }
-
-    /// Whether the request or one of its parts has this fingerprint.
-    #[must_use]
-    pub fn contain(&self, print: Fingerprint) -> bool {
-        self.request == print || self.parts.contains(&print)
-    }
 }
 
 impl From<Fingerprint> for Prints {
--- a/jujubewind/src/conviction/suspect_registry.rs
+++ b/jujubewind/src/conviction/suspect_registry.rs
@@ -36,20 +36,21 @@
         history.map_or(Verdict::Run, |history| history.verdict(now))
     }
 
-    /// Returns the refusal of a request that is convicted, as a whole or by a part of its prompt.
+    /// Returns the refusal of a request of which a part of the prompt is convicted.
     ///
-    /// A part is not to blame if something that the request lacks shares all of its crashes.
+    /// A part is not to blame if a single request, or something that this request lacks, shares all
+    /// of its crashes.
     #[must_use]
-    pub fn refusal(&self, now: MonoTime, prints: &Prints) -> Option<Refusal> {
-        let blamed = |part: &&Fingerprint| self.is_blamed(now, **part, prints);
-        let part = prints.parts.iter().find(blamed).copied();
-        match self.verdict(now, part.unwrap_or(prints.request)) {
+    pub fn part_refusal(&self, now: MonoTime, prints: &Prints) -> Option<Refusal> {
+        let blamed = |part: &&Fingerprint| self.is_blamed(now, **part, &prints.parts);
+        let part = prints.parts.iter().find(blamed)?;
+        match self.verdict(now, *part) {
             Verdict::Refuse(refusal) => Some(refusal),
             Verdict::Run | Verdict::Alone => None,
         }
     }
 
-    fn is_blamed(&self, now: MonoTime, part: Fingerprint, prints: &Prints) -> bool {
+    fn is_blamed(&self, now: MonoTime, part: Fingerprint, parts: &[Fingerprint]) -> bool {
         let Some(history) = self.histories.get(&part) else {
             return false;
         };
@@ -57,10 +58,20 @@
             return false;
         }
         let others = self.histories.iter();
-        let mut absent = others.filter(|(print, _)| !prints.contain(**print));
+        let mut absent = others.filter(|(print, _)| !parts.contains(print));
         !absent.any(|(_, other)| other.covers(now, history))
     }
 
+    /// Records that a backend server responds, so that it did not crash at the report with the id
+    /// `crash`.
+    pub fn record_alive(&mut self, now: MonoTime, crash: u64) {
+        for (fingerprint, history) in &mut self.histories {
+            if history.disprove(now, crash) {
+                self.urgent.insert(*fingerprint);
+            }
+        }
+    }
+
     /// Returns the number of crashes that are counted against the request.
     #[must_use]
     pub fn crashes(&self, now: MonoTime, fingerprint: Fingerprint) -> usize {
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -128,8 +128,10 @@
             }
             Outcome::Refused | Outcome::Abandoned => {}
         }
-        if outcome == Outcome::Broken {
-            self.record_crash(now, server, &prints, has_progressed);
+        match outcome {
+            Outcome::Broken => self.record_crash(now, server, &prints, has_progressed),
+            Outcome::Served | Outcome::Faulty => self.record_alive(now, server),
+            _ => {}
         }
     }
 
--- a/jujubewind/src/direct/control/crashes.rs
+++ b/jujubewind/src/direct/control/crashes.rs
@@ -52,6 +52,17 @@
         }
     }
 
+    /// Records that a backend server responded: connections to it that broke before were no crash.
+    pub(super) fn record_alive(&mut self, now: MonoTime, server: &ServerId) {
+        let listed = self.roster.get(server);
+        if self.suspects.is_empty() || listed.is_none_or(|listed| listed.started.is_none()) {
+            return;
+        }
+        if let Some(crash) = self.roster.crash_identity(server) {
+            self.suspects.record_alive(now, crash.id());
+        }
+    }
+
     /// What is refused since it crashed backend servers.
     pub(super) fn convicted(&self, now: MonoTime) -> Vec<Suspect> {
         self.suspects.convicted(now)
--- a/jujubewind/src/direct/control/queueing.rs
+++ b/jujubewind/src/direct/control/queueing.rs
@@ -5,6 +5,7 @@
 use super::Core;
 use super::Verdict;
 use super::candidate_set::CandidateSet;
+use crate::conviction;
 use crate::conviction::Prints;
 use crate::direct::Job;
 use crate::direct::JobId;
@@ -19,13 +20,18 @@
     /// Admits a new request: counts it towards the retry budget, refuses it if its content is
     /// convicted of crashing servers, and otherwise places or queues it.
     pub fn admit(&mut self, now: MonoTime, job: Job, prints: impl Into<Prints>) -> Option<Verdict> {
+        let prints = prints.into();
         self.budget(&job.service).request(now);
-        self.readmit(now, job, prints.into())
+        if let conviction::Verdict::Refuse(refusal) = self.suspects.verdict(now, prints.request) {
+            return Some(Verdict::Refuse(refusal));
+        }
+        self.readmit(now, job, prints)
     }
 
-    /// Admits a request that was admitted before, unless its content has been convicted since.
+    /// Admits a request that was admitted before, unless a part of its prompt has been convicted
+    /// since.
     pub fn readmit(&mut self, now: MonoTime, job: Job, prints: Prints) -> Option<Verdict> {
-        if let Some(refusal) = self.suspects.refusal(now, &prints) {
+        if let Some(refusal) = self.suspects.part_refusal(now, &prints) {
             return Some(Verdict::Refuse(refusal));
         }
         let id = job.id;
@@ -118,7 +124,7 @@
 
     fn queued_refusal(&self, now: MonoTime, id: JobId) -> Option<Refusal> {
         let prints = self.queued_prints.get(&id)?;
-        self.suspects.refusal(now, prints)
+        self.suspects.part_refusal(now, prints)
     }
 }
 
