--- a/jujubewind/src/conviction/crash_history.rs
+++ b/jujubewind/src/conviction/crash_history.rs
@@ -41,7 +41,7 @@
             at: MonoTime::from_micros(at),
         };
         let Some(ours) = self.reports.get_mut(&mark.crash) else {
-            if mark.age >= CRASH_TTL || !self.has_room(mark) {
+            if mark.age >= CRASH_TTL || !self.make_room(mark) {
                 return false;
             }
             self.reports.insert(mark.crash, theirs);
@@ -53,8 +53,9 @@
         known != (ours.alone, ours.cleared)
     }
 
-    /// Makes room for a crash that counts, if necessary in place of the oldest cleared one.
-    fn has_room(&mut self, mark: &Mark) -> bool {
+    /// Makes room for a crash that counts, if necessary in place of the oldest cleared one. Returns
+    /// whether there is room.
+    fn make_room(&mut self, mark: &Mark) -> bool {
         if self.reports.len() < MAX_MARKS_PER_REQUEST {
             return true;
         }
--- a/jujubewind/src/direct/api/hop.rs
+++ b/jujubewind/src/direct/api/hop.rs
@@ -48,3 +48,8 @@
     ];
     hop.contains(name)
 }
+
+/// Whether a response has a length or chunks; otherwise it ends with its connection.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -5,18 +5,16 @@
 use futures::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
-use hyper::HeaderMap;
 use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
 
 use super::events::EventSplitter;
 use super::exchange::Exchange;
 use super::gap_tracker::GapTracker;
 use super::hop::end_to_end;
+use super::hop::is_framed;
 use super::limits::EVENT_GAP_PERMILLE;
 use super::target::Target;
 use super::upstream_response::UpstreamResponse;
@@ -299,8 +297,3 @@
         self.patient = false;
     }
 }
-
-/// Whether a response has a length or chunks; otherwise it ends with its connection.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
