--- a/jujubewind/tests/direct/departures.rs
+++ b/jujubewind/tests/direct/departures.rs
@@ -143,8 +143,7 @@
     assert!(uses(&mut entry, 4_000, 0));
 }
 
-/// One entry loses the store for a random time, and notices the end of the outage late; a peer that
-/// always reaches it sends updates, of which some are lost.
+/// A peer reaches the store all the time; some of its updates are lost.
 #[test]
 fn servers_that_left_get_nothing_after_two_seconds_whoever_lost_the_store() {
     for seed in 0..SEEDS {
