Log how each request ends: truncated, abandoned by its caller, or at its deadline

Added: answer_truncated with its cause (and the counter jujube_direct_truncated), caller_left, server_silent, not_taken_over; deadline as a cause of its own. jujube trace tells the new ends. No decision changes.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -61,9 +61,25 @@
     runs: Cell<u32>,
     /// The number of times that memory was reserved for it.
     reservations: Cell<u32>,
+    /// Whether the caller has got an answer, or the end of one that was truncated.
+    is_ended: Cell<bool>,
     _open_request: OpenRequest<D>,
 }
 
+impl<D> Drop for Exchange<D> {
+    fn drop(&mut self) {
+        if !self.is_ended.get() {
+            crate::event!(
+                info,
+                "caller_left",
+                request = self.call.id,
+                runs = self.runs.get(),
+                took = self.gateway.clock.now().since(self.arrived),
+            );
+        }
+    }
+}
+
 impl<D: Dialect> Exchange<D> {
     pub(super) fn new(
         gateway: Rc<Gateway<D>>,
@@ -99,6 +115,7 @@
             excluded: RefCell::default(),
             runs: Cell::new(0),
             reservations: Cell::new(0),
+            is_ended: Cell::new(false),
             _open_request: open_request,
         })
     }
@@ -109,13 +126,15 @@
         let left = self.left(&target);
         let serving = self.clone().serve(target);
         match compio::time::timeout(left.duration(), serving).await {
-            Ok(outcome) => outcome.map_err(|failure| self.correct_ran(failure)),
-            Err(_) => Err(self.timed_out()),
+            Ok(outcome) => outcome.map_err(|failure| self.end_failed(failure)),
+            Err(_) => Err(self.end_failed(self.timed_out())),
         }
     }
 
-    /// Turns "not run" into "unknown" if an earlier attempt may have run the request.
-    fn correct_ran(&self, failure: Failure) -> Failure {
+    /// Ends the request with a failure; turns "not run" into "unknown" if an earlier attempt may have
+    /// run the request.
+    fn end_failed(&self, failure: Failure) -> Failure {
+        self.is_ended.set(true);
         if failure.ran == Ran::NotRun && self.runs.get() > 0 {
             return Failure::in_doubt(failure.reason);
         }
--- a/jujubewind/src/direct/api/exchange/report.rs
+++ b/jujubewind/src/direct/api/exchange/report.rs
@@ -1,5 +1,7 @@
 //! Logging and metrics of one request.
 
+use std::fmt::Display;
+
 use hyper::StatusCode;
 
 use super::super::target::Target;
@@ -18,6 +20,7 @@
         outcome: Outcome,
         max_gap: Millis,
     ) {
+        self.is_ended.set(true);
         let took = self.gateway.clock.now().since(self.arrived);
         self.gateway
             .metrics
@@ -67,12 +70,50 @@
         );
     }
 
+    /// Logs that a backend server has sent nothing for `quiet`.
+    pub(in crate::direct::api) fn log_silent(&self, placement: &Placement, quiet: Millis) {
+        crate::event!(
+            info,
+            "server_silent",
+            request = self.call.id,
+            server = placement.primary.id,
+            quiet = quiet,
+            runs = self.runs.get(),
+        );
+    }
+
+    /// Logs that no other backend server took the request over, and why.
+    pub(in crate::direct::api) fn log_kept(&self, reason: &dyn Display) {
+        crate::event!(
+            info,
+            "not_taken_over",
+            request = self.call.id,
+            reason = reason,
+            runs = self.runs.get(),
+        );
+    }
+
+    /// Logs that the answer was truncated after the event `last`, and why.
+    pub(in crate::direct::api) fn log_truncated(&self, what: &'static str, last: Option<u64>) {
+        self.is_ended.set(true);
+        self.gateway.metrics.count_truncated(what);
+        crate::event!(
+            warn,
+            "answer_truncated",
+            request = self.call.id,
+            what = what,
+            last = last.unwrap_or_default(),
+            runs = self.runs.get(),
+            took = self.gateway.clock.now().since(self.arrived),
+        );
+    }
+
     /// Logs that an attempt failed: `what` went wrong, and its `cause`.
     pub(in crate::direct::api) fn log_attempt_failure(
         &self,
         placement: &Placement,
         what: &str,
-        cause: impl std::fmt::Display,
+        cause: impl Display,
     ) {
         let took = self.gateway.clock.now().since(self.arrived);
         crate::event!(
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -1,5 +1,6 @@
 //! Forwards a stream event by event and resumes it at another backend server if necessary.
 
+use std::fmt::Display;
 use std::rc::Rc;
 
 use futures::stream;
@@ -31,6 +32,8 @@
 
 /// The backend server sends no events.
 const SILENT: &str = "silent";
+/// The caller's or the route's timeout has passed.
+const DEADLINE: &str = "deadline";
 /// Reserved memory can no longer serve the request.
 const MEMORY_LOST: &str = "memory_lost";
 /// The backend server sends bytes that are no events.
@@ -125,6 +128,7 @@
                     let may_retry = self.exchange.may_retry(&self.target).await;
                     if !may_retry || !self.resume(what).await {
                         self.end_broken(what);
+                        self.exchange.log_truncated(what, self.last);
                         return Some((Err(TruncatedBody), self));
                     }
                 }
@@ -148,7 +152,8 @@
             return Step::Broken(MEMORY_LOST);
         };
         match frame {
-            Err(_) if is_patient || wait == left => Step::Broken(SILENT),
+            Err(_) if wait == left => Step::Broken(DEADLINE),
+            Err(_) if is_patient => Step::Broken(SILENT),
             Err(_) => Step::Silent,
             Ok(Some(Err(_))) => Step::Broken("broken"),
             Ok(Some(Ok(frame))) => self.accept_frame(frame),
@@ -228,10 +233,8 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        let left = self.exchange.left(&self.target);
         let outcome = match what {
-            SILENT if left == Millis::ZERO => Outcome::Abandoned,
-            MEMORY_LOST => Outcome::Abandoned,
+            DEADLINE | MEMORY_LOST => Outcome::Abandoned,
             SILENT => Outcome::Silent,
             MALFORMED => Outcome::Malformed,
             _ => Outcome::Broken,
@@ -262,10 +265,12 @@
     /// Resumes the stream at another backend server if one responds while the caller waits. If none
     /// does, the silent one is kept, as it may be slow but sound.
     async fn replace_silent(&mut self) {
+        let quiet = self.exchange.gateway.clock.now().since(self.progress);
         if let Some(source) = &self.source {
-            self.exchange.exclude(&source.grant.placement.primary.id);
+            let placement = &source.grant.placement;
+            self.exchange.log_silent(placement, quiet);
+            self.exchange.exclude(&placement.primary.id);
         }
-        let quiet = self.exchange.gateway.clock.now().since(self.progress);
         let patience = self.target.route.client_timeout.saturating_sub(quiet);
         match self.open_again(patience).await {
             Some(upstream) => {
@@ -280,9 +285,14 @@
     async fn open_again(&self, timeout: Millis) -> Option<UpstreamResponse> {
         let opening = self.exchange.open(self.target.clone(), self.last, true);
         let timeout = timeout.min(self.exchange.left(&self.target));
-        let opened = compio::time::timeout(timeout.duration(), opening).await;
-        let upstream = opened.ok()?.ok()?;
-        upstream.response.status().is_success().then_some(upstream)
+        let kept = |reason: &dyn Display| self.exchange.log_kept(reason);
+        match compio::time::timeout(timeout.duration(), opening).await {
+            Ok(Ok(upstream)) if upstream.response.status().is_success() => return Some(upstream),
+            Ok(Ok(upstream)) => kept(&upstream.response.status()),
+            Ok(Err(failure)) => kept(&failure.reason),
+            Err(_) => kept(&"no response in time"),
+        }
+        None
     }
 
     fn continue_at(&mut self, upstream: UpstreamResponse) {
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -30,6 +30,12 @@
     kind: &'static str,
 }
 
+/// The label of counters by cause.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 /// The label of histograms by decade of the prompt's length.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DecadeLabel {
@@ -59,6 +65,7 @@
     registry: Registry,
     refusals: ReasonCounter,
     outcomes: Family<OutcomeLabel, Counter>,
+    truncated: Family<CauseLabel, Counter>,
     retries: Counter,
     notices: Family<NoticeLabel, Counter>,
     dropped_digests: Counter,
@@ -81,6 +88,7 @@
             registry: Registry::with_prefix("jujube_direct"),
             refusals: ReasonCounter::default(),
             outcomes: Family::default(),
+            truncated: Family::default(),
             retries: Counter::default(),
             notices: Family::default(),
             dropped_digests: Counter::default(),
@@ -113,6 +121,11 @@
         self.outcomes.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts an answer that was truncated, by cause.
+    pub fn count_truncated(&self, cause: &'static str) {
+        self.truncated.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// Counts a request that was sent again.
     pub fn count_retry(&self) {
         self.retries.inc();
@@ -184,6 +197,11 @@
             "Stays at backend servers, by outcome",
             self.outcomes.clone(),
         );
+        registry.register(
+            "truncated",
+            "Answers that ended before they were complete, by cause",
+            self.truncated.clone(),
+        );
         registry.register("repeats", "Requests sent once more", self.retries.clone());
         registry.register(
             "notices",
--- a/jujubewind/src/trace/request_outcome.rs
+++ b/jujubewind/src/trace/request_outcome.rs
@@ -15,6 +15,10 @@
     Failed(Fields),
     /// The last attempt failed and nothing followed: the answer was cut off, or the process ended.
     Interrupted(Fields),
+    /// The caller got a part of the answer.
+    Truncated(Fields),
+    /// The caller disconnected before the answer was complete.
+    Abandoned(Fields),
     /// The request was still running when the log ends.
     InProgress(Fields),
 }
@@ -27,6 +31,8 @@
         Some(match fields.get("event") {
             Some("request_ended") => Self::Served(fields),
             Some("request_failed") => Self::Failed(fields),
+            Some("answer_truncated") => Self::Truncated(fields),
+            Some("caller_left") => Self::Abandoned(fields),
             Some("attempt_failed") => Self::Interrupted(fields),
             _ => Self::InProgress(fields),
         })
@@ -59,6 +65,19 @@
                 field(line, "what"),
                 field(line, "cause"),
             ),
+            Self::Truncated(line) => write!(
+                f,
+                "Truncated after {}: the answer ended after event {} ({}) in {} attempt(s).",
+                field(line, "took"),
+                field(line, "last"),
+                field(line, "what"),
+                field(line, "runs"),
+            ),
+            Self::Abandoned(line) => write!(
+                f,
+                "Abandoned after {}: its caller disconnected.",
+                field(line, "took"),
+            ),
             Self::InProgress(line) => write!(
                 f,
                 "Still running at {} when the log ends: its process stopped, or its caller \
--- a/jujubewind/tests/operations.rs
+++ b/jujubewind/tests/operations.rs
@@ -40,6 +40,7 @@
     let agent = AgentMetrics::default().encode(0, Tokens(0));
     let direct = DirectMetrics::default();
     direct.count_outcome(Outcome::Served);
+    direct.count_truncated("deadline");
     direct.count_notice(Notice {
         leaving: true,
         pause: None,
--- a/jujubewind/tests/trace.rs
+++ b/jujubewind/tests/trace.rs
@@ -66,6 +66,22 @@
     );
 }
 
+#[test]
+fn a_truncated_answer_and_a_caller_that_left_are_told_apart() {
+    let truncated = "ts=2026-03-01T10:00:02.000Z level=WARN event=answer_truncated request=a1 what=deadline last=7 runs=1 took=1990ms";
+    let left =
+        "ts=2026-03-01T10:00:02.000Z level=INFO event=caller_left request=a1 runs=1 took=1990ms";
+
+    insta::assert_snapshot!(
+        outcome("a1", &[ENTRY_1, truncated]),
+        @"Truncated after 1990ms: the answer ended after event 7 (deadline) in 1 attempt(s)."
+    );
+    insta::assert_snapshot!(
+        outcome("a1", &[ENTRY_1, left]),
+        @"Abandoned after 1990ms: its caller disconnected."
+    );
+}
+
 #[test]
 fn a_refused_request_is_reported_as_not_run() {
     let log = "ts=1 level=INFO event=request_failed request=c3 prompt=5 reason=queue_full ran=not_run retry=300ms table=7 proof=900ms took=2ms";
