Read the body of a request that is refused

A request that was refused before its body had been read (the process stops, no configuration yet, unreadable head) was answered at its head, and its connection closed. Bytes that arrived afterwards reset the connection, and the caller, still sending, met a broken pipe instead of reading the refusal.

The body is now read first, within the limits on size and time (the default limits if there is no table yet), and the refusal is decided afterwards. A body over the limits is still refused before it has been read.

A refusal for want of a configuration takes the same path and has no test of its own.

--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -181,23 +181,32 @@
         }
     }
 
+    /// Reads the body, even of a request that is refused: a caller that is still sending when its
+    /// connection is closed may not get the reply.
+    async fn read_body(&self, body: Incoming) -> http::Result<Vec<u8>> {
+        let limits = self.state.table().map(|table| table.limits.clone());
+        let limits = limits.unwrap_or_default();
+        http::read_body(body, limits.body, limits.arrival).await
+    }
+
     async fn serve(
         self: &Rc<Self>,
         arrived: MonoTime,
-        call: &Call,
+        call: Result<&Call, Failure>,
         parts: Parts,
         body: Incoming,
     ) -> Result<Reply, Failure> {
+        if !self.refusing.get() {
+            self.wait_until_configured().await;
+        }
+        let body = self.read_body(body).await;
+        let call = call?;
         if self.refusing.get() {
             return Err(Failure::not_run(Reason::Stopping, self.settings.retry));
         }
-        self.wait_until_configured().await;
-        let Some(table) = self.state.table() else {
+        if self.state.table().is_none() {
             return Err(Failure::not_run(Reason::NoCatalogue, STARTUP_RETRY_AFTER));
-        };
-        let limits = table.limits.clone();
-        drop(table);
-        let body = http::read_body(body, limits.body, limits.arrival).await;
+        }
         let body = body.map_err(|error| body_failure(&error))?;
         let open_request = OpenRequest::new(self.clone());
         let exchange = Exchange::new(
@@ -217,10 +226,8 @@
         let arrived = self.clock.now();
         let (parts, body) = request.into_parts();
         let call = self.dialect.parse_request(&parts);
-        let outcome = match &call {
-            Ok(call) => self.serve(arrived, call, parts, body).await,
-            Err(failure) => Err(failure.clone()),
-        };
+        let readable = call.as_ref().map_err(Clone::clone);
+        let outcome = self.serve(arrived, readable, parts, body).await;
         let mut reply = outcome.unwrap_or_else(|failure| {
             let call = call.as_ref().ok();
             self.log_failure(arrived, call, &failure);
