Keep idle connections open until a stop ends

2.5 s after a stop signal an entry closed its idle connections, though it mostly ran on for some seconds for its open requests. A request that was sent just before met a closed connection.

Idle connections are now closed once no request is open. Until then a late request is refused with `Connection: close`. The process does not run longer for it.

--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -171,7 +171,6 @@
             let elapsed = self.timer.clock().now().since(started);
             if elapsed >= settings.accept {
                 gateway.refuse();
-                self.serving.close();
                 self.control.send(Message::Drain);
             }
             let is_drained = elapsed >= settings.accept && gateway.open() == 0;
@@ -179,6 +178,8 @@
                 break;
             }
         }
+        // Idle connections stay open until here, so that a late request is refused and not reset.
+        self.serving.close();
         // Gives the connections time to send their last bytes.
         self.timer.sleep(STOP_POLL_INTERVAL).await;
         crate::event!(info, "stopped", open = gateway.open());
