Wait for connections in use before a stopped process exits

A request counts only once its body has been read, and until its response has been handed to hyper: a caller whose body was arriving met a broken pipe, and a caller that read a large response slowly got a part of it.

The server counts its connections. Once no request is open and idle connections are closed, the process waits until the rest have ended, within the grace period; they end with the response in progress. Connections that are accepted after the close are not counted, as an idle one would last until its timeout.

--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -31,6 +31,7 @@
 use crate::timer::TimerService;
 use crate::types::Incarnation;
 use crate::types::Millis;
+use crate::types::MonoTime;
 use crate::types::NodeId;
 
 /// How often a shutdown checks for open requests.
@@ -180,8 +181,19 @@
         }
         // Idle connections stay open until here, so that a late request is refused and not reset.
         self.serving.close();
-        // Gives the connections time to send their last bytes.
-        self.timer.sleep(STOP_POLL_INTERVAL).await;
+        self.wait_for_connections(started, settings.grace).await;
         crate::event!(info, "stopped", open = gateway.open());
     }
+
+    /// Waits until the connections have read the requests that are arriving and sent their last bytes,
+    /// at most until the grace period is over.
+    async fn wait_for_connections(&self, started: MonoTime, grace: Millis) {
+        loop {
+            self.timer.sleep(STOP_POLL_INTERVAL).await;
+            let elapsed = self.timer.clock().now().since(started);
+            if self.serving.connections() == 0 || elapsed >= grace {
+                return;
+            }
+        }
+    }
 }
--- a/jujubewind/src/http/mod.rs
+++ b/jujubewind/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP server on compio: connections, bodies with limits and event streams.
 
 mod body;
+mod counted_connection;
 mod error;
 mod events;
 mod response;
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -38,6 +38,7 @@
 
 /// Serves one connection; once `handle` is closed, it ends after the request in progress.
 async fn serve_connection<H: Handler>(stream: TcpStream, handler: Rc<H>, handle: ServerHandle) {
+    let _counted = handle.count_connection();
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
--- a/jujubewind/src/http/server_handle.rs
+++ b/jujubewind/src/http/server_handle.rs
@@ -8,6 +8,7 @@
 use flume::Receiver;
 use flume::Sender;
 
+use super::counted_connection::CountedConnection;
 use crate::types::Millis;
 
 /// Default timeout for the header of a request; it ends slow-loris connections.
@@ -20,6 +21,7 @@
     /// Dropped to signal `closed`; nothing is ever sent.
     open: Rc<RefCell<Option<Sender<Infallible>>>>,
     closed: Receiver<Infallible>,
+    connections: Rc<Cell<usize>>,
 }
 
 impl ServerHandle {
@@ -31,6 +33,7 @@
             header_timeout: Rc::new(Cell::new(DEFAULT_HEADER_TIMEOUT)),
             open: Rc::new(RefCell::new(Some(open))),
             closed,
+            connections: Rc::default(),
         }
     }
 
@@ -46,6 +49,19 @@
         drop(self.open.borrow_mut().take());
     }
 
+    /// The number of open connections, without those that were accepted after `close`.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// Counts a new connection; `None` after `close`, as nothing ends such a connection if it stays
+    /// idle.
+    pub(super) fn count_connection(&self) -> Option<CountedConnection> {
+        let is_open = self.open.borrow().is_some();
+        is_open.then(|| CountedConnection::new(self.connections.clone()))
+    }
+
     pub(super) fn header_timeout(&self) -> Millis {
         self.header_timeout.get()
     }
