--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -172,6 +172,7 @@
             let elapsed = self.timer.clock().now().since(started);
             if elapsed >= settings.accept {
                 gateway.refuse();
+                self.serving.close();
                 self.control.send(Message::Drain);
             }
             let is_drained = elapsed >= settings.accept && gateway.open() == 0;
@@ -179,8 +180,6 @@
                 break;
             }
         }
-        // Idle connections stay open until here, so that a late request is refused and not reset.
-        self.serving.close();
         self.wait_for_connections(started, settings.grace).await;
         crate::event!(info, "stopped", open = gateway.open());
     }
