Never end an answer because its engine is silent

Seen by callers: a stream broke off in the middle with seconds of its time left, though its engine was sound: it had been silent for two seconds, and either a second engine had taken the stream over and was silent as well, or the one that was asked did not answer.

Cause: once no other engine could take over, the entry waited for an event only as long as the caller was assumed to wait, and then truncated the answer. It counted from the event's arrival at the entry, the caller from a later arrival of its own, so that the entry was first. Class of fault: the lack of a sign was taken for a failure, and acted on for the party that was still waiting.

Change: a stream that nobody takes over is read until its deadline. Its caller leaves when it likes; that closes the connection to the engine.

--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -73,8 +73,7 @@
     is_framed: bool,
     /// When the stream last made progress.
     progress: MonoTime,
-    /// Whether a silent backend server is waited for as long as the caller waits, as no other may
-    /// take over.
+    /// Whether no other backend server takes the stream over, so that a silent one is waited for.
     patient: bool,
 }
 
@@ -139,7 +138,6 @@
     async fn step(&mut self) -> Step {
         let left = self.exchange.left(&self.target);
         let quiet = self.exchange.gateway.clock.now().since(self.progress);
-        let is_patient = self.patient || !self.target.route.resumable;
         let wait = match self.max_silence() {
             Some(silence) => silence.saturating_sub(quiet).min(left),
             None => left,
@@ -153,7 +151,6 @@
         };
         match frame {
             Err(_) if wait == left => Step::Broken(DEADLINE),
-            Err(_) if is_patient => Step::Broken(SILENT),
             Err(_) => Step::Silent,
             Ok(Some(Err(_))) => Step::Broken("broken"),
             Ok(Some(Ok(frame))) => self.accept_frame(frame),
@@ -165,17 +162,15 @@
         }
     }
 
-    /// How long the backend server may send no events; `None` if it is waited for until the deadline.
-    ///
-    /// A caller leaves after its client timeout, so a stream that no other engine may take over is
-    /// waited for as long.
+    /// How long the backend server may send no events before another one is asked to take over;
+    /// `None` if none may. The caller decides how long it waits for an event: silence alone never
+    /// ends the answer.
     fn max_silence(&self) -> Option<Millis> {
-        let client_timeout = self.target.route.client_timeout;
-        match (self.target.route.resumable, self.patient) {
-            (false, _) => None,
-            (true, true) => Some(client_timeout),
-            (true, false) => Some(Millis(client_timeout.get() * EVENT_GAP_PERMILLE / 1_000)),
+        if self.patient || !self.target.route.resumable {
+            return None;
         }
+        let client_timeout = self.target.route.client_timeout.get();
+        Some(Millis(client_timeout * EVENT_GAP_PERMILLE / 1_000))
     }
 
     fn accept_frame(&mut self, frame: Frame<Bytes>) -> Step {
