Keep a silent attempt until another back end has responded

Seen by callers: a request whose server sent nothing for its response timeout ended with 502 and seconds of its time left, ran a second time at the same server, or waited for a server that never answered while the first one did.

Cause: the wait for the head of a response closed the connection to the silent server first and asked for a retry and another server afterwards. If the retry budget, the queue or the other server refused, nobody was left to answer.

Change: the attempt goes on beside another one (response.rs); the response that begins first is forwarded, and a refusal of the other leaves the first. A server that still has the request is not sent it again. What may run once is not affected, and a connection that breaks is a failure as before.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -3,6 +3,8 @@
 mod attempt;
 mod demand;
 mod report;
+mod response;
+mod sent_request;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -57,6 +59,8 @@
     arrived: MonoTime,
     draw: u64,
     excluded: RefCell<Vec<ServerId>>,
+    /// Silent backend servers that may still answer.
+    silent: RefCell<Vec<ServerId>>,
     /// The number of backend servers that may have run the request.
     runs: Cell<u32>,
     /// The number of times that memory was reserved for it.
@@ -113,6 +117,7 @@
             body,
             arrived,
             excluded: RefCell::default(),
+            silent: RefCell::default(),
             runs: Cell::new(0),
             reservations: Cell::new(0),
             is_ended: Cell::new(false),
@@ -174,6 +179,9 @@
                 .place(job, self.prints.clone(), again)
                 .await?;
             again = true;
+            if self.silent.borrow().contains(&grant.placement.primary.id) {
+                return Err(self.failure(Reason::NoBackend));
+            }
             let current = self.resolve()?;
             let service_changed = current.service != target.service;
             target = current;
@@ -223,6 +231,17 @@
         size.map_or(Tokens::ZERO, |size| size.prompt)
     }
 
+    /// Records that a server is silent but keeps the request: no attempt is made there meanwhile.
+    pub(super) fn keep_silent(&self, server: &ServerId) {
+        self.exclude(server);
+        self.silent.borrow_mut().push(server.clone());
+    }
+
+    /// Records that a server that was silent has answered or has lost the request.
+    pub(super) fn end_silence(&self, server: &ServerId) {
+        self.silent.borrow_mut().retain(|other| other != server);
+    }
+
     pub(super) fn exclude(&self, server: &ServerId) {
         self.excluded.borrow_mut().push(server.clone());
     }
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -9,9 +9,7 @@
 use hyper::StatusCode;
 
 use super::super::hop::end_to_end;
-use super::super::limits::FIRST_EVENT_PERMILLE;
 use super::super::limits::MAX_RESPONSE_BYTES;
-use super::super::limits::MIN_RESPONSE_TIMEOUT;
 use super::super::limits::RESERVATION_RETRY_DELAY;
 use super::super::reservations::Reservations;
 use super::super::target::Target;
@@ -19,14 +17,12 @@
 use super::AttemptError;
 use super::Exchange;
 use super::Result;
+use super::sent_request::SentRequest;
 use crate::direct::Connection;
 use crate::direct::Dialect;
 use crate::direct::Grant;
 use crate::direct::Message;
 use crate::direct::Outcome;
-use crate::direct::Placement;
-use crate::direct::RouteKind;
-use crate::direct::SendFault;
 use crate::direct::Server;
 use crate::http;
 use crate::http::Reply;
@@ -35,11 +31,11 @@
 use crate::types::Tokens;
 
 /// The result of an attempt.
-type AttemptResult<T> = std::result::Result<T, AttemptError>;
+pub(super) type AttemptResult<T> = std::result::Result<T, AttemptError>;
 
 impl<D: Dialect> Exchange<D> {
-    /// Sends the request to one backend server. The outer error ends the request, the inner one the
-    /// attempt.
+    /// Sends the request to one backend server and waits for the head of its response. The outer
+    /// error ends the request, the inner one the attempt.
     pub(super) async fn attempt(
         &self,
         target: &Target,
@@ -70,8 +66,8 @@
             connection.give_back();
             return Ok(Err(AttemptError::NotRun(Reason::Leaving)));
         }
-        let upstream = self.send(&target, grant, connection, last).await;
-        Ok(upstream.and_then(|upstream| self.check_response(&target, upstream)))
+        let sent = self.send(&target, grant, connection, last);
+        Ok(self.await_response(&target, sent, last).await)
     }
 
     /// Reserves memory at the helpers that keep a part of the prompt.
@@ -108,55 +104,28 @@
         }
     }
 
-    /// Sends the request and waits for the head of the response; from here on the request may have
-    /// run.
-    async fn send(
+    /// Sends the request; from here on it may have run.
+    fn send(
         &self,
         target: &Target,
         grant: Grant,
         mut connection: Connection,
         last: Option<u64>,
-    ) -> AttemptResult<UpstreamResponse> {
+    ) -> SentRequest {
         let request = self.request(target, &grant, last);
         self.runs.set(self.runs.get() + 1);
-        let timeout = self.response_timeout(target, &grant.placement);
-        let sending = async {
-            let sending = connection.send(request);
-            match timeout {
-                Some(timeout) => compio::time::timeout(timeout.duration(), sending)
-                    .await
-                    .ok(),
-                None => Some(sending.await),
-            }
-        };
-        let Some(sent) = grant.while_held(sending).await else {
-            let cause = "reserved memory was lost or not used in time";
-            return Err(self.fail_attempt(grant, "memory_lost", cause, Outcome::Abandoned));
+        let response = async move {
+            let response = connection.send(request).await;
+            (connection, response)
         };
-        match sent {
-            Some(Ok(response)) => Ok(UpstreamResponse {
-                response,
-                grant,
-                connection,
-            }),
-            Some(Err(SendFault::Unsent(cause))) => {
-                self.runs.set(self.runs.get() - 1);
-                self.log_attempt_failure(&grant.placement, "unsent", &cause);
-                Err(AttemptError::NotRun(Reason::BackendDown))
-            }
-            Some(Err(fault)) if fault.is_malformed() => {
-                Err(self.fail_attempt(grant, "malformed", fault, Outcome::Malformed))
-            }
-            Some(Err(fault)) => Err(self.fail_attempt(grant, "broken", fault, Outcome::Broken)),
-            None => {
-                let timeout = timeout.unwrap_or_default();
-                Err(self.fail_attempt(grant, "silent", timeout, Outcome::Silent))
-            }
+        SentRequest {
+            grant,
+            response: Box::pin(response),
         }
     }
 
     /// Checks whether a response may be forwarded to the caller.
-    fn check_response(
+    pub(super) fn check_response(
         &self,
         target: &Target,
         upstream: UpstreamResponse,
@@ -208,7 +177,7 @@
 
     /// Ends the grant of a failed attempt and excludes its server from further attempts of the
     /// request.
-    fn fail_attempt(
+    pub(super) fn fail_attempt(
         &self,
         grant: Grant,
         what: &str,
@@ -254,22 +223,6 @@
             }
         }
     }
-
-    /// How long to wait for the head of a response before the request is sent to another backend
-    /// server.
-    fn response_timeout(&self, target: &Target, placement: &Placement) -> Option<Millis> {
-        if !target.route.repeatable() || !self.has_attempts_left(target) {
-            return None;
-        }
-        if target.route.kind == RouteKind::Stream {
-            let predicted = placement.first_token.millis();
-            let client_timeout = target.route.client_timeout.get();
-            let slack = Millis(client_timeout * FIRST_EVENT_PERMILLE / 1_000);
-            return Some(predicted.saturating_add(predicted).saturating_add(slack));
-        }
-        let latency_target = target.route.latency_target;
-        Some(Millis(latency_target.get() + latency_target.get() / 2).max(MIN_RESPONSE_TIMEOUT))
-    }
 }
 
 /// Whether callers take this status as a statement that the request has not run. It is forwarded
--- /dev/null
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -0,0 +1,128 @@
+//! The wait for a response, beside other backend servers if the first one is silent.
+
+use futures::future::Either;
+use futures::future::select;
+
+use super::super::limits::FIRST_EVENT_PERMILLE;
+use super::super::limits::MIN_RESPONSE_TIMEOUT;
+use super::super::target::Target;
+use super::super::upstream_response::UpstreamResponse;
+use super::AttemptError;
+use super::Exchange;
+use super::attempt::AttemptResult;
+use super::sent_request::SentHead;
+use super::sent_request::SentRequest;
+use crate::direct::Dialect;
+use crate::direct::Grant;
+use crate::direct::Outcome;
+use crate::direct::Placement;
+use crate::direct::RouteKind;
+use crate::direct::SendFault;
+use crate::refusal::Reason;
+use crate::types::Millis;
+
+impl<D: Dialect> Exchange<D> {
+    /// Waits for the head of the response. A silent backend server keeps the request until another
+    /// one has responded: it may be about to go on, and the other one may refuse.
+    pub(super) async fn await_response(
+        &self,
+        target: &Target,
+        mut sent: SentRequest,
+        last: Option<u64>,
+    ) -> AttemptResult<UpstreamResponse> {
+        if let Some(timeout) = self.response_timeout(target, &sent.grant.placement) {
+            let head = compio::time::timeout(timeout.duration(), sent.head()).await;
+            if let Ok(head) = head {
+                return self.accept_head(target, sent.grant, head);
+            }
+            self.log_silent(&sent.grant.placement, timeout);
+            if self.may_retry(target).await {
+                return self.await_first(target, sent, last).await;
+            }
+            self.log_kept(&"no retry left");
+        }
+        let head = sent.head().await;
+        self.accept_head(target, sent.grant, head)
+    }
+
+    /// Sends the request to another backend server as well and returns the response that begins
+    /// first.
+    async fn await_first(
+        &self,
+        target: &Target,
+        mut sent: SentRequest,
+        last: Option<u64>,
+    ) -> AttemptResult<UpstreamResponse> {
+        let server = sent.grant.placement.primary.id.clone();
+        self.keep_silent(&server);
+        let mut other = Box::pin(self.open(target.clone(), last, true));
+        let first = match select(Box::pin(sent.head()), other.as_mut()).await {
+            Either::Left((head, _)) => Either::Left(head),
+            Either::Right((outcome, _)) => Either::Right(outcome),
+        };
+        self.end_silence(&server);
+        match first {
+            Either::Left(head) => match self.accept_head(target, sent.grant, head) {
+                Ok(upstream) => Ok(upstream),
+                Err(error) => other.await.map_err(|_| error),
+            },
+            Either::Right(Ok(upstream)) => {
+                let cause = "another backend server responded first";
+                self.fail_attempt(sent.grant, "silent", cause, Outcome::Silent);
+                Ok(upstream)
+            }
+            Either::Right(Err(failure)) => {
+                self.log_kept(&failure.reason);
+                let head = sent.head().await;
+                self.accept_head(target, sent.grant, head)
+            }
+        }
+    }
+
+    /// Turns what a backend server sent first into a response that may be forwarded.
+    fn accept_head(
+        &self,
+        target: &Target,
+        grant: Grant,
+        head: Option<SentHead>,
+    ) -> AttemptResult<UpstreamResponse> {
+        let Some((connection, response)) = head else {
+            let cause = "reserved memory was lost or not used in time";
+            return Err(self.fail_attempt(grant, "memory_lost", cause, Outcome::Abandoned));
+        };
+        match response {
+            Ok(response) => self.check_response(
+                target,
+                UpstreamResponse {
+                    response,
+                    grant,
+                    connection,
+                },
+            ),
+            Err(SendFault::Unsent(cause)) => {
+                self.runs.set(self.runs.get() - 1);
+                self.log_attempt_failure(&grant.placement, "unsent", &cause);
+                Err(AttemptError::NotRun(Reason::BackendDown))
+            }
+            Err(fault) if fault.is_malformed() => {
+                Err(self.fail_attempt(grant, "malformed", fault, Outcome::Malformed))
+            }
+            Err(fault) => Err(self.fail_attempt(grant, "broken", fault, Outcome::Broken)),
+        }
+    }
+
+    /// How long to wait for the head of a response before another backend server is asked as well.
+    fn response_timeout(&self, target: &Target, placement: &Placement) -> Option<Millis> {
+        if !target.route.repeatable() || !self.has_attempts_left(target) {
+            return None;
+        }
+        if target.route.kind == RouteKind::Stream {
+            let predicted = placement.first_token.millis();
+            let client_timeout = target.route.client_timeout.get();
+            let slack = Millis(client_timeout * FIRST_EVENT_PERMILLE / 1_000);
+            return Some(predicted.saturating_add(predicted).saturating_add(slack));
+        }
+        let latency_target = target.route.latency_target;
+        Some(Millis(latency_target.get() + latency_target.get() / 2).max(MIN_RESPONSE_TIMEOUT))
+    }
+}
