Hand a silent stream over when another engine has sent an event

Seen by callers: a stream whose engine was about to go on was broken off. It had been given up for another engine's head, and that engine sent no event; or its connection broke while another engine was preparing to take it over, whose answer was no longer waited for when the two seconds of patience were over.

Cause: the hand-over was complete with the head of a response, which says nothing about the rest, and the silent engine was not read while another was asked.

Change: both are read side by side, and whichever sends an event first goes on (relay/handover.rs, takeover.rs). If the silent one breaks, the other is waited for; if the other refuses or breaks, the silent one is kept. After progress a later silence may ask again.

--- a/jujubewind/src/direct/api/mod.rs
+++ b/jujubewind/src/direct/api/mod.rs
@@ -10,6 +10,8 @@
 mod refusal_sampler;
 mod relay;
 mod reservations;
+mod source;
+mod takeover;
 mod target;
 mod upstream_response;
 
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -1,6 +1,7 @@
 //! Forwards a stream event by event and resumes it at another backend server if necessary.
 
-use std::fmt::Display;
+mod handover;
+
 use std::rc::Rc;
 
 use futures::stream;
@@ -9,20 +10,19 @@
 use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 
 use super::events::EventSplitter;
+use super::events::Events;
 use super::exchange::Exchange;
 use super::gap_tracker::GapTracker;
 use super::hop::end_to_end;
-use super::hop::is_framed;
 use super::limits::EVENT_GAP_PERMILLE;
+use super::source::Source;
+use super::takeover::Takeover;
 use super::target::Target;
 use super::upstream_response::UpstreamResponse;
 use crate::conviction::limits::PROGRESS_SPAN;
-use crate::direct::Connection;
 use crate::direct::Dialect;
-use crate::direct::Grant;
 use crate::direct::Outcome;
 use crate::http;
 use crate::http::Reply;
@@ -35,20 +35,19 @@
 /// The caller's or the route's timeout has passed.
 const DEADLINE: &str = "deadline";
 /// Reserved memory can no longer serve the request.
-const MEMORY_LOST: &str = "memory_lost";
+pub(super) const MEMORY_LOST: &str = "memory_lost";
 /// The backend server sends bytes that are no events.
-const MALFORMED: &str = "malformed";
+pub(super) const MALFORMED: &str = "malformed";
+/// The connection broke.
+pub(super) const BROKEN: &str = "broken";
+/// The response ended in the middle of an event.
+pub(super) const TORN: &str = "torn";
+/// The backend server sent an event that the caller already has.
+pub(super) const REPEATED: &str = "repeated";
 
 /// A frame of the response, or its early end.
 type Item = Result<Frame<Bytes>, TruncatedBody>;
 
-/// The response that the stream is currently read from.
-struct Source {
-    body: Incoming,
-    grant: Grant,
-    connection: Connection,
-}
-
 /// The result of reading from the stream.
 enum Step {
     Events(Bytes),
@@ -69,12 +68,13 @@
     gaps: GapTracker,
     /// When the current backend server sent its first event.
     began: Option<MonoTime>,
-    /// Whether the response tells its end, so that a closed connection is not mistaken for it.
-    is_framed: bool,
     /// When the stream last made progress.
     progress: MonoTime,
-    /// Whether no other backend server takes the stream over, so that a silent one is waited for.
+    /// Whether another backend server has been asked since the last progress, so that a silent one is
+    /// waited for.
     patient: bool,
+    /// Another backend server that is asked to take the stream over.
+    takeover: Option<Takeover>,
 }
 
 impl<D: Dialect> Relay<D> {
@@ -84,52 +84,45 @@
         target: Target,
         upstream: UpstreamResponse,
     ) -> Reply {
-        let UpstreamResponse {
-            response,
-            grant,
-            connection,
-        } = upstream;
-        let (head, body) = response.into_parts();
+        let status = upstream.response.status();
+        let headers = end_to_end(upstream.response.headers());
         let relay = Self {
             last: exchange.call.last,
             progress: exchange.gateway.clock.now(),
             patient: false,
+            takeover: None,
             exchange,
             target,
-            source: Some(Source {
-                body,
-                grant,
-                connection,
-            }),
+            source: Some(Source::new(upstream)),
             events: EventSplitter::default(),
-            status: head.status,
+            status,
             gaps: GapTracker::default(),
             began: None,
-            is_framed: is_framed(&head.headers),
         };
         let frames = stream::unfold(relay, Self::next);
         let mut reply = http::streamed(StreamBody::new(frames));
-        *reply.status_mut() = head.status;
-        *reply.headers_mut() = end_to_end(&head.headers);
+        *reply.status_mut() = status;
+        *reply.headers_mut() = headers;
         reply
     }
 
     async fn next(mut self) -> Option<(Item, Self)> {
         loop {
-            match self.step().await {
+            let step = match self.takeover.take() {
+                Some(takeover) => self.step_beside(takeover).await,
+                None => self.step().await,
+            };
+            match step {
                 Step::Events(bytes) => return Some((Ok(Frame::data(bytes)), self)),
                 Step::End => return None,
-                Step::Silent if self.exchange.may_retry(&self.target).await => {
-                    self.replace_silent().await;
-                }
-                Step::Silent => self.patient = true,
+                Step::Silent => self.ask_another().await,
                 Step::Broken(what) => {
-                    let may_retry = self.exchange.may_retry(&self.target).await;
-                    if !may_retry || !self.resume(what).await {
-                        self.end_broken(what);
-                        self.exchange.log_truncated(what, self.last);
-                        return Some((Err(TruncatedBody), self));
+                    self.end_broken(what);
+                    if let Some(bytes) = self.resume().await {
+                        return Some((Ok(Frame::data(bytes)), self));
                     }
+                    self.exchange.log_truncated(what, self.last);
+                    return Some((Err(TruncatedBody), self));
                 }
             }
         }
@@ -152,9 +145,9 @@
         match frame {
             Err(_) if wait == left => Step::Broken(DEADLINE),
             Err(_) => Step::Silent,
-            Ok(Some(Err(_))) => Step::Broken("broken"),
+            Ok(Some(Err(_))) => Step::Broken(BROKEN),
             Ok(Some(Ok(frame))) => self.accept_frame(frame),
-            Ok(None) if self.events.has_partial_event() => Step::Broken("torn"),
+            Ok(None) if self.events.has_partial_event() => Step::Broken(TORN),
             Ok(None) => {
                 self.finish();
                 Step::End
@@ -184,8 +177,12 @@
             return Step::Events(Bytes::new());
         };
         if !events.follow(self.last) {
-            return Step::Broken("repeated");
+            return Step::Broken(REPEATED);
         }
+        Step::Events(self.accept_events(events))
+    }
+
+    fn accept_events(&mut self, events: Events) -> Bytes {
         if let Some(source) = &self.source
             && source.grant.mark_prefilled()
         {
@@ -195,6 +192,8 @@
         // Events without an id, such as comments, do not show that a numbered stream goes on.
         if events.last.is_some() || self.last.is_none() {
             self.progress = now;
+            self.patient = false;
+            self.end_silence();
         }
         let began = *self.began.get_or_insert(now);
         if let Some(source) = &self.source
@@ -204,7 +203,7 @@
         }
         self.last = events.last.or(self.last);
         self.gaps.record(now);
-        Step::Events(events.bytes)
+        events.bytes
     }
 
     fn finish(&mut self) {
@@ -213,7 +212,7 @@
             let longest_gap = self.gaps.longest();
             self.exchange
                 .log_end(placement, self.status, Outcome::Served, longest_gap);
-            let is_complete = self.is_framed || source.grant.has_progressed();
+            let is_complete = source.is_framed || source.grant.has_progressed();
             let outcome = if is_complete {
                 Outcome::Served
             } else {
@@ -239,66 +238,11 @@
             what,
             format!("after event {:?}", self.last),
         );
-        self.exchange.exclude(&source.grant.placement.primary.id);
+        let server = &source.grant.placement.primary.id;
+        self.exchange.end_silence(server);
+        self.exchange.exclude(server);
         source.grant.finish(outcome);
         drop(source.connection);
         self.events = EventSplitter::default();
     }
-
-    /// Resumes the stream at another backend server after the last complete event; a retry has been
-    /// granted.
-    async fn resume(&mut self, what: &'static str) -> bool {
-        self.end_broken(what);
-        let left = self.exchange.left(&self.target);
-        let Some(upstream) = self.open_again(left).await else {
-            return false;
-        };
-        self.continue_at(upstream);
-        true
-    }
-
-    /// Resumes the stream at another backend server if one responds while the caller waits. If none
-    /// does, the silent one is kept, as it may be slow but sound.
-    async fn replace_silent(&mut self) {
-        let quiet = self.exchange.gateway.clock.now().since(self.progress);
-        if let Some(source) = &self.source {
-            let placement = &source.grant.placement;
-            self.exchange.log_silent(placement, quiet);
-            self.exchange.exclude(&placement.primary.id);
-        }
-        let patience = self.target.route.client_timeout.saturating_sub(quiet);
-        match self.open_again(patience).await {
-            Some(upstream) => {
-                self.end_broken(SILENT);
-                self.continue_at(upstream);
-            }
-            None => self.patient = true,
-        }
-    }
-
-    /// Sends the rest of the stream to another backend server.
-    async fn open_again(&self, timeout: Millis) -> Option<UpstreamResponse> {
-        let opening = self.exchange.open(self.target.clone(), self.last, true);
-        let timeout = timeout.min(self.exchange.left(&self.target));
-        let kept = |reason: &dyn Display| self.exchange.log_kept(reason);
-        match compio::time::timeout(timeout.duration(), opening).await {
-            Ok(Ok(upstream)) if upstream.response.status().is_success() => return Some(upstream),
-            Ok(Ok(upstream)) => kept(&upstream.response.status()),
-            Ok(Err(failure)) => kept(&failure.reason),
-            Err(_) => kept(&"no response in time"),
-        }
-        None
-    }
-
-    fn continue_at(&mut self, upstream: UpstreamResponse) {
-        self.began = None;
-        self.is_framed = is_framed(upstream.response.headers());
-        self.source = Some(Source {
-            body: upstream.response.into_body(),
-            grant: upstream.grant,
-            connection: upstream.connection,
-        });
-        self.progress = self.exchange.gateway.clock.now();
-        self.patient = false;
-    }
 }
