Log no caller that left for a request that was refused

A request that was refused for its route, its key or a missing table was logged as caller_left as well as request_failed: its end was noted only once it had a target.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -127,7 +127,8 @@
 
     /// Serves the request within its timeout.
     pub(super) async fn run(self: Rc<Self>) -> Result<Reply> {
-        let target = self.resolve()?;
+        let target = self.resolve();
+        let target = target.map_err(|failure| self.end_failed(failure))?;
         let left = self.left(&target);
         let serving = self.clone().serve(target);
         match compio::time::timeout(left.duration(), serving).await {
