Apply a changed idle limit to connections that are already open

Callers reuse a connection that has been idle for up to four fifths of the limit in force. An entry closed it after the limit that was in force when it was accepted (5 s before the first configuration): once the limit had been raised, a request sent on such a connection met the close and got no answer; once it had been lowered, a connection stayed open for longer than allowed.

Cause: hyper takes the header timeout by value when a connection is accepted.

Its timer runs exactly from the accept, or from the last byte written of a response, until the head of the next request is complete, and not while a request is in progress. So the connection keeps that timer but asks IdleLimits when it ends: after the longest limit in force since the idle period began. A raised limit applies to an idle connection at once, a lowered one from its next idle period on. An incomplete head is bounded by the same time as before. The close is logged at debug level as idle_connection_closed.

Tests: serving idle, direct decisions in idle_limits. Before the change three failed (a request after the limit was raised, on a connection idle since its last response and on one idle since the accept; a connection that stayed open after the limit was lowered); the three that passed guard the lowered limit, incomplete heads and requests that take longer than the limit.

--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -145,7 +145,7 @@
     /// Activates a table unless the current one is as new or newer.
     pub fn configure(&self, table: Table) {
         let (version, routes) = (table.version, table.routes());
-        self.serving.set_header_timeout(table.limits.idle);
+        self.serving.set_idle_limit(table.limits.idle);
         if !self.state.install_table(table) {
             return;
         }
--- a/jujubewind/src/http/mod.rs
+++ b/jujubewind/src/http/mod.rs
@@ -3,6 +3,9 @@
 mod body;
 mod error;
 mod events;
+mod idle_limits;
+mod idle_sleep;
+mod idle_timer;
 mod response;
 mod server;
 mod server_handle;
@@ -12,6 +15,7 @@
 pub use error::Error;
 pub use error::Result;
 pub use events::EventParser;
+pub use idle_limits::IdleLimits;
 pub use response::Reply;
 pub use response::ReplyBody;
 pub use response::bytes;
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -2,11 +2,11 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use compio::net::TcpListener;
 use compio::net::TcpStream;
-use cyper_core::CompioTimer;
 use cyper_core::HyperStream;
 use futures::future::Either;
 use futures::future::select;
@@ -27,29 +27,41 @@
 /// Serves all connections that `listener` accepts, until the future is dropped.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>, handle: ServerHandle) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, caller)) = listener.accept().await else {
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let connection = serve_connection(stream, handler.clone(), handle.clone());
+        let connection = serve_connection(stream, caller, handler.clone(), handle.clone());
         compio::runtime::spawn(connection).detach();
     }
 }
 
 /// Serves one connection; once `handle` is closed, it ends after the request in progress.
-async fn serve_connection<H: Handler>(stream: TcpStream, handler: Rc<H>, handle: ServerHandle) {
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    caller: SocketAddr,
+    handler: Rc<H>,
+    handle: ServerHandle,
+) {
     let service = service_fn(move |request| {
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
+    let idle_timer = handle.idle_timer();
     let connection = Builder::new()
-        .timer(CompioTimer)
-        .header_read_timeout(handle.header_timeout().duration())
+        .header_read_timeout(idle_timer.limit().duration())
+        .timer(idle_timer)
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = std::pin::pin!(connection);
     let closing = std::pin::pin!(handle.closed());
-    if let Either::Right(((), _)) = select(connection.as_mut(), closing).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    let outcome = match select(connection.as_mut(), closing).await {
+        Either::Left((outcome, _)) => outcome,
+        Either::Right(((), _)) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if outcome.is_err_and(|error| error.is_timeout()) {
+        crate::event!(debug, "idle_connection_closed", caller = caller);
     }
 }
--- a/jujubewind/src/http/server_handle.rs
+++ b/jujubewind/src/http/server_handle.rs
@@ -1,6 +1,5 @@
 //! A handle that controls a running server.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -8,36 +7,38 @@
 use flume::Receiver;
 use flume::Sender;
 
+use super::idle_timer::IdleTimer;
 use crate::types::Millis;
 
-/// Default timeout for the header of a request; it ends slow-loris connections.
-const DEFAULT_HEADER_TIMEOUT: Millis = Millis(5_000);
+/// Default limit on the time for which a connection is idle; it ends slow-loris connections.
+const DEFAULT_IDLE_LIMIT: Millis = Millis(5_000);
 
-/// Sets the header timeout of a server's connections and closes them; clones share the state.
+/// Sets the idle limit of a server's connections and closes them; clones share the state.
 #[derive(Clone, Debug)]
 pub struct ServerHandle {
-    header_timeout: Rc<Cell<Millis>>,
+    idle_timer: IdleTimer,
     /// Dropped to signal `closed`; nothing is ever sent.
     open: Rc<RefCell<Option<Sender<Infallible>>>>,
     closed: Receiver<Infallible>,
 }
 
 impl ServerHandle {
-    /// Creates a handle with the default header timeout.
+    /// Creates a handle with the default idle limit.
     #[must_use]
     pub fn new() -> Self {
         let (open, closed) = flume::bounded(1);
         Self {
-            header_timeout: Rc::new(Cell::new(DEFAULT_HEADER_TIMEOUT)),
+            idle_timer: IdleTimer::new(DEFAULT_IDLE_LIMIT),
             open: Rc::new(RefCell::new(Some(open))),
             closed,
         }
     }
 
-    /// Sets the time within which new connections must send the header of each request. The time
-    /// that a connection is idle counts too.
-    pub fn set_header_timeout(&self, timeout: Millis) {
-        self.header_timeout.set(timeout);
+    /// Sets the time within which a connection must send the head of its next request, counted from
+    /// the end of the last response. A connection that is idle keeps a longer limit that was in force
+    /// since it became idle.
+    pub fn set_idle_limit(&self, limit: Millis) {
+        self.idle_timer.set_limit(limit);
     }
 
     /// Closes each connection after the request in progress. A connection that is accepted later is
@@ -46,8 +47,8 @@
         drop(self.open.borrow_mut().take());
     }
 
-    pub(super) fn header_timeout(&self) -> Millis {
-        self.header_timeout.get()
+    pub(super) fn idle_timer(&self) -> IdleTimer {
+        self.idle_timer.clone()
     }
 
     /// Waits until the handle is closed; never returns if it was closed before the call.
