Take the idle limit only from the table in force

A table that is older than the installed one (from a peer's feed or a late read) was rejected, but its idle limit had been applied before: callers who relied on the limit in force met closed connections.

The limit is now set after the table has been installed. The new test serving idle::an_older_table_does_not_change_the_idle_limit failed before: a request after 2.5 s on a connection under a limit of 60 s got no answer, since an older table with 1.5 s had been offered.

--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -145,12 +145,12 @@
     /// Activates a table unless the current one is as new or newer.
     pub fn configure(&self, table: Table) {
         let (version, routes) = (table.version, table.routes());
-        self.serving.set_idle_limit(table.limits.idle);
         if !self.state.install_table(table) {
             return;
         }
         crate::event!(info, "table_in_force", version = version, routes = routes);
         if let Some(table) = self.state.table() {
+            self.serving.set_idle_limit(table.limits.idle);
             self.control.send(Message::Configure(table));
         }
     }
