Keep a request whose memory may still be held when renewals are unanswered

Cause: MemoryHold counted only confirmed renewals. A renewal without an answer may have been carried out, but was treated like one that was not.

Change: memory that a request uses is lost only if the engine says that it has restarted, or if the hold is over and every renewal since the last success was answered as not carried out. Otherwise renewals go on at the retry interval until the request ends. An engine cuts off a request whose memory has expired, so the entry sees the broken stream then. Memory that is not used yet is given up as before, at max_idle or at the end of its hold. Releases after the end are unchanged.

The histories that existed are played as before.

--- a/jujubewind/src/direct/reservation/memory_hold.rs
+++ b/jujubewind/src/direct/reservation/memory_hold.rs
@@ -31,6 +31,8 @@
     held_until: Option<BootTime>,
     /// Until when an order without an answer may set memory aside.
     doubt_end: Option<BootTime>,
+    /// Whether a renewal since the last one with success may have been carried out.
+    is_in_doubt: bool,
 }
 
 impl MemoryHold {
@@ -45,6 +47,7 @@
             next_order: now,
             held_until: None,
             doubt_end: None,
+            is_in_doubt: false,
         }
     }
 
@@ -72,6 +75,7 @@
                 let until = sent.after(self.limits.hold);
                 self.held_until = self.held_until.max(Some(until));
                 self.next_order = sent.after(self.limits.renewal);
+                self.is_in_doubt = false;
                 if self.phase == Phase::Taking {
                     self.phase = Phase::Held;
                 }
@@ -110,6 +114,7 @@
             // One release follows the latest time at which the order may be carried out.
             let until = latest.after(self.limits.recheck);
             self.doubt_end = self.doubt_end.max(Some(until));
+            self.is_in_doubt = true;
         }
         if self.phase == Phase::Taking {
             self.end(now);
@@ -118,11 +123,15 @@
         }
     }
 
-    /// Renewing expired memory would reserve it anew for a request that the engine has cut off.
+    /// Renewing expired memory would reserve it anew for a request that the engine has cut off. While
+    /// a renewal may have been carried out, the request that uses the memory is left to go on until
+    /// the engine cuts it off.
     fn is_lost(&self, now: BootTime) -> bool {
         let has_expired = self.held_until.is_none_or(|until| now >= until);
-        let is_idle = !self.is_used && now.since(self.started) >= self.limits.max_idle;
-        has_expired || is_idle
+        if self.is_used {
+            return has_expired && !self.is_in_doubt;
+        }
+        has_expired || now.since(self.started) >= self.limits.max_idle
     }
 
     fn may_hold_until(&self) -> Option<BootTime> {
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod ledger;
 mod load;
 mod logs;
+mod memory_hold;
 mod notices;
 mod peer_routes;
 mod plan;
--- /dev/null
+++ b/jujubewind/tests/direct/memory_hold.rs
@@ -0,0 +1,99 @@
+//! When memory that an engine holds for a request is given up.
+
+use jujubewind::direct::BootTime;
+use jujubewind::direct::MemoryHold;
+use jujubewind::direct::Order;
+use jujubewind::direct::OrderReply;
+use jujubewind::direct::ReservationLimits;
+use jujubewind::direct::Step;
+use jujubewind::types::Millis;
+
+const LIMITS: ReservationLimits = ReservationLimits {
+    hold: Millis(3_500),
+    renewal: Millis(1_166),
+    max_idle: Millis(7_200),
+    max_lateness: Millis(12_500),
+    retry: Millis(200),
+    recheck: Millis(1_000),
+};
+
+fn boot(millis: u64) -> BootTime {
+    BootTime::from_millis(millis)
+}
+
+#[test]
+fn memory_in_use_is_not_given_up_while_a_renewal_may_have_been_carried_out() {
+    let mut hold = MemoryHold::new(boot(0), LIMITS);
+    hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
+    hold.mark_used();
+
+    hold.record(
+        boot(1_700),
+        boot(1_200),
+        Order::Reserve,
+        OrderReply::Missing,
+    );
+    hold.record(
+        boot(3_500),
+        boot(3_480),
+        Order::Reserve,
+        OrderReply::Refused,
+    );
+
+    assert_eq!(hold.step(boot(20_000)), Step::Send(Order::Reserve));
+}
+
+#[test]
+fn memory_in_use_is_lost_once_its_hold_is_over_and_no_renewal_was_carried_out() {
+    let mut hold = MemoryHold::new(boot(0), LIMITS);
+    hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
+    hold.mark_used();
+    hold.record(
+        boot(1_700),
+        boot(1_200),
+        Order::Reserve,
+        OrderReply::Missing,
+    );
+    hold.record(boot(1_920), boot(1_900), Order::Reserve, OrderReply::Done);
+
+    hold.record(
+        boot(3_120),
+        boot(3_100),
+        Order::Reserve,
+        OrderReply::Refused,
+    );
+
+    assert_eq!(hold.step(boot(3_320)), Step::Send(Order::Reserve));
+    assert_eq!(hold.step(boot(5_500)), Step::Lost);
+}
+
+#[test]
+fn memory_in_use_is_lost_once_its_engine_has_restarted() {
+    let mut hold = MemoryHold::new(boot(0), LIMITS);
+    hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
+    hold.mark_used();
+
+    hold.record(
+        boot(1_220),
+        boot(1_200),
+        Order::Reserve,
+        OrderReply::Restarted,
+    );
+
+    assert_eq!(hold.step(boot(1_220)), Step::Ended);
+}
+
+#[test]
+fn unused_memory_is_given_up_at_the_end_of_its_hold_while_renewals_are_unanswered() {
+    let mut hold = MemoryHold::new(boot(0), LIMITS);
+    hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
+
+    hold.record(
+        boot(1_700),
+        boot(1_200),
+        Order::Reserve,
+        OrderReply::Missing,
+    );
+
+    assert_eq!(hold.step(boot(3_520)), Step::Lost);
+}
--- a/jujubewind/tests/direct/reservation.rs
+++ b/jujubewind/tests/direct/reservation.rs
@@ -25,6 +25,8 @@
 const END_MILLIS: u64 = 60_000;
 /// Orders at which a fault may strike.
 const FAULTY_ORDERS: usize = 6;
+/// More orders than any history has.
+const LATER_ORDERS: usize = 1_000;
 
 const LIMITS: ReservationLimits = ReservationLimits {
     hold: Millis(3_500),
@@ -63,6 +65,8 @@
     ends: u64,
     used: Option<u64>,
     frozen: Option<u64>,
+    /// Whether the request ends once the engine has cut it off, as its memory has expired.
+    sees_cut: bool,
 }
 
 /// What came of a history.
@@ -70,6 +74,8 @@
 struct Outcome {
     /// When the entry knew that the request had ended: after a freeze, or when the memory was lost.
     ended: u64,
+    /// When the engine cut off the request, as the memory that it used had expired.
+    cut: Option<u64>,
     /// When nothing was left to do.
     done: u64,
     /// Reservations (`true`), releases and restarts carried out by the engine.
@@ -90,12 +96,24 @@
         }
     }
 
+    /// When the engine cuts off the request, as far as orders have been sent.
+    fn cut(&self, carried_out: &[(u64, bool)]) -> Option<u64> {
+        let used = self.used?;
+        let holds = |(from, until): &(u64, u64)| *from <= used && used < *until;
+        let (_, until) = spans(carried_out).into_iter().find(holds)?;
+        Some(until)
+    }
+
     fn play(&self) -> Outcome {
         let mut hold = MemoryHold::new(boot(0), LIMITS);
         let (mut now, mut number, mut ends) = (0, 0, self.ends);
-        let mut noticed = None;
+        let (mut noticed, mut cut, mut given_up) = (None, None, None);
         let mut carried_out = Vec::new();
         while now < END_MILLIS {
+            if self.sees_cut && noticed.is_none() {
+                cut = self.cut(&carried_out);
+                ends = cut.unwrap_or(u64::MAX).min(given_up.unwrap_or(self.ends));
+            }
             if now >= ends {
                 hold.end(boot(now));
                 noticed.get_or_insert(now);
@@ -115,11 +133,15 @@
                     now = self.advance(now, span.get().min(ends - now).max(1));
                 }
                 Step::Sleep(span) => now = self.advance(now, span.get().max(1)),
-                Step::Lost => ends = now,
+                Step::Lost => {
+                    given_up = Some(now);
+                    ends = now;
+                }
                 Step::Ended => {
                     carried_out.sort_unstable();
                     return Outcome {
                         ended: noticed.unwrap_or(now),
+                        cut,
                         done: now,
                         carried_out,
                     };
@@ -133,21 +155,28 @@
 impl Outcome {
     /// The spans in which the engine held memory.
     fn spans(&self) -> Vec<(u64, u64)> {
-        let mut spans: Vec<(u64, u64)> = Vec::new();
-        for (at, is_reserved) in &self.carried_out {
-            let until = if *is_reserved {
-                at + LIMITS.hold.get()
-            } else {
-                *at
-            };
-            match spans.last_mut() {
-                Some((_, end)) if *end >= *at => *end = until,
-                _ if *is_reserved => spans.push((*at, until)),
-                _ => {}
-            }
+        spans(&self.carried_out)
+    }
+}
+
+/// The spans in which an engine that carried out these orders held memory.
+fn spans(carried_out: &[(u64, bool)]) -> Vec<(u64, u64)> {
+    let mut carried_out = carried_out.to_vec();
+    carried_out.sort_unstable();
+    let mut spans: Vec<(u64, u64)> = Vec::new();
+    for (at, is_reserved) in carried_out {
+        let until = if is_reserved {
+            at + LIMITS.hold.get()
+        } else {
+            at
+        };
+        match spans.last_mut() {
+            Some((_, end)) if *end >= at => *end = until,
+            _ if is_reserved => spans.push((at, until)),
+            _ => {}
         }
-        spans
     }
+    spans
 }
 
 fn boot(millis: u64) -> BootTime {
@@ -211,6 +240,7 @@
                         ends,
                         used,
                         frozen,
+                        sees_cut: false,
                     });
                 }
             }
@@ -219,6 +249,18 @@
     histories
 }
 
+/// Histories in which all orders but the first one have the same fate.
+fn silences() -> Vec<History> {
+    let silence = |fate: &Fate| History {
+        faults: (1..LATER_ORDERS).map(|number| (number, *fate)).collect(),
+        ends: 12_000,
+        used: Some(300),
+        frozen: None,
+        sees_cut: false,
+    };
+    FAULTS[..4].iter().map(silence).collect()
+}
+
 #[test]
 fn memory_is_free_soon_after_its_request_in_every_history() {
     for history in histories() {
@@ -280,3 +322,18 @@
 
     assert_eq!(frozen_past_expiry, Step::Lost);
 }
+
+#[test]
+fn memory_of_a_request_that_its_engine_cut_off_is_free_soon_in_every_history() {
+    for mut history in histories().into_iter().chain(silences()) {
+        history.sees_cut = true;
+
+        let outcome = history.play();
+
+        let cut = outcome.cut.unwrap_or(outcome.ended);
+        for (from, until) in outcome.spans() {
+            let after = until.saturating_sub(from.max(cut));
+            assert!(after < FREE_MILLIS, "{after} ms: {history:?} {outcome:?}");
+        }
+    }
+}
