Release memory that was reserved right after a freeze

Could be seen at an engine: memory stays set aside, unreleased, for a request that has ended.

Cause: the time of sending is taken when an order is decided on. If the process freezes before the order is written, the engine carries it out after the freeze, but the entry counts the hold, and the time within which an order without an answer may be carried out, from before the freeze. Both may seem to be over at the end of the request, and then no release is sent.

Change: both count from the reply, or from when the order was given up, which are no earlier than its sending.

--- a/jujubewind/src/direct/reservation/limits.rs
+++ b/jujubewind/src/direct/reservation/limits.rs
@@ -12,7 +12,7 @@
     pub renewal: Millis,
     /// How long memory may be held before the request uses it.
     pub max_idle: Millis,
-    /// How long after it was sent an unanswered order may still be carried out.
+    /// How long after it was given up an unanswered order may still be carried out.
     pub max_lateness: Millis,
     /// The delay before an order that failed is sent again.
     pub retry: Millis,
--- a/jujubewind/src/direct/reservation/memory_hold.rs
+++ b/jujubewind/src/direct/reservation/memory_hold.rs
@@ -27,7 +27,7 @@
     started: BootTime,
     is_used: bool,
     next_order: BootTime,
-    /// When the engine drops the memory by itself, as far as orders were answered.
+    /// By when the engine has dropped the memory by itself, as far as orders were answered.
     held_until: Option<BootTime>,
     /// Until when an order without an answer may set memory aside.
     doubt_end: Option<BootTime>,
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Records the reply, at `now`, to an order that was sent at `sent`.
+    /// Records the reply, at `now`, to an order that was decided on at `sent`.
     pub fn record(&mut self, now: BootTime, sent: BootTime, order: Order, reply: OrderReply) {
         match (order, reply) {
             (_, OrderReply::Restarted) => {
@@ -72,7 +72,8 @@
                 self.end(now);
             }
             (Order::Reserve, OrderReply::Done) => {
-                let until = sent.after(self.limits.hold);
+                // A freeze may lie between the decision to send the order and its arrival.
+                let until = now.after(self.limits.hold);
                 self.held_until = self.held_until.max(Some(until));
                 self.next_order = sent.after(self.limits.renewal);
                 self.is_in_doubt = false;
@@ -80,7 +81,7 @@
                     self.phase = Phase::Held;
                 }
             }
-            (Order::Reserve, _) => self.record_failed_reserve(now, sent, reply),
+            (Order::Reserve, _) => self.record_failed_reserve(now, reply),
             (Order::Release, OrderReply::Done) => {
                 self.held_until = None;
                 self.next_order = now.after(self.limits.recheck);
@@ -108,9 +109,9 @@
         self.phase == Phase::Held
     }
 
-    fn record_failed_reserve(&mut self, now: BootTime, sent: BootTime, reply: OrderReply) {
+    fn record_failed_reserve(&mut self, now: BootTime, reply: OrderReply) {
         if reply == OrderReply::Missing {
-            let latest = sent.after(self.limits.max_lateness);
+            let latest = now.after(self.limits.max_lateness);
             // One release follows the latest time at which the order may be carried out.
             let until = latest.after(self.limits.recheck);
             self.doubt_end = self.doubt_end.max(Some(until));
--- a/jujubewind/tests/direct/memory_hold.rs
+++ b/jujubewind/tests/direct/memory_hold.rs
@@ -97,3 +97,34 @@
 
     assert_eq!(hold.step(boot(3_520)), Step::Lost);
 }
+
+/// The order may have been written only after the freeze, long after it was decided on.
+#[test]
+fn memory_that_was_reserved_right_after_a_freeze_is_released() {
+    let mut hold = MemoryHold::new(boot(0), LIMITS);
+    hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
+    hold.mark_used();
+    hold.record(boot(6_020), boot(1_200), Order::Reserve, OrderReply::Done);
+
+    hold.end(boot(6_030));
+
+    assert_eq!(hold.step(boot(6_030)), Step::Send(Order::Release));
+}
+
+#[test]
+fn memory_that_may_be_reserved_long_after_a_freeze_is_released_until_then() {
+    let mut hold = MemoryHold::new(boot(0), LIMITS);
+    hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
+    hold.mark_used();
+    hold.record(
+        boot(6_000),
+        boot(1_200),
+        Order::Reserve,
+        OrderReply::Missing,
+    );
+
+    hold.end(boot(6_030));
+    hold.record(boot(18_000), boot(17_980), Order::Release, OrderReply::Done);
+
+    assert_eq!(hold.step(boot(19_000)), Step::Send(Order::Release));
+}
