--- a/jujubewind/src/direct/reservation/memory_hold.rs
+++ b/jujubewind/src/direct/reservation/memory_hold.rs
@@ -27,10 +27,12 @@
     started: BootTime,
     is_used: bool,
     next_order: BootTime,
-    /// When the engine drops the memory by itself, as far as orders were answered.
+    /// By when the engine has dropped the memory by itself, as far as orders were answered.
     held_until: Option<BootTime>,
     /// Until when an order without an answer may set memory aside.
     doubt_end: Option<BootTime>,
+    /// Whether a renewal since the last one with success may have been carried out.
+    is_in_doubt: bool,
 }
 
 impl MemoryHold {
@@ -45,6 +47,7 @@
             next_order: now,
             held_until: None,
             doubt_end: None,
+            is_in_doubt: false,
         }
     }
 
@@ -61,7 +64,7 @@
         }
     }
 
-    /// Records the reply, at `now`, to an order that was sent at `sent`.
+    /// Records the reply, at `now`, to an order that was decided on at `sent`.
     pub fn record(&mut self, now: BootTime, sent: BootTime, order: Order, reply: OrderReply) {
         match (order, reply) {
             (_, OrderReply::Restarted) => {
@@ -69,14 +72,16 @@
                 self.end(now);
             }
             (Order::Reserve, OrderReply::Done) => {
-                let until = sent.after(self.limits.hold);
+                // A freeze may lie between the decision to send the order and its arrival.
+                let until = now.after(self.limits.hold);
                 self.held_until = self.held_until.max(Some(until));
                 self.next_order = sent.after(self.limits.renewal);
+                self.is_in_doubt = false;
                 if self.phase == Phase::Taking {
                     self.phase = Phase::Held;
                 }
             }
-            (Order::Reserve, _) => self.record_failed_reserve(now, sent, reply),
+            (Order::Reserve, _) => self.record_failed_reserve(now, reply),
             (Order::Release, OrderReply::Done) => {
                 self.held_until = None;
                 self.next_order = now.after(self.limits.recheck);
@@ -104,12 +109,13 @@
         self.phase == Phase::Held
     }
 
-    fn record_failed_reserve(&mut self, now: BootTime, sent: BootTime, reply: OrderReply) {
+    fn record_failed_reserve(&mut self, now: BootTime, reply: OrderReply) {
         if reply == OrderReply::Missing {
-            let latest = sent.after(self.limits.max_lateness);
+            let latest = now.after(self.limits.max_lateness);
             // One release follows the latest time at which the order may be carried out.
             let until = latest.after(self.limits.recheck);
             self.doubt_end = self.doubt_end.max(Some(until));
+            self.is_in_doubt = true;
         }
         if self.phase == Phase::Taking {
             self.end(now);
@@ -118,11 +124,15 @@
         }
     }
 
-    /// Renewing expired memory would reserve it anew for a request that the engine has cut off.
+    /// Renewing expired memory would reserve it anew for a request that the engine has cut off. While
+    /// a renewal may have been carried out, the request that uses the memory is left to go on until
+    /// the engine cuts it off.
     fn is_lost(&self, now: BootTime) -> bool {
         let has_expired = self.held_until.is_none_or(|until| now >= until);
-        let is_idle = !self.is_used && now.since(self.started) >= self.limits.max_idle;
-        has_expired || is_idle
+        if self.is_used {
+            return has_expired && !self.is_in_doubt;
+        }
+        has_expired || now.since(self.started) >= self.limits.max_idle
     }
 
     fn may_hold_until(&self) -> Option<BootTime> {
