Do not end a request with the failure of one of two servers

Seen in review: while two back ends have a request, the 5xx of the first to answer was forwarded although the other one was still at work. All attempts were in use, so the response counted as the last one.

Change: such a response is kept until the other has answered; it is forwarded if the other fails as well.

Evidence: two tests got 500 before (a server that was silent answers 500, and the one that was asked does).

--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -62,10 +62,24 @@
         };
         self.end_silence(&server);
         match first {
-            Either::Left(head) => match self.accept_head(target, sent.grant, head) {
-                Ok(upstream) => Ok(upstream),
-                Err(error) => other.await.map_err(|_| error),
-            },
+            Either::Left(head) => {
+                let own = self.accept_head(target, sent.grant, head);
+                if own.as_ref().is_ok_and(is_useful) {
+                    return own;
+                }
+                match other.await {
+                    Ok(upstream) if own.is_err() || is_useful(&upstream) => Ok(upstream),
+                    _ => own,
+                }
+            }
+            Either::Right(Ok(upstream)) if !is_useful(&upstream) => {
+                let head = sent.head().await;
+                let own = self.accept_head(target, sent.grant, head);
+                if own.as_ref().is_ok_and(is_useful) {
+                    return own;
+                }
+                Ok(upstream)
+            }
             Either::Right(Ok(upstream)) => {
                 let cause = "another backend server responded first";
                 self.fail_attempt(sent.grant, "silent", cause, Outcome::Silent);
@@ -126,3 +140,8 @@
         Some(Millis(latency_target.get() + latency_target.get() / 2).max(MIN_RESPONSE_TIMEOUT))
     }
 }
+
+/// Whether a response is better than waiting for that of another backend server.
+fn is_useful(upstream: &UpstreamResponse) -> bool {
+    !upstream.response.status().is_server_error()
+}
