Release a broken stream's engine before waiting for the next one

Seen in review: when a silent engine's connection broke while another was asked to take the stream over, its grant was kept until the other had answered. Memory reserved for it was renewed meanwhile, its load was counted and its crash was recorded late.

Change: the attempt ends when its connection breaks. Found by reading; no test or play showed it.

--- a/jujubewind/src/direct/api/relay/handover.rs
+++ b/jujubewind/src/direct/api/relay/handover.rs
@@ -29,10 +29,13 @@
                 self.takeover = Some(takeover);
                 Step::Events(bytes)
             }
-            Either::Left(Step::Broken(what)) if what != DEADLINE => match takeover.await {
-                Some(replacement) => Step::Events(self.switch_to(replacement, what)),
-                None => Step::Broken(what),
-            },
+            Either::Left(Step::Broken(what)) if what != DEADLINE => {
+                self.end_broken(what);
+                match takeover.await {
+                    Some(replacement) => Step::Events(self.switch_to(replacement, what)),
+                    None => Step::Broken(what),
+                }
+            }
             Either::Left(step) => step,
             Either::Right(Some(replacement)) => Step::Events(self.switch_to(replacement, SILENT)),
             Either::Right(None) => Step::Events(Bytes::new()),
