Take no retry for a resumption that nothing was sent for, nor beyond the attempts

Seen in review: a broken stream that every placement refused took up to four retries from the shared budget at once; and a refusal by a silent server, after two others had run the request, allowed a further one beyond the route's attempts.

Change: a resumption that sent nothing is not tried again, and a retry after a refusal needs attempts left. Found by reading; no test or play showed it.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -201,6 +201,7 @@
                 AttemptError::MayHaveRun => return Err(Failure::in_doubt(Reason::BackendDown)),
                 AttemptError::NotRun(reason) => {
                     let budget = tries < MAX_ATTEMPTS
+                        && self.has_attempts_left(&target)
                         && self.gateway.control.take_retry(&target.service).await;
                     if !budget || self.left(&target) < MIN_RETRY_TIME {
                         return Err(self.failure(reason));
@@ -247,6 +248,11 @@
         self.excluded.borrow_mut().push(server.clone());
     }
 
+    /// The number of backend servers that may have run the request.
+    pub(super) fn runs(&self) -> u32 {
+        self.runs.get()
+    }
+
     fn has_attempts_left(&self, target: &Target) -> bool {
         self.runs.get() < target.route.attempts.max(1)
     }
--- a/jujubewind/src/direct/api/relay/handover.rs
+++ b/jujubewind/src/direct/api/relay/handover.rs
@@ -49,10 +49,14 @@
             if !self.exchange.may_retry(&self.target).await {
                 break;
             }
+            let runs = self.exchange.runs();
             let (exchange, target) = (self.exchange.clone(), self.target.clone());
             if let Some(replacement) = take_over(exchange, target, self.last).await {
                 return Some(self.switch_to(replacement, BROKEN));
             }
+            if self.exchange.runs() == runs {
+                break;
+            }
         }
         None
     }
