Tell the ends of a replacement apart before its first event

Change: the causes map to outcomes as they do for a stream in progress, and only a numbered event or a framed end makes a replacement. Found by reading; no test or play showed it.

--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -227,12 +227,6 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        let outcome = match what {
-            DEADLINE | MEMORY_LOST => Outcome::Abandoned,
-            SILENT => Outcome::Silent,
-            MALFORMED => Outcome::Malformed,
-            _ => Outcome::Broken,
-        };
         self.exchange.log_attempt_failure(
             &source.grant.placement,
             what,
@@ -241,8 +235,18 @@
         let server = &source.grant.placement.primary.id;
         self.exchange.end_silence(server);
         self.exchange.exclude(server);
-        source.grant.finish(outcome);
+        source.grant.finish(outcome_of(what));
         drop(source.connection);
         self.events = EventSplitter::default();
     }
 }
+
+/// What the end of an attempt for the cause `what` says about the backend server.
+pub(super) fn outcome_of(what: &str) -> Outcome {
+    match what {
+        DEADLINE | MEMORY_LOST => Outcome::Abandoned,
+        SILENT => Outcome::Silent,
+        MALFORMED => Outcome::Malformed,
+        _ => Outcome::Broken,
+    }
+}
--- a/jujubewind/src/direct/api/takeover.rs
+++ b/jujubewind/src/direct/api/takeover.rs
@@ -14,10 +14,10 @@
 use super::relay::MEMORY_LOST;
 use super::relay::REPEATED;
 use super::relay::TORN;
+use super::relay::outcome_of;
 use super::source::Source;
 use super::target::Target;
 use crate::direct::Dialect;
-use crate::direct::Outcome;
 
 /// Completes with the replacement, or `None` if no backend server takes the stream over.
 pub(super) type Takeover = Pin<Box<dyn Future<Output = Option<Replacement>>>>;
@@ -80,7 +80,7 @@
             let placement = &source.grant.placement;
             exchange.log_attempt_failure(placement, what, "before an event");
             exchange.exclude(&placement.primary.id);
-            source.grant.finish(Outcome::Broken);
+            source.grant.finish(outcome_of(what));
             None
         }
     }
@@ -97,14 +97,16 @@
         let frame = match frame.ok_or(MEMORY_LOST)? {
             Some(frame) => frame.map_err(|_| BROKEN)?,
             None if events.has_partial_event() => return Err(TORN),
-            None => return Ok(None),
+            None if source.is_framed => return Ok(None),
+            None => return Err(BROKEN),
         };
         let found = frame.into_data().ok();
         let found = found.and_then(|bytes| events.push(&bytes));
         if events.is_overlong() {
             return Err(MALFORMED);
         }
-        if let Some(found) = found {
+        // A comment does not show that the stream goes on.
+        if let Some(found) = found.filter(|found| found.last.is_some() || last.is_none()) {
             return found.follow(last).then_some(Some(found)).ok_or(REPEATED);
         }
     }
