--- a/jujubewind/src/direct/api/relay/handover.rs
+++ b/jujubewind/src/direct/api/relay/handover.rs
@@ -29,10 +29,13 @@
                 self.takeover = Some(takeover);
                 Step::Events(bytes)
             }
-            Either::Left(Step::Broken(what)) if what != DEADLINE => match takeover.await {
-                Some(replacement) => Step::Events(self.switch_to(replacement, what)),
-                None => Step::Broken(what),
-            },
+            Either::Left(Step::Broken(what)) if what != DEADLINE => {
+                self.end_broken(what);
+                match takeover.await {
+                    Some(replacement) => Step::Events(self.switch_to(replacement, what)),
+                    None => Step::Broken(what),
+                }
+            }
             Either::Left(step) => step,
             Either::Right(Some(replacement)) => Step::Events(self.switch_to(replacement, SILENT)),
             Either::Right(None) => Step::Events(Bytes::new()),
@@ -46,10 +49,14 @@
             if !self.exchange.may_retry(&self.target).await {
                 break;
             }
+            let runs = self.exchange.runs();
             let (exchange, target) = (self.exchange.clone(), self.target.clone());
             if let Some(replacement) = take_over(exchange, target, self.last).await {
                 return Some(self.switch_to(replacement, BROKEN));
             }
+            if self.exchange.runs() == runs {
+                break;
+            }
         }
         None
     }
