Engine's crash test: hold the stream open until the crash

A pause of 300 ms between the first event and the crash fails the same assertion each time.

The engine is slowed down by 50 first, as in the tests beside it.

--- a/emulator/tests/engine_server.rs
+++ b/emulator/tests/engine_server.rs
@@ -121,6 +121,7 @@
     let server = engine();
 
     let (chunk, list) = block_on(async {
+        set_slowdown(&server, 50.0).await;
         let mut stream = open(&server, &request("a", "hello", 60, 0)).await;
         post(&server, "/faults", &json!({ "crash": "restart" }))
             .await
