Keep a silent engine until another one has sent its first event

Callers saw: a stream that had not begun hung to its deadline and was truncated, although the engine that it was sent to first went on after 1.7 s.

Cause: of two engines that were asked, the one whose head arrived first won, and the other was dropped. A head may be followed by silence, and the route's attempts are used up by then, so nobody is left to take the stream over.

Change: of two engines, the one that sends an event first goes on. `open_begun` reads a response up to its first events, for a request that has not begun as well as for a stream in progress; `UpstreamResponse` carries them to the relay. Of calls, the head decides as before. The caller gets the head of such a stream with its first event; a request for which neither sends one ends with `deadline_passed` in place of a truncated stream.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod demand;
+mod first_event;
 mod report;
 mod response;
 mod sent_request;
@@ -25,7 +26,6 @@
 use crate::conviction::Prints;
 use crate::direct::Call;
 use crate::direct::Dialect;
-use crate::direct::RouteKind;
 use crate::direct::ServerId;
 use crate::entry::Failure;
 use crate::entry::Ran;
@@ -34,6 +34,7 @@
 use crate::types::Millis;
 use crate::types::MonoTime;
 use crate::types::Tokens;
+use first_event::is_stream;
 
 /// Tells the fingerprint of a part from that of a request.
 const PART_TAG: &[u8] = b"part";
@@ -148,10 +149,9 @@
     }
 
     async fn serve(self: Rc<Self>, target: Target) -> Result<Reply> {
-        let stream = target.route.kind == RouteKind::Stream;
         let mut upstream = self.open(target.clone(), None, false).await?;
         loop {
-            if stream && upstream.response.status().is_success() {
+            if is_stream(&target, &upstream) {
                 return Ok(Relay::start(self, target, upstream));
             }
             match self.read_body(upstream).await {
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -196,6 +196,7 @@
             response,
             grant,
             connection,
+            ..
         } = upstream;
         let (head, body) = response.into_parts();
         match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
--- /dev/null
+++ b/jujubewind/src/direct/api/exchange/first_event.rs
@@ -0,0 +1,82 @@
+//! The wait for the first event of a stream that two backend servers were asked for.
+
+use futures::future::Either;
+use futures::future::select;
+
+use super::super::relay::outcome_of;
+use super::super::target::Target;
+use super::super::upstream_response::UpstreamResponse;
+use super::AttemptError;
+use super::Exchange;
+use super::Result;
+use super::attempt::AttemptResult;
+use crate::direct::Dialect;
+use crate::direct::Outcome;
+use crate::direct::RouteKind;
+use crate::refusal::Reason;
+
+impl<D: Dialect> Exchange<D> {
+    /// Sends the request to another backend server until one responds; a stream is read up to its
+    /// first events.
+    pub(in crate::direct::api) async fn open_begun(
+        &self,
+        target: &Target,
+        last: Option<u64>,
+    ) -> Result<UpstreamResponse> {
+        let mut upstream = self.open(target.clone(), last, true).await?;
+        if !is_stream(target, &upstream) {
+            return Ok(upstream);
+        }
+        match upstream.begin(last.or(self.call.last)).await {
+            Ok(()) => Ok(upstream),
+            Err(what) => {
+                self.fail_begun(upstream, what);
+                Err(self.failure(Reason::BackendDown))
+            }
+        }
+    }
+
+    /// Returns the stream that sends an event first: `own`, whose head has arrived, or `other`.
+    pub(super) async fn await_first_event(
+        &self,
+        target: &Target,
+        mut own: UpstreamResponse,
+        mut other: impl Future<Output = Result<UpstreamResponse>> + Unpin,
+        last: Option<u64>,
+    ) -> AttemptResult<UpstreamResponse> {
+        let begun = Box::pin(own.begin(last.or(self.call.last)));
+        let first = match select(begun, &mut other).await {
+            Either::Left((begun, _)) => Either::Left(begun),
+            Either::Right((outcome, _)) => Either::Right(outcome),
+        };
+        match first {
+            Either::Left(Ok(())) => Ok(own),
+            Either::Left(Err(what)) => {
+                let failed = self.fail_begun(own, what);
+                other.await.map_err(|_| failed)
+            }
+            Either::Right(Ok(upstream)) if is_stream(target, &upstream) => {
+                let cause = "another backend server sent an event first";
+                self.fail_attempt(own.grant, "silent", cause, Outcome::Silent);
+                Ok(upstream)
+            }
+            Either::Right(Ok(upstream)) => {
+                self.log_kept(&upstream.response.status());
+                Ok(own)
+            }
+            Either::Right(Err(failure)) => {
+                self.log_kept(&failure.reason);
+                Ok(own)
+            }
+        }
+    }
+
+    fn fail_begun(&self, upstream: UpstreamResponse, what: &'static str) -> AttemptError {
+        self.fail_attempt(upstream.grant, what, "before an event", outcome_of(what))
+    }
+}
+
+/// Whether a response is a stream of events.
+pub(super) fn is_stream(target: &Target, upstream: &UpstreamResponse) -> bool {
+    target.route.kind == RouteKind::Stream && upstream.response.status().is_success()
+}
--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -10,6 +10,7 @@
 use super::AttemptError;
 use super::Exchange;
 use super::attempt::AttemptResult;
+use super::first_event::is_stream;
 use super::sent_request::SentHead;
 use super::sent_request::SentRequest;
 use crate::direct::Dialect;
@@ -46,24 +47,37 @@
     }
 
     /// Sends the request to another backend server as well and returns the response that begins
-    /// first.
+    /// first; a stream begins with its first event.
     async fn await_first(
         &self,
         target: &Target,
-        mut sent: SentRequest,
+        sent: SentRequest,
         last: Option<u64>,
     ) -> AttemptResult<UpstreamResponse> {
         let server = sent.grant.placement.primary.id.clone();
         self.keep_silent(&server);
-        let mut other = Box::pin(self.open(target.clone(), last, true));
+        let first = self.choose_first(target, sent, last).await;
+        self.end_silence(&server);
+        first
+    }
+
+    async fn choose_first(
+        &self,
+        target: &Target,
+        mut sent: SentRequest,
+        last: Option<u64>,
+    ) -> AttemptResult<UpstreamResponse> {
+        let mut other = Box::pin(self.open_begun(target, last));
         let first = match select(Box::pin(sent.head()), other.as_mut()).await {
             Either::Left((head, _)) => Either::Left(head),
             Either::Right((outcome, _)) => Either::Right(outcome),
         };
-        self.end_silence(&server);
         match first {
             Either::Left(head) => {
                 let own = self.accept_head(target, sent.grant, head);
+                if own.as_ref().is_ok_and(|own| is_stream(target, own)) {
+                    return self.await_first_event(target, own?, other, last).await;
+                }
                 if own.as_ref().is_ok_and(is_useful) {
                     return own;
                 }
@@ -105,14 +119,10 @@
             return Err(self.fail_attempt(grant, "memory_lost", cause, Outcome::Abandoned));
         };
         match response {
-            Ok(response) => self.check_response(
-                target,
-                UpstreamResponse {
-                    response,
-                    grant,
-                    connection,
-                },
-            ),
+            Ok(response) => {
+                let upstream = UpstreamResponse::new(response, grant, connection);
+                self.check_response(target, upstream)
+            }
             Err(SendFault::Unsent(cause)) => {
                 self.runs.set(self.runs.get() - 1);
                 self.log_attempt_failure(&grant.placement, "unsent", &cause);
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -11,7 +11,6 @@
 use hyper::body::Bytes;
 use hyper::body::Frame;
 
-use super::events::EventSplitter;
 use super::events::Events;
 use super::exchange::Exchange;
 use super::gap_tracker::GapTracker;
@@ -62,7 +61,6 @@
     exchange: Rc<Exchange<D>>,
     target: Target,
     source: Option<Source>,
-    events: EventSplitter,
     last: Option<u64>,
     status: StatusCode,
     gaps: GapTracker,
@@ -94,7 +92,6 @@
             exchange,
             target,
             source: Some(Source::new(upstream)),
-            events: EventSplitter::default(),
             status,
             gaps: GapTracker::default(),
             began: None,
@@ -138,6 +135,9 @@
         let Some(source) = self.source.as_mut() else {
             return Step::End;
         };
+        if let Some(first) = source.first.take() {
+            return Step::Events(self.accept_events(first));
+        }
         let reading = compio::time::timeout(wait.duration(), source.body.frame());
         let Some(frame) = source.grant.while_held(reading).await else {
             return Step::Broken(MEMORY_LOST);
@@ -147,7 +147,7 @@
             Err(_) => Step::Silent,
             Ok(Some(Err(_))) => Step::Broken(BROKEN),
             Ok(Some(Ok(frame))) => self.accept_frame(frame),
-            Ok(None) if self.events.has_partial_event() => Step::Broken(TORN),
+            Ok(None) if source.events.has_partial_event() => Step::Broken(TORN),
             Ok(None) => {
                 self.finish();
                 Step::End
@@ -170,8 +170,11 @@
         let Ok(bytes) = frame.into_data() else {
             return Step::Events(Bytes::new());
         };
-        let Some(events) = self.events.push(&bytes) else {
-            if self.events.is_overlong() {
+        let Some(source) = self.source.as_mut() else {
+            return Step::End;
+        };
+        let Some(events) = source.events.push(&bytes) else {
+            if source.events.is_overlong() {
                 return Step::Broken(MALFORMED);
             }
             return Step::Events(Bytes::new());
@@ -237,7 +240,6 @@
         self.exchange.exclude(server);
         source.grant.finish(outcome_of(what));
         drop(source.connection);
-        self.events = EventSplitter::default();
     }
 }
 
--- a/jujubewind/src/direct/api/relay/handover.rs
+++ b/jujubewind/src/direct/api/relay/handover.rs
@@ -5,9 +5,10 @@
 use hyper::body::Bytes;
 
 use super::super::limits::MAX_ATTEMPTS;
-use super::super::takeover::Replacement;
+use super::super::source::Source;
 use super::super::takeover::Takeover;
 use super::super::takeover::take_over;
+use super::super::upstream_response::UpstreamResponse;
 use super::BROKEN;
 use super::DEADLINE;
 use super::Relay;
@@ -88,15 +89,16 @@
     }
 
     /// Ends the current attempt and goes on with the first events of its replacement.
-    fn switch_to(&mut self, replacement: Replacement, what: &'static str) -> Bytes {
+    fn switch_to(&mut self, replacement: UpstreamResponse, what: &'static str) -> Bytes {
         self.end_broken(what);
         self.began = None;
         self.progress = self.exchange.gateway.clock.now();
         self.patient = false;
-        self.source = Some(replacement.source);
-        self.status = replacement.status;
-        self.events = replacement.events;
-        let first = replacement.first.map(|events| self.accept_events(events));
-        first.unwrap_or_default()
+        self.status = replacement.response.status();
+        let mut source = Source::new(replacement);
+        let first = source.first.take();
+        self.source = Some(source);
+        let bytes = first.map(|events| self.accept_events(events));
+        bytes.unwrap_or_default()
     }
 }
--- a/jujubewind/src/direct/api/source.rs
+++ b/jujubewind/src/direct/api/source.rs
@@ -2,6 +2,8 @@
 
 use hyper::body::Incoming;
 
+use super::events::EventSplitter;
+use super::events::Events;
 use super::hop::is_framed;
 use super::upstream_response::UpstreamResponse;
 use crate::direct::Connection;
@@ -15,6 +17,10 @@
     pub(super) connection: Connection,
     /// Whether the response tells its end, so that a closed connection is not mistaken for it.
     pub(super) is_framed: bool,
+    /// The first events, if they have been read and not been forwarded.
+    pub(super) first: Option<Events>,
+    /// Buffers a partial event.
+    pub(super) events: EventSplitter,
 }
 
 impl Source {
@@ -24,6 +30,8 @@
             body: upstream.response.into_body(),
             grant: upstream.grant,
             connection: upstream.connection,
+            first: upstream.first,
+            events: upstream.events,
         }
     }
 }
--- a/jujubewind/src/direct/api/takeover.rs
+++ b/jujubewind/src/direct/api/takeover.rs
@@ -3,34 +3,14 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
-use http_body_util::BodyExt;
-use hyper::StatusCode;
-
-use super::events::EventSplitter;
-use super::events::Events;
 use super::exchange::Exchange;
-use super::relay::BROKEN;
-use super::relay::MALFORMED;
-use super::relay::MEMORY_LOST;
-use super::relay::REPEATED;
-use super::relay::TORN;
-use super::relay::outcome_of;
-use super::source::Source;
 use super::target::Target;
+use super::upstream_response::UpstreamResponse;
 use crate::direct::Dialect;
 
-/// Completes with the replacement, or `None` if no backend server takes the stream over.
-pub(super) type Takeover = Pin<Box<dyn Future<Output = Option<Replacement>>>>;
-
-/// A backend server that has begun to send the rest of a stream.
-pub(super) struct Replacement {
-    pub(super) source: Source,
-    pub(super) status: StatusCode,
-    /// Buffers a partial event.
-    pub(super) events: EventSplitter,
-    /// Its first events; `None` if there were none left to send.
-    pub(super) first: Option<Events>,
-}
+/// Completes with a response that was read up to its first events, or `None` if no backend server
+/// takes the stream over.
+pub(super) type Takeover = Pin<Box<dyn Future<Output = Option<UpstreamResponse>>>>;
 
 /// Sends the rest of a stream, after the event `last`, to another backend server and waits for its
 /// first event.
@@ -54,60 +34,16 @@
     exchange: &Exchange<D>,
     target: &Target,
     last: Option<u64>,
-) -> Option<Replacement> {
-    let upstream = match exchange.open(target.clone(), last, true).await {
-        Ok(upstream) if upstream.response.status().is_success() => upstream,
+) -> Option<UpstreamResponse> {
+    match exchange.open_begun(target, last).await {
+        Ok(upstream) if upstream.response.status().is_success() => Some(upstream),
         Ok(upstream) => {
             exchange.log_kept(&upstream.response.status());
-            return None;
+            None
         }
         Err(failure) => {
             exchange.log_kept(&failure.reason);
-            return None;
-        }
-    };
-    let status = upstream.response.status();
-    let mut source = Source::new(upstream);
-    let mut events = EventSplitter::default();
-    match first_events(&mut source, &mut events, last).await {
-        Ok(first) => Some(Replacement {
-            source,
-            status,
-            events,
-            first,
-        }),
-        Err(what) => {
-            let placement = &source.grant.placement;
-            exchange.log_attempt_failure(placement, what, "before an event");
-            exchange.exclude(&placement.primary.id);
-            source.grant.finish(outcome_of(what));
             None
         }
     }
 }
-
-/// Reads up to the first complete events; `None` if the stream ends without any.
-async fn first_events(
-    source: &mut Source,
-    events: &mut EventSplitter,
-    last: Option<u64>,
-) -> Result<Option<Events>, &'static str> {
-    loop {
-        let frame = source.grant.while_held(source.body.frame()).await;
-        let frame = match frame.ok_or(MEMORY_LOST)? {
-            Some(frame) => frame.map_err(|_| BROKEN)?,
-            None if events.has_partial_event() => return Err(TORN),
-            None if source.is_framed => return Ok(None),
-            None => return Err(BROKEN),
-        };
-        let found = frame.into_data().ok();
-        let found = found.and_then(|bytes| events.push(&bytes));
-        if events.is_overlong() {
-            return Err(MALFORMED);
-        }
-        // A comment does not show that the stream goes on.
-        if let Some(found) = found.filter(|found| found.last.is_some() || last.is_none()) {
-            return found.follow(last).then_some(Some(found)).ok_or(REPEATED);
-        }
-    }
-}
--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -1,8 +1,17 @@
 //! A response whose head has arrived.
 
+use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 
+use super::events::EventSplitter;
+use super::events::Events;
+use super::hop::is_framed;
+use super::relay::BROKEN;
+use super::relay::MALFORMED;
+use super::relay::MEMORY_LOST;
+use super::relay::REPEATED;
+use super::relay::TORN;
 use crate::direct::Connection;
 use crate::direct::Grant;
 use crate::direct::Outcome;
@@ -16,9 +25,47 @@
     pub grant: Grant,
     /// The connection that carries the body.
     pub connection: Connection,
+    /// The first events of a stream; `None` if none were read.
+    pub first: Option<Events>,
+    /// Buffers a partial event.
+    pub events: EventSplitter,
 }
 
 impl UpstreamResponse {
+    /// Wraps a response of which nothing but the head was read.
+    pub fn new(response: Response<Incoming>, grant: Grant, connection: Connection) -> Self {
+        Self {
+            response,
+            grant,
+            connection,
+            first: None,
+            events: EventSplitter::default(),
+        }
+    }
+
+    /// Reads a stream up to its first events after the event `last`, or to its end if there are none;
+    /// the error says what went wrong. May be cancelled and called again.
+    pub async fn begin(&mut self, last: Option<u64>) -> Result<(), &'static str> {
+        while self.first.is_none() {
+            let frame = self.grant.while_held(self.response.body_mut().frame());
+            let frame = match frame.await.ok_or(MEMORY_LOST)? {
+                Some(frame) => frame.map_err(|_| BROKEN)?,
+                None if self.events.has_partial_event() => return Err(TORN),
+                None if is_framed(self.response.headers()) => return Ok(()),
+                None => return Err(BROKEN),
+            };
+            let found = frame.into_data().ok();
+            let found = found.and_then(|bytes| self.events.push(&bytes));
+            if self.events.is_overlong() {
+                return Err(MALFORMED);
+            }
+            // A comment does not show that the stream goes on.
+            self.first = found.filter(|found| found.last.is_some() || last.is_none());
+        }
+        let is_next = self.first.as_ref().is_some_and(|first| first.follow(last));
+        is_next.then_some(()).ok_or(REPEATED)
+    }
+
     /// Returns the connection to the pool and ends the grant after the whole body was read.
     pub fn finish(grant: Grant, connection: Connection, outcome: Outcome) {
         connection.give_back();
