Decide hand-overs by a state machine without sockets

When a stream's engine was silent or broke, what happened next was decided between reads, in `relay.rs` and `relay/handover.rs`, and only tests with scripted back ends covered it, one order of events each.

Change: `Handover` takes the time and what happened (an event, a silence, an end, a break, the answer of the retry budget, the beginning or failure of the other engine) and tells what to do. The relay reads and carries that out.

`tests/direct/handover.rs` visits all runs of up to nine inputs (36,929) and checks that an engine is given up only for one that has sent an event, that the answer is truncated only at the deadline or after a break with no replacement, that one other engine is asked in a silence and four after a break at the most, and that each wait ends in a decision.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -14,6 +14,7 @@
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
 
+use self::first_event::is_stream;
 use super::gateway::Gateway;
 use super::gateway::OpenRequest;
 use super::limits::MAX_ATTEMPTS;
@@ -34,7 +35,6 @@
 use crate::types::Millis;
 use crate::types::MonoTime;
 use crate::types::Tokens;
-use first_event::is_stream;
 
 /// Tells the fingerprint of a part from that of a request.
 const PART_TAG: &[u8] = b"part";
--- /dev/null
+++ b/jujubewind/src/direct/api/handover.rs
@@ -0,0 +1,177 @@
+//! Decides from which of two backend servers a stream is read on.
+
+use super::limits::MAX_ATTEMPTS;
+use crate::types::Millis;
+use crate::types::MonoTime;
+
+/// The caller's or the route's timeout has passed.
+pub const DEADLINE: &str = "deadline";
+
+/// What happened to a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// Nothing arrived for as long as `Handover::wait` told.
+    Elapsed,
+    /// The backend server sent an event.
+    Event,
+    /// The backend server completed the stream.
+    Ended,
+    /// The attempt at the backend server failed, for this cause.
+    Broken(&'static str),
+    /// The request may be sent to another backend server.
+    RetryGranted,
+    /// The request may not be sent again.
+    RetryDenied,
+    /// The other backend server has sent an event.
+    OtherBegan,
+    /// The other backend server will not go on with the stream.
+    OtherFailed {
+        /// Whether the request was sent to it and may have run.
+        sent: bool,
+    },
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Read from the backend servers that there are.
+    Read,
+    /// Find out whether the request may be sent again.
+    TakeRetry,
+    /// Send the rest of the request to another backend server as well.
+    AskOther,
+    /// Give up the other backend server and read on.
+    DropOther,
+    /// Give up the backend server, if it is still there, and go on with the other one.
+    Switch,
+    /// End the answer, which is complete.
+    End,
+    /// End the answer, which is not complete, for this cause.
+    Truncate(&'static str),
+}
+
+/// The state of a stream that is read from one backend server, and of another one that was asked to
+/// take it over.
+#[derive(Clone, Debug)]
+pub struct Handover {
+    deadline: MonoTime,
+    /// How long the backend server may send no events before another one is asked; `None` if none
+    /// may be.
+    max_silence: Option<Millis>,
+    /// When the stream last made progress.
+    progress: MonoTime,
+    /// Whether another backend server has been asked since the last progress, so that a silent one is
+    /// waited for.
+    is_patient: bool,
+    /// Why the backend server is no longer there.
+    broken: Option<&'static str>,
+    /// Whether another backend server is being asked.
+    has_other: bool,
+    /// How often the stream was to be resumed since it broke.
+    resumptions: usize,
+}
+
+impl Handover {
+    /// Starts with one backend server, from which the stream is read until `deadline`.
+    #[must_use]
+    pub const fn new(now: MonoTime, deadline: MonoTime, max_silence: Option<Millis>) -> Self {
+        Self {
+            deadline,
+            max_silence,
+            progress: now,
+            is_patient: false,
+            broken: None,
+            has_other: false,
+            resumptions: 0,
+        }
+    }
+
+    /// How long to read before `Input::Elapsed`.
+    #[must_use]
+    pub fn wait(&self, now: MonoTime) -> Millis {
+        let left = self.deadline.since(now);
+        let silence = self.silence_left(now);
+        silence.map_or(left, |silence| silence.min(left))
+    }
+
+    /// How long the stream has made no progress.
+    #[must_use]
+    pub fn quiet(&self, now: MonoTime) -> Millis {
+        now.since(self.progress)
+    }
+
+    /// Decides what to do after `input`.
+    pub fn apply(&mut self, now: MonoTime, input: Input) -> Output {
+        match input {
+            Input::Elapsed => self.elapse(now),
+            Input::Event => {
+                self.record_progress(now);
+                if std::mem::take(&mut self.has_other) {
+                    return Output::DropOther;
+                }
+                Output::Read
+            }
+            Input::Ended => Output::End,
+            Input::Broken(what) => {
+                self.broken = Some(what);
+                self.resumptions = 0;
+                if self.has_other {
+                    return Output::Read;
+                }
+                self.resume(what)
+            }
+            Input::RetryGranted => {
+                self.has_other = true;
+                Output::AskOther
+            }
+            Input::RetryDenied => self.broken.map_or(Output::Read, Output::Truncate),
+            Input::OtherBegan => {
+                self.record_progress(now);
+                self.has_other = false;
+                self.broken = None;
+                Output::Switch
+            }
+            Input::OtherFailed { sent } => {
+                self.has_other = false;
+                match self.broken {
+                    None => Output::Read,
+                    Some(what) if self.resumptions > 0 && !sent => Output::Truncate(what),
+                    Some(what) => self.resume(what),
+                }
+            }
+        }
+    }
+
+    /// The caller decides how long it waits for an event: silence alone never ends the answer.
+    fn elapse(&mut self, now: MonoTime) -> Output {
+        if now >= self.deadline {
+            return Output::Truncate(self.broken.unwrap_or(DEADLINE));
+        }
+        if self.silence_left(now) == Some(Millis::ZERO) {
+            self.is_patient = true;
+            return Output::TakeRetry;
+        }
+        Output::Read
+    }
+
+    fn resume(&mut self, what: &'static str) -> Output {
+        if self.resumptions == MAX_ATTEMPTS {
+            return Output::Truncate(what);
+        }
+        self.resumptions += 1;
+        Output::TakeRetry
+    }
+
+    fn silence_left(&self, now: MonoTime) -> Option<Millis> {
+        if self.is_patient || self.broken.is_some() {
+            return None;
+        }
+        let quiet = self.quiet(now);
+        self.max_silence.map(|most| most.saturating_sub(quiet))
+    }
+
+    const fn record_progress(&mut self, now: MonoTime) {
+        self.progress = now;
+        self.is_patient = false;
+    }
+}
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -1,9 +1,12 @@
 //! Forwards a stream event by event and resumes it at another backend server if necessary.
 
-mod handover;
+mod actions;
 
+use std::future;
 use std::rc::Rc;
 
+use futures::future::Either;
+use futures::future::select;
 use futures::stream;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
@@ -11,9 +14,14 @@
 use hyper::body::Bytes;
 use hyper::body::Frame;
 
+use self::actions::Flow;
 use super::events::Events;
 use super::exchange::Exchange;
 use super::gap_tracker::GapTracker;
+use super::handover::DEADLINE;
+use super::handover::Handover;
+use super::handover::Input;
+use super::handover::Output;
 use super::hop::end_to_end;
 use super::limits::EVENT_GAP_PERMILLE;
 use super::source::Source;
@@ -31,8 +39,6 @@
 
 /// The backend server sends no events.
 const SILENT: &str = "silent";
-/// The caller's or the route's timeout has passed.
-const DEADLINE: &str = "deadline";
 /// Reserved memory can no longer serve the request.
 pub(super) const MEMORY_LOST: &str = "memory_lost";
 /// The backend server sends bytes that are no events.
@@ -49,11 +55,10 @@
 
 /// The result of reading from the stream.
 enum Step {
-    Events(Bytes),
-    End,
-    /// The stream makes no progress; it may be slow but sound.
-    Silent,
-    Broken(&'static str),
+    /// Bytes for the caller.
+    Bytes(Bytes),
+    /// Something to decide about.
+    Input(Input),
 }
 
 /// A stream in progress; `last` is the id of the last event that was forwarded.
@@ -66,13 +71,13 @@
     gaps: GapTracker,
     /// When the current backend server sent its first event.
     began: Option<MonoTime>,
-    /// When the stream last made progress.
-    progress: MonoTime,
-    /// Whether another backend server has been asked since the last progress, so that a silent one is
-    /// waited for.
-    patient: bool,
+    handover: Handover,
     /// Another backend server that is asked to take the stream over.
-    takeover: Option<Takeover>,
+    other: Option<Takeover>,
+    /// The other one's response, once its first events have arrived.
+    replacement: Option<UpstreamResponse>,
+    /// The number of runs when the other one was asked.
+    runs: u32,
 }
 
 impl<D: Dialect> Relay<D> {
@@ -84,11 +89,14 @@
     ) -> Reply {
         let status = upstream.response.status();
         let headers = end_to_end(upstream.response.headers());
+        let now = exchange.gateway.clock.now();
+        let deadline = now.after(exchange.left(&target));
         let relay = Self {
             last: exchange.call.last,
-            progress: exchange.gateway.clock.now(),
-            patient: false,
-            takeover: None,
+            handover: Handover::new(now, deadline, max_silence(&target)),
+            other: None,
+            replacement: None,
+            runs: exchange.runs(),
             exchange,
             target,
             source: Some(Source::new(upstream)),
@@ -105,84 +113,55 @@
 
     async fn next(mut self) -> Option<(Item, Self)> {
         loop {
-            let step = match self.takeover.take() {
-                Some(takeover) => self.step_beside(takeover).await,
-                None => self.step().await,
+            let input = match self.step().await {
+                Step::Bytes(bytes) => return Some((Ok(Frame::data(bytes)), self)),
+                Step::Input(input) => input,
             };
-            match step {
-                Step::Events(bytes) => return Some((Ok(Frame::data(bytes)), self)),
-                Step::End => return None,
-                Step::Silent => self.ask_another().await,
-                Step::Broken(what) => {
-                    self.end_broken(what);
-                    if let Some(bytes) = self.resume().await {
-                        return Some((Ok(Frame::data(bytes)), self));
-                    }
-                    self.exchange.log_truncated(what, self.last);
-                    return Some((Err(TruncatedBody), self));
-                }
+            match self.act_on(input).await {
+                Flow::Read => {}
+                Flow::End => return None,
+                Flow::Truncate => return Some((Err(TruncatedBody), self)),
             }
         }
     }
 
+    /// Reads from the stream, and from another backend server if one was asked to take it over.
     async fn step(&mut self) -> Step {
-        let left = self.exchange.left(&self.target);
-        let quiet = self.exchange.gateway.clock.now().since(self.progress);
-        let wait = match self.max_silence() {
-            Some(silence) => silence.saturating_sub(quiet).min(left),
-            None => left,
-        };
-        let Some(source) = self.source.as_mut() else {
-            return Step::End;
-        };
-        if let Some(first) = source.first.take() {
-            return Step::Events(self.accept_events(first));
+        let first = self.source.as_mut().and_then(|source| source.first.take());
+        if let Some(first) = first {
+            return Step::Bytes(self.accept_events(first));
         }
-        let reading = compio::time::timeout(wait.duration(), source.body.frame());
-        let Some(frame) = source.grant.while_held(reading).await else {
-            return Step::Broken(MEMORY_LOST);
+        let wait = self.handover.wait(self.exchange.gateway.clock.now());
+        let reading = Box::pin(read(self.source.as_mut(), wait));
+        let other = self.other.as_mut().map_or_else(
+            || Either::Left(future::pending()),
+            |other| Either::Right(other.as_mut()),
+        );
+        let first = match select(reading, other).await {
+            Either::Left((frame, _)) => Either::Left(frame),
+            Either::Right((replacement, _)) => Either::Right(replacement),
         };
-        match frame {
-            Err(_) if wait == left => Step::Broken(DEADLINE),
-            Err(_) => Step::Silent,
-            Ok(Some(Err(_))) => Step::Broken(BROKEN),
-            Ok(Some(Ok(frame))) => self.accept_frame(frame),
-            Ok(None) if source.events.has_partial_event() => Step::Broken(TORN),
-            Ok(None) => {
-                self.finish();
-                Step::End
-            }
-        }
-    }
-
-    /// How long the backend server may send no events before another one is asked to take over;
-    /// `None` if none may. The caller decides how long it waits for an event: silence alone never
-    /// ends the answer.
-    fn max_silence(&self) -> Option<Millis> {
-        if self.patient || !self.target.route.resumable {
-            return None;
+        match first {
+            Either::Left(Ok(frame)) => self.accept_frame(frame),
+            Either::Left(Err(input)) => Step::Input(input),
+            Either::Right(replacement) => Step::Input(self.accept_other(replacement)),
         }
-        let client_timeout = self.target.route.client_timeout.get();
-        Some(Millis(client_timeout * EVENT_GAP_PERMILLE / 1_000))
     }
 
     fn accept_frame(&mut self, frame: Frame<Bytes>) -> Step {
-        let Ok(bytes) = frame.into_data() else {
-            return Step::Events(Bytes::new());
-        };
-        let Some(source) = self.source.as_mut() else {
-            return Step::End;
+        let (Ok(bytes), Some(source)) = (frame.into_data(), self.source.as_mut()) else {
+            return Step::Bytes(Bytes::new());
         };
         let Some(events) = source.events.push(&bytes) else {
             if source.events.is_overlong() {
-                return Step::Broken(MALFORMED);
+                return Step::Input(Input::Broken(MALFORMED));
             }
-            return Step::Events(Bytes::new());
+            return Step::Bytes(Bytes::new());
         };
         if !events.follow(self.last) {
-            return Step::Broken(REPEATED);
+            return Step::Input(Input::Broken(REPEATED));
         }
-        Step::Events(self.accept_events(events))
+        Step::Bytes(self.accept_events(events))
     }
 
     fn accept_events(&mut self, events: Events) -> Bytes {
@@ -194,9 +173,10 @@
         let now = self.exchange.gateway.clock.now();
         // Events without an id, such as comments, do not show that a numbered stream goes on.
         if events.last.is_some() || self.last.is_none() {
-            self.progress = now;
-            self.patient = false;
             self.end_silence();
+            if self.decide(Input::Event) == Output::DropOther {
+                self.other = None;
+            }
         }
         let began = *self.began.get_or_insert(now);
         if let Some(source) = &self.source
@@ -243,6 +223,30 @@
     }
 }
 
+/// Reads a frame; the error is what happened instead.
+async fn read(source: Option<&mut Source>, wait: Millis) -> Result<Frame<Bytes>, Input> {
+    let Some(source) = source else {
+        compio::time::sleep(wait.duration()).await;
+        return Err(Input::Elapsed);
+    };
+    let reading = source.grant.while_held(source.body.frame());
+    match compio::time::timeout(wait.duration(), reading).await {
+        Err(_) => Err(Input::Elapsed),
+        Ok(None) => Err(Input::Broken(MEMORY_LOST)),
+        Ok(Some(Some(frame))) => frame.map_err(|_| Input::Broken(BROKEN)),
+        Ok(Some(None)) if source.events.has_partial_event() => Err(Input::Broken(TORN)),
+        Ok(Some(None)) => Err(Input::Ended),
+    }
+}
+
+/// How long a backend server may send no events before another one is asked to take over; `None` if
+/// none may.
+fn max_silence(target: &Target) -> Option<Millis> {
+    let client_timeout = target.route.client_timeout.get();
+    let is_resumable = target.route.resumable;
+    is_resumable.then_some(Millis(client_timeout * EVENT_GAP_PERMILLE / 1_000))
+}
+
 /// What the end of an attempt for the cause `what` says about the backend server.
 pub(super) fn outcome_of(what: &str) -> Outcome {
     match what {
--- a/jujubewind/src/direct/api/relay/actions.rs
+++ b/jujubewind/src/direct/api/relay/actions.rs
@@ -1,104 +1,113 @@
-//! How a stream passes from one backend server to another.
+//! Carries out what is decided about a stream and its backend servers.
 
-use futures::future::Either;
-use futures::future::select;
-use hyper::body::Bytes;
-
-use super::super::limits::MAX_ATTEMPTS;
+use super::super::handover::Input;
+use super::super::handover::Output;
 use super::super::source::Source;
-use super::super::takeover::Takeover;
 use super::super::takeover::take_over;
 use super::super::upstream_response::UpstreamResponse;
-use super::BROKEN;
-use super::DEADLINE;
 use super::Relay;
 use super::SILENT;
-use super::Step;
 use crate::direct::Dialect;
 
+/// How the answer goes on.
+pub(super) enum Flow {
+    Read,
+    End,
+    Truncate,
+}
+
 impl<D: Dialect> Relay<D> {
-    /// Reads from the stream while another backend server is asked to take it over: whichever sends
-    /// an event first goes on.
-    pub(super) async fn step_beside(&mut self, mut takeover: Takeover) -> Step {
-        let before = self.progress;
-        let first = match select(Box::pin(self.step()), takeover.as_mut()).await {
-            Either::Left((step, _)) => Either::Left(step),
-            Either::Right((replacement, _)) => Either::Right(replacement),
-        };
-        match first {
-            Either::Left(Step::Events(bytes)) if self.progress == before => {
-                self.takeover = Some(takeover);
-                Step::Events(bytes)
-            }
-            Either::Left(Step::Broken(what)) if what != DEADLINE => {
+    /// Acts on `input` until the stream is to be read again or ends.
+    pub(super) async fn act_on(&mut self, mut input: Input) -> Flow {
+        loop {
+            if let Input::Broken(what) = input {
                 self.end_broken(what);
-                match takeover.await {
-                    Some(replacement) => Step::Events(self.switch_to(replacement, what)),
-                    None => Step::Broken(what),
-                }
             }
-            Either::Left(step) => step,
-            Either::Right(Some(replacement)) => Step::Events(self.switch_to(replacement, SILENT)),
-            Either::Right(None) => Step::Events(Bytes::new()),
+            input = match self.decide(input) {
+                Output::TakeRetry => self.take_retry().await,
+                Output::Read => return Flow::Read,
+                Output::AskOther => {
+                    self.ask_other();
+                    return Flow::Read;
+                }
+                Output::DropOther => {
+                    self.other = None;
+                    return Flow::Read;
+                }
+                Output::Switch => {
+                    self.switch();
+                    return Flow::Read;
+                }
+                Output::End => {
+                    self.finish();
+                    return Flow::End;
+                }
+                Output::Truncate(what) => {
+                    self.other = None;
+                    self.end_broken(what);
+                    self.exchange.log_truncated(what, self.last);
+                    return Flow::Truncate;
+                }
+            };
         }
     }
 
-    /// Resumes a broken stream at another backend server after the last complete event, if retries are
-    /// granted; returns its first events.
-    pub(super) async fn resume(&mut self) -> Option<Bytes> {
-        for _ in 0..MAX_ATTEMPTS {
-            if !self.exchange.may_retry(&self.target).await {
-                break;
-            }
-            let runs = self.exchange.runs();
-            let (exchange, target) = (self.exchange.clone(), self.target.clone());
-            if let Some(replacement) = take_over(exchange, target, self.last).await {
-                return Some(self.switch_to(replacement, BROKEN));
-            }
-            if self.exchange.runs() == runs {
-                break;
-            }
+    pub(super) fn decide(&mut self, input: Input) -> Output {
+        let now = self.exchange.gateway.clock.now();
+        self.handover.apply(now, input)
+    }
+
+    pub(super) fn end_silence(&self) {
+        if let Some(source) = &self.source {
+            let server = &source.grant.placement.primary.id;
+            self.exchange.end_silence(server);
         }
-        None
     }
 
-    /// Asks another backend server to take the stream over, if a retry is granted. The silent one is
-    /// kept until the other has sent an event, as it may be slow but sound.
-    pub(super) async fn ask_another(&mut self) {
-        self.patient = true;
-        let Some(source) = &self.source else {
-            return;
-        };
-        let quiet = self.exchange.gateway.clock.now().since(self.progress);
-        let placement = &source.grant.placement;
-        self.exchange.log_silent(placement, quiet);
-        if !self.exchange.may_retry(&self.target).await {
+    async fn take_retry(&self) -> Input {
+        if let Some(source) = &self.source {
+            let quiet = self.handover.quiet(self.exchange.gateway.clock.now());
+            self.exchange.log_silent(&source.grant.placement, quiet);
+        }
+        if self.exchange.may_retry(&self.target).await {
+            return Input::RetryGranted;
+        }
+        if self.source.is_some() {
             self.exchange.log_kept(&"no retry left");
-            return;
         }
-        self.exchange.keep_silent(&placement.primary.id);
-        let (exchange, target) = (self.exchange.clone(), self.target.clone());
-        self.takeover = Some(take_over(exchange, target, self.last));
+        Input::RetryDenied
     }
 
-    pub(super) fn end_silence(&self) {
+    /// Asks another backend server to take the stream over. A silent one is kept until the other has
+    /// sent an event, as it may be slow but sound.
+    fn ask_other(&mut self) {
         if let Some(source) = &self.source {
-            let server = &source.grant.placement.primary.id;
-            self.exchange.end_silence(server);
+            self.exchange
+                .keep_silent(&source.grant.placement.primary.id);
         }
+        self.runs = self.exchange.runs();
+        let (exchange, target) = (self.exchange.clone(), self.target.clone());
+        self.other = Some(take_over(exchange, target, self.last));
     }
 
-    /// Ends the current attempt and goes on with the first events of its replacement.
-    fn switch_to(&mut self, replacement: UpstreamResponse, what: &'static str) -> Bytes {
-        self.end_broken(what);
+    /// Ends the current attempt and goes on with its replacement.
+    fn switch(&mut self) {
+        self.end_broken(SILENT);
         self.began = None;
-        self.progress = self.exchange.gateway.clock.now();
-        self.patient = false;
-        self.status = replacement.response.status();
-        let mut source = Source::new(replacement);
-        let first = source.first.take();
-        self.source = Some(source);
-        let bytes = first.map(|events| self.accept_events(events));
-        bytes.unwrap_or_default()
+        if let Some(replacement) = self.replacement.take() {
+            self.status = replacement.response.status();
+            self.source = Some(Source::new(replacement));
+        }
+    }
+
+    /// Records how the request to another backend server ended.
+    pub(super) fn accept_other(&mut self, replacement: Option<UpstreamResponse>) -> Input {
+        self.other = None;
+        self.replacement = replacement;
+        if self.replacement.is_some() {
+            return Input::OtherBegan;
+        }
+        let sent = self.exchange.runs() > self.runs;
+        Input::OtherFailed { sent }
     }
 }
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -8,6 +8,7 @@
 mod feed;
 mod feed_fleet;
 mod fixture;
+mod handover;
 mod ledger;
 mod load;
 mod logs;
