Give up memory in use once no unanswered renewal can have kept it

A single renewal without an answer left the hold in doubt until one succeeded, however long that took: after refusals only, or after a freeze that hid the expiry, the entry went on to renew memory that the engine had dropped for certain. Such a renewal sets memory aside for a request that the engine has cut off, for as long as the entry doesn't hear of the cut.

A renewal saves the memory only if it is carried out before the engine drops it. So the hold now records by when the memory was dropped at least once even if all unanswered renewals were carried out: the end of the hold and one hold more for each of them. While renewal after renewal is unanswered this never comes, and the stream goes on, as before.

Two new tests failed before (Send(Reserve) in place of Lost, both at 7,020 ms and at 10,000 ms after a freeze); a third one keeps the stream through 40 s of silence. memory_in_use_is_not_given_up_while_a_renewal_may_have_been_carried_out is replaced: it demanded a renewal at 20 s although the last one that may have been carried out was sent at 1.2 s, before a hold that ended at 3.52 s; its memory was dropped by 7.02 s at the latest.

--- a/jujubewind/src/direct/reservation/memory_hold.rs
+++ b/jujubewind/src/direct/reservation/memory_hold.rs
@@ -31,8 +31,9 @@
     held_until: Option<BootTime>,
     /// Until when an order without an answer may set memory aside.
     doubt_end: Option<BootTime>,
-    /// Whether a renewal since the last one with success may have been carried out.
-    is_in_doubt: bool,
+    /// By when the engine has dropped the memory at least once, even if all renewals without an
+    /// answer were carried out; then it has cut off a request that used it.
+    kept_until: Option<BootTime>,
 }
 
 impl MemoryHold {
@@ -47,7 +48,7 @@
             next_order: now,
             held_until: None,
             doubt_end: None,
-            is_in_doubt: false,
+            kept_until: None,
         }
     }
 
@@ -69,6 +70,7 @@
         match (order, reply) {
             (_, OrderReply::Restarted) => {
                 self.held_until = None;
+                self.kept_until = None;
                 self.end(now);
             }
             (Order::Reserve, OrderReply::Done) => {
@@ -76,12 +78,12 @@
                 let until = now.after(self.limits.hold);
                 self.held_until = self.held_until.max(Some(until));
                 self.next_order = sent.after(self.limits.renewal);
-                self.is_in_doubt = false;
+                self.kept_until = Some(until);
                 if self.phase == Phase::Taking {
                     self.phase = Phase::Held;
                 }
             }
-            (Order::Reserve, _) => self.record_failed_reserve(now, reply),
+            (Order::Reserve, _) => self.record_failed_reserve(now, sent, reply),
             (Order::Release, OrderReply::Done) => {
                 self.held_until = None;
                 self.next_order = now.after(self.limits.recheck);
@@ -109,13 +111,13 @@
         self.phase == Phase::Held
     }
 
-    fn record_failed_reserve(&mut self, now: BootTime, reply: OrderReply) {
+    fn record_failed_reserve(&mut self, now: BootTime, sent: BootTime, reply: OrderReply) {
         if reply == OrderReply::Missing {
             let latest = now.after(self.limits.max_lateness);
             // One release follows the latest time at which the order may be carried out.
             let until = latest.after(self.limits.recheck);
             self.doubt_end = self.doubt_end.max(Some(until));
-            self.is_in_doubt = true;
+            self.extend_kept(sent, latest);
         }
         if self.phase == Phase::Taking {
             self.end(now);
@@ -124,14 +126,22 @@
         }
     }
 
-    /// Renewing expired memory would reserve it anew for a request that the engine has cut off. While
-    /// a renewal may have been carried out, the request that uses the memory is left to go on until
-    /// the engine cuts it off.
+    /// Counts a renewal without an answer, which may be carried out until `latest`. It keeps the
+    /// memory only if it is carried out before the engine drops it.
+    fn extend_kept(&mut self, sent: BootTime, latest: BootTime) {
+        let kept = self.kept_until.filter(|until| sent < *until);
+        if let Some(until) = kept {
+            self.kept_until = Some(until.min(latest).after(self.limits.hold));
+        }
+    }
+
+    /// Renewing memory that was dropped would reserve it anew for a request that the engine has cut
+    /// off.
     fn is_lost(&self, now: BootTime) -> bool {
-        let has_expired = self.held_until.is_none_or(|until| now >= until);
         if self.is_used {
-            return has_expired && !self.is_in_doubt;
+            return self.kept_until.is_none_or(|until| now >= until);
         }
+        let has_expired = self.held_until.is_none_or(|until| now >= until);
         has_expired || now.since(self.started) >= self.limits.max_idle
     }
 
--- a/jujubewind/tests/direct/memory_hold.rs
+++ b/jujubewind/tests/direct/memory_hold.rs
@@ -21,8 +21,9 @@
     BootTime::from_millis(millis)
 }
 
+/// A renewal saves the memory only if it was carried out before the hold was over.
 #[test]
-fn memory_in_use_is_not_given_up_while_a_renewal_may_have_been_carried_out() {
+fn memory_in_use_is_given_up_only_once_no_renewal_can_have_kept_it() {
     let mut hold = MemoryHold::new(boot(0), LIMITS);
     hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
     hold.mark_used();
@@ -40,7 +41,43 @@
         OrderReply::Refused,
     );
 
-    assert_eq!(hold.step(boot(20_000)), Step::Send(Order::Reserve));
+    assert_eq!(hold.step(boot(7_019)), Step::Send(Order::Reserve));
+    assert_eq!(hold.step(boot(7_020)), Step::Lost);
+}
+
+#[test]
+fn memory_in_use_is_not_given_up_while_renewal_after_renewal_is_unanswered() {
+    let mut hold = MemoryHold::new(boot(0), LIMITS);
+    hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
+    hold.mark_used();
+
+    for sent in (1_200..40_000).step_by(700) {
+        assert_eq!(hold.step(boot(sent)), Step::Send(Order::Reserve));
+        hold.record(
+            boot(sent + 500),
+            boot(sent),
+            Order::Reserve,
+            OrderReply::Missing,
+        );
+    }
+}
+
+/// Such a renewal would reserve memory for a request that its engine has cut off.
+#[test]
+fn memory_that_surely_expired_during_a_freeze_is_not_renewed_after_an_unanswered_renewal() {
+    let mut hold = MemoryHold::new(boot(0), LIMITS);
+    hold.record(boot(20), boot(0), Order::Reserve, OrderReply::Done);
+    hold.mark_used();
+    hold.record(
+        boot(1_700),
+        boot(1_200),
+        Order::Reserve,
+        OrderReply::Missing,
+    );
+
+    let frozen_past_expiry = hold.step(boot(10_000));
+
+    assert_eq!(frozen_past_expiry, Step::Lost);
 }
 
 #[test]
