Keep unused memory while an unanswered renewal may have kept it

Cause: before the first event, the hold counted answered orders only. Now both count alike: lost once the engine has dropped the memory for certain. If it dropped it earlier, the engine itself cuts off or refuses the request. The bound on unused memory (80 % of idle_max_ms) is as before, so nothing stays reserved for longer than it did.

--- a/jujubewind/src/direct/reservation/memory_hold.rs
+++ b/jujubewind/src/direct/reservation/memory_hold.rs
@@ -136,13 +136,10 @@
     }
 
     /// Renewing memory that was dropped would reserve it anew for a request that the engine has cut
-    /// off.
+    /// off. Until that is certain, the engine tells by the request's answer whether it was.
     fn is_lost(&self, now: BootTime) -> bool {
-        if self.is_used {
-            return self.kept_until.is_none_or(|until| now >= until);
-        }
-        let has_expired = self.held_until.is_none_or(|until| now >= until);
-        has_expired || now.since(self.started) >= self.limits.max_idle
+        let is_dropped = self.kept_until.is_none_or(|until| now >= until);
+        is_dropped || !self.is_used && now.since(self.started) >= self.limits.max_idle
     }
 
     fn may_hold_until(&self) -> Option<BootTime> {
