End the note of a silent server with its attempt

Callers saw: on a route with four attempts, a stream whose engine had answered late and then broken was truncated, although another engine was free to resume it.

Cause: while a server is silent, the request is not sent to it again. The note of that was taken back by the wait itself. With two silent servers the waits are nested; when the first one answered, the inner wait was dropped and the second server stayed noted for the rest of the request, though its attempt had ended. If placement chose it, the request was refused with no_backend.

Change: the note is a value that ends the silence when it is dropped (Silence). The wait and the relay own it; nothing has to be taken back.

Evidence: a_server_that_was_silent_may_resume_a_stream_once_its_attempt_has_ended failed before, with the events 1 and 2 of 4 and a truncated body; it passes now. The other tests of several_attempts.rs passed before as well: with two silent servers a third one is asked and the first one is kept, whether the third is silent, answers or refuses.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -5,6 +5,7 @@
 mod report;
 mod response;
 mod sent_request;
+mod silence;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -13,6 +14,8 @@
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
 
+pub use self::silence::Silence;
+use self::silence::SilentServers;
 use super::gateway::Gateway;
 use super::gateway::OpenRequest;
 use super::limits::MAX_ATTEMPTS;
@@ -60,7 +63,7 @@
     draw: u64,
     excluded: RefCell<Vec<ServerId>>,
     /// Silent backend servers that may still answer.
-    silent: RefCell<Vec<ServerId>>,
+    silent: SilentServers,
     /// The number of backend servers that may have run the request.
     runs: Cell<u32>,
     /// The number of times that memory was reserved for it.
@@ -117,7 +120,7 @@
             body,
             arrived,
             excluded: RefCell::default(),
-            silent: RefCell::default(),
+            silent: SilentServers::default(),
             runs: Cell::new(0),
             reservations: Cell::new(0),
             is_ended: Cell::new(false),
@@ -180,7 +183,7 @@
                 .place(job, self.prints.clone(), again)
                 .await?;
             again = true;
-            if self.silent.borrow().contains(&grant.placement.primary.id) {
+            if self.silent.contains(&grant.placement.primary.id) {
                 return Err(self.failure(Reason::NoBackend));
             }
             let current = self.resolve()?;
@@ -234,14 +237,9 @@
     }
 
     /// Records that a server is silent but keeps the request: no attempt is made there meanwhile.
-    pub(super) fn keep_silent(&self, server: &ServerId) {
+    pub(super) fn keep_silent(&self, server: &ServerId) -> Silence {
         self.exclude(server);
-        self.silent.borrow_mut().push(server.clone());
-    }
-
-    /// Records that a server that was silent has answered or has lost the request.
-    pub(super) fn end_silence(&self, server: &ServerId) {
-        self.silent.borrow_mut().retain(|other| other != server);
+        self.silent.add(server)
     }
 
     pub(super) fn exclude(&self, server: &ServerId) {
--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -53,16 +53,15 @@
         mut sent: SentRequest,
         last: Option<u64>,
     ) -> AttemptResult<UpstreamResponse> {
-        let server = sent.grant.placement.primary.id.clone();
-        self.keep_silent(&server);
+        let silence = self.keep_silent(&sent.grant.placement.primary.id);
         let mut other = Box::pin(self.open(target.clone(), last, true));
         let first = match select(Box::pin(sent.head()), other.as_mut()).await {
             Either::Left((head, _)) => Either::Left(head),
             Either::Right((outcome, _)) => Either::Right(outcome),
         };
-        self.end_silence(&server);
         match first {
             Either::Left(head) => {
+                drop(silence);
                 let own = self.accept_head(target, sent.grant, head);
                 if own.as_ref().is_ok_and(is_useful) {
                     return own;
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -14,6 +14,7 @@
 use super::events::EventSplitter;
 use super::events::Events;
 use super::exchange::Exchange;
+use super::exchange::Silence;
 use super::gap_tracker::GapTracker;
 use super::hop::end_to_end;
 use super::limits::EVENT_GAP_PERMILLE;
@@ -73,6 +74,8 @@
     /// Whether another backend server has been asked since the last progress, so that a silent one is
     /// waited for.
     patient: bool,
+    /// Keeps the request from being sent again to a silent backend server.
+    silence: Option<Silence>,
     /// Another backend server that is asked to take the stream over.
     takeover: Option<Takeover>,
 }
@@ -90,6 +93,7 @@
             last: exchange.call.last,
             progress: exchange.gateway.clock.now(),
             patient: false,
+            silence: None,
             takeover: None,
             exchange,
             target,
@@ -193,7 +197,7 @@
         if events.last.is_some() || self.last.is_none() {
             self.progress = now;
             self.patient = false;
-            self.end_silence();
+            self.silence = None;
         }
         let began = *self.began.get_or_insert(now);
         if let Some(source) = &self.source
@@ -232,9 +236,8 @@
             what,
             format!("after event {:?}", self.last),
         );
-        let server = &source.grant.placement.primary.id;
-        self.exchange.end_silence(server);
-        self.exchange.exclude(server);
+        self.silence = None;
+        self.exchange.exclude(&source.grant.placement.primary.id);
         source.grant.finish(outcome_of(what));
         drop(source.connection);
         self.events = EventSplitter::default();
--- a/jujubewind/src/direct/api/relay/handover.rs
+++ b/jujubewind/src/direct/api/relay/handover.rs
@@ -75,18 +75,11 @@
             self.exchange.log_kept(&"no retry left");
             return;
         }
-        self.exchange.keep_silent(&placement.primary.id);
+        self.silence = Some(self.exchange.keep_silent(&placement.primary.id));
         let (exchange, target) = (self.exchange.clone(), self.target.clone());
         self.takeover = Some(take_over(exchange, target, self.last));
     }
 
-    pub(super) fn end_silence(&self) {
-        if let Some(source) = &self.source {
-            let server = &source.grant.placement.primary.id;
-            self.exchange.end_silence(server);
-        }
-    }
-
     /// Ends the current attempt and goes on with the first events of its replacement.
     fn switch_to(&mut self, replacement: Replacement, what: &'static str) -> Bytes {
         self.end_broken(what);
