--- a/jujubewind/src/direct/api/exchange/first_event.rs
+++ b/jujubewind/src/direct/api/exchange/first_event.rs
@@ -9,6 +9,7 @@
 use super::AttemptError;
 use super::Exchange;
 use super::Result;
+use super::Silence;
 use super::attempt::AttemptResult;
 use crate::direct::Dialect;
 use crate::direct::Outcome;
@@ -41,6 +42,7 @@
         &self,
         target: &Target,
         mut own: UpstreamResponse,
+        silence: Silence,
         mut other: impl Future<Output = Result<UpstreamResponse>> + Unpin,
         last: Option<u64>,
     ) -> AttemptResult<UpstreamResponse> {
@@ -53,6 +55,7 @@
             Either::Left(Ok(())) => Ok(own),
             Either::Left(Err(what)) => {
                 let failed = self.fail_begun(own, what);
+                drop(silence);
                 other.await.map_err(|_| failed)
             }
             Either::Right(Ok(upstream)) if is_stream(target, &upstream) => {
--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -49,24 +49,12 @@
     /// Sends the request to another backend server as well and returns the response that begins
     /// first; a stream begins with its first event.
     async fn await_first(
-        &self,
-        target: &Target,
-        sent: SentRequest,
-        last: Option<u64>,
-    ) -> AttemptResult<UpstreamResponse> {
-        let server = sent.grant.placement.primary.id.clone();
-        self.keep_silent(&server);
-        let first = self.choose_first(target, sent, last).await;
-        self.end_silence(&server);
-        first
-    }
-
-    async fn choose_first(
         &self,
         target: &Target,
         mut sent: SentRequest,
         last: Option<u64>,
     ) -> AttemptResult<UpstreamResponse> {
+        let silence = self.keep_silent(&sent.grant.placement.primary.id);
         let mut other = Box::pin(self.open_begun(target, last));
         let first = match select(Box::pin(sent.head()), other.as_mut()).await {
             Either::Left((head, _)) => Either::Left(head),
@@ -76,8 +64,10 @@
             Either::Left(head) => {
                 let own = self.accept_head(target, sent.grant, head);
                 if own.as_ref().is_ok_and(|own| is_stream(target, own)) {
-                    return self.await_first_event(target, own?, other, last).await;
+                    let first = self.await_first_event(target, own?, silence, other, last);
+                    return first.await;
                 }
+                drop(silence);
                 if own.as_ref().is_ok_and(is_useful) {
                     return own;
                 }
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -17,6 +17,7 @@
 use self::actions::Flow;
 use super::events::Events;
 use super::exchange::Exchange;
+use super::exchange::Silence;
 use super::gap_tracker::GapTracker;
 use super::handover::DEADLINE;
 use super::handover::Handover;
@@ -72,6 +73,8 @@
     /// When the current backend server sent its first event.
     began: Option<MonoTime>,
     handover: Handover,
+    /// Keeps the request from being sent again to a silent backend server.
+    silence: Option<Silence>,
     /// Another backend server that is asked to take the stream over.
     other: Option<Takeover>,
     /// The other one's response, once its first events have arrived.
@@ -94,6 +97,7 @@
         let relay = Self {
             last: exchange.call.last,
             handover: Handover::new(now, deadline, max_silence(&target)),
+            silence: None,
             other: None,
             replacement: None,
             runs: exchange.runs(),
@@ -173,7 +177,7 @@
         let now = self.exchange.gateway.clock.now();
         // Events without an id, such as comments, do not show that a numbered stream goes on.
         if events.last.is_some() || self.last.is_none() {
-            self.end_silence();
+            self.silence = None;
             if self.decide(Input::Event) == Output::DropOther {
                 self.other = None;
             }
@@ -215,9 +219,8 @@
             what,
             format!("after event {:?}", self.last),
         );
-        let server = &source.grant.placement.primary.id;
-        self.exchange.end_silence(server);
-        self.exchange.exclude(server);
+        self.silence = None;
+        self.exchange.exclude(&source.grant.placement.primary.id);
         source.grant.finish(outcome_of(what));
         drop(source.connection);
     }
--- a/jujubewind/src/direct/api/relay/actions.rs
+++ b/jujubewind/src/direct/api/relay/actions.rs
@@ -57,13 +57,6 @@
         self.handover.apply(now, input)
     }
 
-    pub(super) fn end_silence(&self) {
-        if let Some(source) = &self.source {
-            let server = &source.grant.placement.primary.id;
-            self.exchange.end_silence(server);
-        }
-    }
-
     async fn take_retry(&self) -> Input {
         if let Some(source) = &self.source {
             let quiet = self.handover.quiet(self.exchange.gateway.clock.now());
@@ -82,8 +75,8 @@
     /// sent an event, as it may be slow but sound.
     fn ask_other(&mut self) {
         if let Some(source) = &self.source {
-            self.exchange
-                .keep_silent(&source.grant.placement.primary.id);
+            let server = &source.grant.placement.primary.id;
+            self.silence = Some(self.exchange.keep_silent(server));
         }
         self.runs = self.exchange.runs();
         let (exchange, target) = (self.exchange.clone(), self.target.clone());
