Keep a prefill whose engine leaves the list for a moment

A prompt beyond one engine was cut off from its engine, and sent again, as soon as the engine's entry was removed from the list before the first event, even if the same life of the engine was listed again at once: a departure was never taken back. Without a retry the caller would have been refused.

A departure now records the incarnation. If the same one is listed again, alone or in a whole list, it never left. Else it counts after 500 ms off the list: a dead engine is listed for three heartbeats, and memory reserved for its requests has to be free a second later. A restart counts at once, also if it is seen by the listing of another incarnation after a removal, which did not count as a restart before.

--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -163,7 +163,7 @@
 
     /// Whether a backend server left the list or restarted after `since`.
     pub(super) fn has_departed(&self, since: BootTime, server: &ServerId) -> bool {
-        self.state.has_departed(since, server)
+        self.state.has_departed(BootTime::now(), since, server)
     }
 
     pub(super) async fn sleep(&self, delay: Millis) {
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -22,6 +22,7 @@
 use crate::direct::ServiceId;
 use crate::direct::Table;
 use crate::types::DomainId;
+use crate::types::Incarnation;
 use crate::types::MonoTime;
 use crate::types::NodeId;
 
@@ -149,6 +150,21 @@
         self.budget(service).take(now, entries)
     }
 
+    /// Whether any incarnation of a backend server is listed.
+    pub(super) fn lists_any(&self, id: &ServerId) -> bool {
+        self.roster.get(id).is_some()
+    }
+
+    /// Whether an incarnation of a backend server is listed.
+    pub(super) fn lists(&self, id: &ServerId, started: Option<Incarnation>) -> bool {
+        self.roster.lists(id, started)
+    }
+
+    /// The incarnation of a backend server that was removed, if it is known.
+    pub(super) fn removed(&self, id: &ServerId) -> Option<Incarnation> {
+        self.roster.removed(id)
+    }
+
     /// Drops expired suspects, rows of load and servers; returns the dropped servers.
     pub fn expire(&mut self, now: MonoTime) -> Vec<ServerId> {
         self.suspects.expire(now);
--- a/jujubewind/src/direct/control/entry_state.rs
+++ b/jujubewind/src/direct/control/entry_state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use super::Counts;
+use super::departure::Departure;
 use super::limits::DEPARTURE_MEMORY;
 use crate::direct::BootTime;
 use crate::direct::Freshness;
@@ -13,6 +14,7 @@
 use crate::direct::ServerId;
 use crate::direct::StalenessLimits;
 use crate::direct::Table;
+use crate::types::Incarnation;
 use crate::types::Millis;
 use crate::types::Revision;
 
@@ -27,7 +29,7 @@
     counts: Cell<Counts>,
     notices: RefCell<Rc<Notices>>,
     /// When backend servers left the list or restarted.
-    departures: RefCell<BTreeMap<ServerId, BootTime>>,
+    departures: RefCell<BTreeMap<ServerId, Departure>>,
     /// The newest version that this entry or a peer knows to have been in force.
     newest: Cell<Revision>,
     /// Until when confirmations may be of an older copy of the store.
@@ -61,18 +63,42 @@
         true
     }
 
-    /// Records that a backend server left the list or restarted.
-    pub fn record_departure(&self, now: BootTime, server: ServerId) {
+    /// Records that a backend server restarted.
+    pub fn record_restart(&self, now: BootTime, server: ServerId) {
+        self.insert_departure(server, Departure::restart(now));
+    }
+
+    /// Records that this incarnation of a backend server left the list.
+    pub fn record_absence(&self, now: BootTime, server: ServerId, started: Option<Incarnation>) {
+        self.insert_departure(server, Departure::absence(now, started));
+    }
+
+    /// Records that an incarnation of a backend server is listed, maybe again.
+    pub fn record_listing(&self, now: BootTime, server: &ServerId, started: Option<Incarnation>) {
         let mut departures = self.departures.borrow_mut();
-        departures.retain(|_, at| now.since(*at) < DEPARTURE_MEMORY);
-        departures.insert(server, now);
+        let Some(departure) = departures.get(server) else {
+            return;
+        };
+        if departure.is_undone(started) {
+            departures.remove(server);
+        } else if departure.is_followed(started) {
+            departures.insert(server.clone(), Departure::restart(now));
+        }
     }
 
-    /// Whether a backend server left the list or restarted after `since`.
+    /// Whether a backend server restarted after `since`, or left the list and was not listed again
+    /// soon.
     #[must_use]
-    pub fn has_departed(&self, since: BootTime, server: &ServerId) -> bool {
+    pub fn has_departed(&self, now: BootTime, since: BootTime, server: &ServerId) -> bool {
         let departures = self.departures.borrow();
-        departures.get(server).is_some_and(|at| *at >= since)
+        let departure = departures.get(server);
+        departure.is_some_and(|one| one.at >= since && one.is_certain(now))
+    }
+
+    fn insert_departure(&self, server: ServerId, departure: Departure) {
+        let mut departures = self.departures.borrow_mut();
+        departures.retain(|_, known| departure.at.since(known.at) < DEPARTURE_MEMORY);
+        departures.insert(server, departure);
     }
 
     /// Records that a version is or was in force. After the store was restored from an older copy,
--- a/jujubewind/src/direct/control/fleet_change.rs
+++ b/jujubewind/src/direct/control/fleet_change.rs
@@ -3,6 +3,7 @@
 use super::Peer;
 use crate::direct::Server;
 use crate::direct::ServerId;
+use crate::types::Incarnation;
 use crate::types::Millis;
 use crate::types::NodeId;
 
@@ -31,3 +32,16 @@
     /// The lists can be read again.
     OutageEnded,
 }
+
+impl FleetChange {
+    /// The incarnations of backend servers that it lists.
+    pub(super) fn listed(&self) -> Vec<(ServerId, Option<Incarnation>)> {
+        let servers = match self {
+            Self::Servers(servers) | Self::Restored(servers) => servers.as_slice(),
+            Self::Listed(server) => std::slice::from_ref(server),
+            _ => &[],
+        };
+        let incarnation = |server: &Server| (server.id.clone(), server.started);
+        servers.iter().map(incarnation).collect()
+    }
+}
--- a/jujubewind/src/direct/control/limits.rs
+++ b/jujubewind/src/direct/control/limits.rs
@@ -11,3 +11,6 @@
 pub const DEPARTURE_MEMORY: Millis = Millis(600_000);
 /// How often expired suspects and servers are dropped.
 pub const EXPIRY_PERIOD: Millis = Millis(500);
+/// How long a backend server may be missing from the list before it counts as departed. A dead one
+/// is listed for three heartbeats; memory reserved for its requests has to be free a second later.
+pub const MAX_ABSENCE: Millis = Millis(500);
--- a/jujubewind/src/direct/control/mod.rs
+++ b/jujubewind/src/direct/control/mod.rs
@@ -5,6 +5,7 @@
 mod core;
 mod counts;
 mod crashes;
+mod departure;
 mod entry_state;
 mod exchange;
 mod fleet_change;
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -230,7 +230,15 @@
             }
             _ => {}
         }
-        for server in self.core.apply_fleet_change(now, change) {
+        let listed = change.listed();
+        let gone = self.core.apply_fleet_change(now, change);
+        for (server, started) in listed {
+            if self.core.lists(&server, started) {
+                let state = &self.shared.state;
+                state.record_listing(BootTime::now(), &server, started);
+            }
+        }
+        for server in gone {
             self.forget_server(server);
         }
         if self.core.take_delisted() {
@@ -260,7 +268,14 @@
 
     fn forget_server(&self, server: ServerId) {
         self.shared.pool.forget(&server);
-        self.shared.state.record_departure(BootTime::now(), server);
+        let now = BootTime::now();
+        let state = &self.shared.state;
+        if self.core.lists_any(&server) {
+            state.record_restart(now, server);
+        } else {
+            let started = self.core.removed(&server);
+            state.record_absence(now, server, started);
+        }
     }
 
     /// Retries the queued requests after a change and sends the resulting verdicts.
--- a/jujubewind/src/direct/fleet/roster.rs
+++ b/jujubewind/src/direct/fleet/roster.rs
@@ -173,6 +173,12 @@
         self.get(id).is_some_and(|server| server.started == started)
     }
 
+    /// The incarnation of a server that was removed, if it is known.
+    #[must_use]
+    pub fn removed(&self, id: &ServerId) -> Option<Incarnation> {
+        self.removed.get(id).and_then(|(started, _)| *started)
+    }
+
     fn was_removed(&self, server: &Server) -> bool {
         let removed = self.removed.get(&server.id);
         removed.is_some_and(|(started, _)| *started == server.started)
--- a/jujubewind/tests/direct/entry_state.rs
+++ b/jujubewind/tests/direct/entry_state.rs
@@ -6,9 +6,11 @@
 use jujubewind::direct::Organisation;
 use jujubewind::direct::Route;
 use jujubewind::direct::RouteKind;
+use jujubewind::direct::ServerId;
 use jujubewind::direct::StalenessLimits;
 use jujubewind::direct::Table;
 use jujubewind::direct::Target;
+use jujubewind::types::Incarnation;
 use jujubewind::types::Millis;
 use jujubewind::types::Revision;
 
@@ -239,3 +241,54 @@
     );
     assert!(table.owner("key-2").is_none());
 }
+
+fn departed(state: &EntryState, now: u64) -> bool {
+    state.has_departed(boot(now), boot(1_000), &server())
+}
+
+fn server() -> ServerId {
+    "e1".parse().expect("a name")
+}
+
+#[test]
+fn server_that_is_listed_again_at_once_has_not_departed() {
+    let state = EntryState::default();
+    state.record_absence(boot(2_000), server(), Some(Incarnation(5)));
+    let absent = departed(&state, 2_499);
+
+    state.record_listing(boot(2_400), &server(), Some(Incarnation(5)));
+
+    assert!(!absent);
+    assert!(!departed(&state, 9_000));
+}
+
+#[test]
+fn server_that_stays_off_the_list_has_departed() {
+    let state = EntryState::default();
+
+    state.record_absence(boot(2_000), server(), Some(Incarnation(5)));
+
+    assert!(departed(&state, 2_500));
+    assert!(!state.has_departed(boot(2_500), boot(2_100), &server()));
+}
+
+#[test]
+fn server_that_is_listed_again_after_a_restart_has_departed() {
+    let state = EntryState::default();
+    state.record_absence(boot(2_000), server(), Some(Incarnation(5)));
+
+    state.record_listing(boot(2_100), &server(), Some(Incarnation(6)));
+    state.record_listing(boot(2_200), &server(), Some(Incarnation(6)));
+
+    assert!(departed(&state, 2_200));
+}
+
+#[test]
+fn server_that_restarted_has_departed_although_it_is_listed() {
+    let state = EntryState::default();
+
+    state.record_restart(boot(2_000), server());
+    state.record_listing(boot(2_100), &server(), Some(Incarnation(6)));
+
+    assert!(departed(&state, 2_100));
+}
