End the renewals of unused memory before they outlast the platform's bound

STUCK counts memory that is set aside for idle_max_ms (9 s) and never used. Unused memory was given up after 7.2 s, but renewed until then, each time for 3.5 s: if the engine didn't answer the releases, nothing else freed it before 9.3 s and more. Seen in the search of histories, not in a play: an engine silent from 6 to 9 s that goes on with the orders one after the other held the memory for 9,004 ms, and 9,596 if a renewal overtakes the releases.

Memory that is not used yet is now renewed for idle_max_ms less one hold and the time of an order (5 s), the last time at exactly that moment. So it lasts to 8.5 s, past the bound of 7.2 s, but not past 9 s whatever becomes of the releases. Once the request uses it, the renewal that is overdue is sent at the next look, within 200 ms.

The sleep in unused_memory_is_given_up_in_time_while_ renewals_are_unanswered ends at the bound, as no renewal is due before it.

--- a/jujubewind/src/direct/reservation/limits.rs
+++ b/jujubewind/src/direct/reservation/limits.rs
@@ -12,6 +12,9 @@
     pub renewal: Millis,
     /// How long memory may be held before the request uses it.
     pub max_idle: Millis,
+    /// How long memory is renewed before the request uses it: a later renewal would outlast what
+    /// the platform allows if no release reached the engine.
+    pub idle_renewals: Millis,
     /// How long after it was given up an unanswered order may still be carried out.
     pub max_lateness: Millis,
     /// The delay before an order that failed is sent again.
--- a/jujubewind/src/direct/reservation/memory_hold.rs
+++ b/jujubewind/src/direct/reservation/memory_hold.rs
@@ -58,6 +58,7 @@
         match self.phase {
             Phase::Taking => Step::Send(Order::Reserve),
             Phase::Held if self.is_lost(now) => Step::Lost,
+            Phase::Held if self.has_enough(now) => Step::Sleep(self.max_idle_end().since(now)),
             Phase::Held if now >= self.next_order => Step::Send(Order::Reserve),
             Phase::Ending if self.may_hold_until().is_none_or(|until| now >= until) => Step::Ended,
             Phase::Ending if now >= self.next_order => Step::Send(Order::Release),
@@ -77,7 +78,7 @@
                 // A freeze may lie between the decision to send the order and its arrival.
                 let until = now.after(self.limits.hold);
                 self.held_until = self.held_until.max(Some(until));
-                self.next_order = sent.after(self.limits.renewal);
+                self.next_order = self.next_renewal(sent);
                 self.kept_until = Some(until);
                 if self.phase == Phase::Taking {
                     self.phase = Phase::Held;
@@ -139,7 +140,32 @@
     /// off. Until that is certain, the engine tells by the request's answer whether it was.
     fn is_lost(&self, now: BootTime) -> bool {
         let is_dropped = self.kept_until.is_none_or(|until| now >= until);
-        is_dropped || !self.is_used && now.since(self.started) >= self.limits.max_idle
+        is_dropped || !self.is_used && now >= self.max_idle_end()
+    }
+
+    /// When the next renewal is due; the last one of unused memory as late as possible.
+    fn next_renewal(&self, sent: BootTime) -> BootTime {
+        let next = sent.after(self.limits.renewal);
+        let last = self.last_idle_renewal();
+        if self.is_used || sent >= last {
+            next
+        } else {
+            next.min(last)
+        }
+    }
+
+    /// Whether the memory is not used and held for as long as it may be without.
+    fn has_enough(&self, now: BootTime) -> bool {
+        let is_last_sent = self.next_order > self.last_idle_renewal();
+        !self.is_used && is_last_sent && now >= self.last_idle_renewal()
+    }
+
+    fn last_idle_renewal(&self) -> BootTime {
+        self.started.after(self.limits.idle_renewals)
+    }
+
+    fn max_idle_end(&self) -> BootTime {
+        self.started.after(self.limits.max_idle)
     }
 
     fn may_hold_until(&self) -> Option<BootTime> {
--- a/jujubewind/tests/direct/memory_hold.rs
+++ b/jujubewind/tests/direct/memory_hold.rs
@@ -12,6 +12,7 @@
     hold: Millis(3_500),
     renewal: Millis(1_166),
     max_idle: Millis(7_200),
+    idle_renewals: Millis(5_000),
     max_lateness: Millis(12_500),
     retry: Millis(200),
     recheck: Millis(1_000),
@@ -166,7 +167,7 @@
         );
     }
 
-    assert_eq!(hold.step(boot(7_199)), Step::Sleep(Millis(101)));
+    assert_eq!(hold.step(boot(7_199)), Step::Sleep(Millis(1)));
     assert_eq!(hold.step(boot(7_200)), Step::Lost);
 }
 
--- a/jujubewind/tests/direct/reservation.rs
+++ b/jujubewind/tests/direct/reservation.rs
@@ -47,6 +47,21 @@
     }
 }
 
+#[test]
+fn unused_memory_is_given_up_in_time_while_its_engine_is_silent() {
+    for history in silent_engines()
+        .into_iter()
+        .filter(|one| one.used.is_none())
+    {
+        let outcome = history.play();
+
+        for (from, until) in outcome.spans() {
+            let idle = until - from;
+            assert!(idle < IDLE_MILLIS, "{idle} ms: {history:?} {outcome:?}");
+        }
+    }
+}
+
 #[test]
 fn no_order_sets_memory_aside_after_the_reservation_has_ended() {
     for history in histories().into_iter().chain(silent_engines()) {
--- a/jujubewind/tests/direct/reservation/history.rs
+++ b/jujubewind/tests/direct/reservation/history.rs
@@ -27,6 +27,7 @@
     hold: Millis(3_500),
     renewal: Millis(1_166),
     max_idle: Millis(7_200),
+    idle_renewals: Millis(5_000),
     max_lateness: Millis(12_500),
     retry: Millis(200),
     recheck: Millis(1_000),
