Answer the first request on a connection that meets the close of a stop

Callers saw: a connection closed without an answer, or a broken pipe while sending, 2.5 s or more after an entry got SIGTERM.

Cause: the stop closed every connection that had no request in progress, also one that a caller had just opened and whose first request was on its way. Connections accepted after that were neither closed nor counted, so that the process ended while a request was arriving on one.

Evidence: two tests of stops.rs failed before. a_stop_answers_the_first_request_on_ a_connection_accepted_before_its_close got no response (status 0 for 503); a_stop_answers_a_request_that_arrives_on_a_connection_accepted_after_its_close got a broken pipe. A third, that an idle connection does not hold up a stop, passed before and does now.

Change: all connections are counted, and one that has had no request stays open for 1 s after the close or its accept: the first retransmission of a lost segment is sent after 1 s. Kept connections that are idle are closed as before, so callers do not go on using a stopping entry.

--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server: accepts connections and passes their requests to a handler.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -17,6 +18,11 @@
 
 use super::Reply;
 use super::ServerHandle;
+use crate::types::Millis;
+
+/// How long a connection without a request stays open after the close of its server, so that a
+/// first request that is already on its way, or sent once more after a loss, is answered.
+const FIRST_REQUEST_LIMIT: Millis = Millis(1_000);
 
 /// Handles the requests of a server.
 pub trait Handler: 'static {
@@ -36,7 +42,8 @@
     }
 }
 
-/// Serves one connection; once `handle` is closed, it ends after the request in progress.
+/// Serves one connection; once `handle` is closed, it ends after the request in progress, or after
+/// `FIRST_REQUEST_LIMIT` if there was none.
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
     caller: SocketAddr,
@@ -44,7 +51,10 @@
     handle: ServerHandle,
 ) {
     let _counted = handle.count_connection();
+    let has_request = Rc::new(Cell::new(false));
+    let requested = has_request.clone();
     let service = service_fn(move |request| {
+        requested.set(true);
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
@@ -54,7 +64,12 @@
         .timer(idle_timer)
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let closing = std::pin::pin!(handle.closed());
+    let closing = std::pin::pin!(async {
+        handle.closed().await;
+        if !has_request.get() {
+            compio::time::sleep(FIRST_REQUEST_LIMIT.duration()).await;
+        }
+    });
     let outcome = match select(connection.as_mut(), closing).await {
         Either::Left((outcome, _)) => outcome,
         Either::Right(((), _)) => {
--- a/jujubewind/src/http/server_handle.rs
+++ b/jujubewind/src/http/server_handle.rs
@@ -45,34 +45,29 @@
         self.idle_timer.set_limit(limit);
     }
 
-    /// Closes each connection after the request in progress. A connection that is accepted later is
-    /// not closed from here; its responses have to close it.
+    /// Closes each connection after the request in progress. One that has had no request, or is
+    /// accepted later, stays open for its first request, whose response has to close it.
     pub fn close(&self) {
         drop(self.open.borrow_mut().take());
     }
 
-    /// The number of open connections, without those that were accepted after `close`.
+    /// The number of open connections.
     #[must_use]
     pub fn connections(&self) -> usize {
         self.connections.get()
     }
 
-    /// Counts a new connection; `None` after `close`, as nothing ends such a connection if it stays
-    /// idle.
-    pub(super) fn count_connection(&self) -> Option<CountedConnection> {
-        let is_open = self.open.borrow().is_some();
-        is_open.then(|| CountedConnection::new(self.connections.clone()))
+    /// Counts a new connection.
+    pub(super) fn count_connection(&self) -> CountedConnection {
+        CountedConnection::new(self.connections.clone())
     }
 
     pub(super) fn idle_timer(&self) -> IdleTimer {
         self.idle_timer.clone()
     }
 
-    /// Waits until the handle is closed; never returns if it was closed before the call.
+    /// Waits until the handle is closed.
     pub(super) async fn closed(&self) {
-        if self.closed.is_disconnected() {
-            return std::future::pending().await;
-        }
         let _ = self.closed.recv_async().await;
     }
 }
