Close a stream that its caller has stopped reading once its deadline has passed

Seen in review: a caller that opened a stream and read nothing kept its connection, its engine's slot and reserved memory for as long as it liked, also after the request's deadline, and a stop waited for it to the end of the grace period.

Cause: the relay ends a stream at its deadline, but it runs only when it is asked for the next event. While the caller's connection takes no bytes nobody asks.

Evidence: endless::a_stream_that_its_caller_never_reads_ends_soon_after_its_deadline failed before: a stream with a deadline of 3 s was still open after 20 s.

A caller that reads is served as before; the timer ends with the body, so a kept connection outlives the deadline (idle::a_connection_is_kept_beyond_the_deadline_of_a_stream_that_has_ended).

Bytes that are already in the connection's buffers when the body ends, and the responses of plain services, still have no limit.

--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -17,6 +17,7 @@
 use super::gap_tracker::GapTracker;
 use super::hop::end_to_end;
 use super::limits::EVENT_GAP_PERMILLE;
+use super::limits::READ_MARGIN;
 use super::source::Source;
 use super::takeover::Takeover;
 use super::target::Target;
@@ -25,6 +26,7 @@
 use crate::direct::Dialect;
 use crate::direct::Outcome;
 use crate::http;
+use crate::http::ReadLimit;
 use crate::http::Reply;
 use crate::http::TruncatedBody;
 use crate::types::Millis;
@@ -86,6 +88,8 @@
     ) -> Reply {
         let status = upstream.response.status();
         let headers = end_to_end(upstream.response.headers());
+        let left = exchange.left(&target);
+        let read_limit = ReadLimit(Millis(left.get() + READ_MARGIN.get()));
         let relay = Self {
             last: exchange.call.last,
             progress: exchange.gateway.clock.now(),
@@ -103,6 +107,7 @@
         let mut reply = http::streamed(StreamBody::new(frames));
         *reply.status_mut() = status;
         *reply.headers_mut() = headers;
+        reply.extensions_mut().insert(read_limit);
         reply
     }
 
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -9,6 +9,7 @@
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
+use flume::Sender;
 use futures::future::Either;
 use futures::future::select;
 use hyper::Request;
@@ -16,8 +17,11 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 
+use super::ReadLimit;
 use super::Reply;
+use super::ReplyBody;
 use super::ServerHandle;
+use super::limited_body::LimitedBody;
 use crate::types::Millis;
 
 /// How long a connection without a request stays open after the close of its server, so that a
@@ -53,10 +57,11 @@
     let _counted = handle.count_connection();
     let has_request = Rc::new(Cell::new(false));
     let requested = has_request.clone();
+    let (expired, unread) = flume::bounded(1);
     let service = service_fn(move |request| {
         requested.set(true);
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let (handler, expired) = (handler.clone(), expired.clone());
+        async move { Ok::<_, Infallible>(limit(handler.handle(request).await, expired)) }
     });
     let idle_timer = handle.idle_timer();
     let connection = Builder::new()
@@ -70,14 +75,28 @@
             compio::time::sleep(FIRST_REQUEST_LIMIT.duration()).await;
         }
     });
-    let outcome = match select(connection.as_mut(), closing).await {
-        Either::Left((outcome, _)) => outcome,
-        Either::Right(((), _)) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let serving = std::pin::pin!(async {
+        match select(connection.as_mut(), closing).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(((), _)) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
         }
-    };
-    if outcome.is_err_and(|error| error.is_timeout()) {
-        crate::event!(debug, "idle_connection_closed", caller = caller);
+    });
+    match select(serving, unread.into_recv_async()).await {
+        Either::Left((Err(error), _)) if error.is_timeout() => {
+            crate::event!(debug, "idle_connection_closed", caller = caller);
+        }
+        Either::Left(_) => {}
+        Either::Right(_) => crate::event!(info, "reply_not_read", caller = caller),
     }
 }
+
+/// Applies the read limit of `reply`, if it has one.
+fn limit(reply: Reply, expired: Sender<()>) -> Reply {
+    let Some(limit) = reply.extensions().get::<ReadLimit>().copied() else {
+        return reply;
+    };
+    reply.map(|body| -> ReplyBody { Box::pin(LimitedBody::new(body, limit, expired)) })
+}
