--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -25,6 +25,7 @@
 use super::handover::Output;
 use super::hop::end_to_end;
 use super::limits::EVENT_GAP_PERMILLE;
+use super::limits::READ_MARGIN;
 use super::source::Source;
 use super::takeover::Takeover;
 use super::target::Target;
@@ -33,6 +34,7 @@
 use crate::direct::Dialect;
 use crate::direct::Outcome;
 use crate::http;
+use crate::http::ReadLimit;
 use crate::http::Reply;
 use crate::http::TruncatedBody;
 use crate::types::Millis;
@@ -92,11 +94,12 @@
     ) -> Reply {
         let status = upstream.response.status();
         let headers = end_to_end(upstream.response.headers());
-        let now = exchange.gateway.clock.now();
-        let deadline = now.after(exchange.left(&target));
+        let left = exchange.left(&target);
+        let deadline = exchange.gateway.clock.now().after(left);
+        let read_limit = ReadLimit(Millis(left.get() + READ_MARGIN.get()));
         let relay = Self {
             last: exchange.call.last,
-            handover: Handover::new(now, deadline, max_silence(&target)),
+            handover: Handover::new(exchange.gateway.clock.now(), deadline, max_silence(&target)),
             silence: None,
             other: None,
             replacement: None,
@@ -112,6 +115,7 @@
         let mut reply = http::streamed(StreamBody::new(frames));
         *reply.status_mut() = status;
         *reply.headers_mut() = headers;
+        reply.extensions_mut().insert(read_limit);
         reply
     }
 
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server: accepts connections and passes their requests to a handler.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -8,6 +9,7 @@
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
+use flume::Sender;
 use futures::future::Either;
 use futures::future::select;
 use hyper::Request;
@@ -15,8 +17,16 @@
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 
+use super::ReadLimit;
 use super::Reply;
+use super::ReplyBody;
 use super::ServerHandle;
+use super::limited_body::LimitedBody;
+use crate::types::Millis;
+
+/// How long a connection without a request stays open after the close of its server, so that a
+/// first request that is already on its way, or sent once more after a loss, is answered.
+const FIRST_REQUEST_LIMIT: Millis = Millis(1_000);
 
 /// Handles the requests of a server.
 pub trait Handler: 'static {
@@ -36,7 +46,8 @@
     }
 }
 
-/// Serves one connection; once `handle` is closed, it ends after the request in progress.
+/// Serves one connection; once `handle` is closed, it ends after the request in progress, or after
+/// `FIRST_REQUEST_LIMIT` if there was none.
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
     caller: SocketAddr,
@@ -44,9 +55,13 @@
     handle: ServerHandle,
 ) {
     let _counted = handle.count_connection();
+    let has_request = Rc::new(Cell::new(false));
+    let requested = has_request.clone();
+    let (expired, unread) = flume::bounded(1);
     let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        requested.set(true);
+        let (handler, expired) = (handler.clone(), expired.clone());
+        async move { Ok::<_, Infallible>(limit(handler.handle(request).await, expired)) }
     });
     let idle_timer = handle.idle_timer();
     let connection = Builder::new()
@@ -54,15 +69,34 @@
         .timer(idle_timer)
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let closing = std::pin::pin!(handle.closed());
-    let outcome = match select(connection.as_mut(), closing).await {
-        Either::Left((outcome, _)) => outcome,
-        Either::Right(((), _)) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let closing = std::pin::pin!(async {
+        handle.closed().await;
+        if !has_request.get() {
+            compio::time::sleep(FIRST_REQUEST_LIMIT.duration()).await;
         }
-    };
-    if outcome.is_err_and(|error| error.is_timeout()) {
-        crate::event!(debug, "idle_connection_closed", caller = caller);
+    });
+    let serving = std::pin::pin!(async {
+        match select(connection.as_mut(), closing).await {
+            Either::Left((outcome, _)) => outcome,
+            Either::Right(((), _)) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        }
+    });
+    match select(serving, unread.into_recv_async()).await {
+        Either::Left((Err(error), _)) if error.is_timeout() => {
+            crate::event!(debug, "idle_connection_closed", caller = caller);
+        }
+        Either::Left(_) => {}
+        Either::Right(_) => crate::event!(info, "reply_not_read", caller = caller),
     }
 }
+
+/// Applies the read limit of `reply`, if it has one.
+fn limit(reply: Reply, expired: Sender<()>) -> Reply {
+    let Some(limit) = reply.extensions().get::<ReadLimit>().copied() else {
+        return reply;
+    };
+    reply.map(|body| -> ReplyBody { Box::pin(LimitedBody::new(body, limit, expired)) })
+}
