Give a retry back to the budget when nothing was sent for it

Callers saw: streams of a service broke off after a server broke, though another server was free and few requests had been repeated.

Cause: each pause of a stream that is long enough for another server to be asked took a retry from the service's budget. If no server could take the stream over, nothing was sent and the retry stayed counted; the next event allowed the next one. Slow but sound streams could so use up the budget. What was sent was bounded by the route's attempts as before.

Change: a retry is a value (Retry). It is spent when the request, or an order to reserve memory for it, is sent; otherwise it goes back to the budget when it is dropped: after a refused placement, an unreachable server, a caller that left, or while the answer of the budget was under way. A try that ended before anything was sent keeps its retry for the next one, within the same number of tries as before. jujube_direct_retries counts what was spent.

Two tests of the budget say that what is given back is granted again, and not twice. A retry that a server refused after the request was sent stays counted.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -28,6 +28,7 @@
 use crate::conviction::Prints;
 use crate::direct::Call;
 use crate::direct::Dialect;
+use crate::direct::Retry;
 use crate::direct::RouteKind;
 use crate::direct::ServerId;
 use crate::entry::Failure;
@@ -152,29 +153,30 @@
 
     async fn serve(self: Rc<Self>, target: Target) -> Result<Reply> {
         let stream = target.route.kind == RouteKind::Stream;
-        let mut upstream = self.open(target.clone(), None, false).await?;
+        let mut upstream = self.open(target.clone(), None, None).await?;
         loop {
             if stream && upstream.response.status().is_success() {
                 return Ok(Relay::start(self, target, upstream));
             }
-            match self.read_body(upstream).await {
-                Some(reply) => return Ok(reply),
-                None if self.may_retry(&target).await => {
-                    upstream = self.open(target.clone(), None, true).await?;
-                }
-                None => return Err(Failure::in_doubt(Reason::OutcomeUnknown)),
+            if let Some(reply) = self.read_body(upstream).await {
+                return Ok(reply);
             }
+            let Some(retry) = self.take_retry(&target).await else {
+                return Err(Failure::in_doubt(Reason::OutcomeUnknown));
+            };
+            upstream = self.open(target.clone(), None, Some(retry)).await?;
         }
     }
 
     /// Sends the request until a backend server responds; `last` is the last event that the caller
-    /// has.
+    /// has, `retry` pays for the first attempt if it is not the request's first.
     pub(super) async fn open(
         &self,
         mut target: Target,
         last: Option<u64>,
-        mut again: bool,
+        mut retry: Option<Retry>,
     ) -> Result<UpstreamResponse> {
+        let mut again = retry.is_some();
         for tries in 1.. {
             let job = self.job(&target, last);
             let grant = self
@@ -192,7 +194,7 @@
             if service_changed {
                 continue;
             }
-            let error = match self.attempt(&target, grant, last).await? {
+            let error = match self.attempt(&target, grant, last, &mut retry).await? {
                 Ok(upstream) => return Ok(upstream),
                 Err(error) => error,
             };
@@ -200,13 +202,18 @@
                 AttemptError::MayHaveRun if !target.route.repeatable() => {
                     return Err(Failure::in_doubt(Reason::OutcomeUnknown));
                 }
-                AttemptError::MayHaveRun if self.may_retry(&target).await => {}
-                AttemptError::MayHaveRun => return Err(Failure::in_doubt(Reason::BackendDown)),
+                AttemptError::MayHaveRun => {
+                    retry = self.take_retry(&target).await;
+                    if retry.is_none() {
+                        return Err(Failure::in_doubt(Reason::BackendDown));
+                    }
+                }
                 AttemptError::NotRun(reason) => {
-                    let budget = tries < MAX_ATTEMPTS
-                        && self.has_attempts_left(&target)
-                        && self.gateway.control.take_retry(&target.service).await;
-                    if !budget || self.left(&target) < MIN_RETRY_TIME {
+                    let may_retry = tries < MAX_ATTEMPTS && self.may_repeat(&target);
+                    if may_retry && retry.is_none() {
+                        retry = self.gateway.control.take_retry(&target.service).await;
+                    }
+                    if !may_retry || retry.is_none() {
                         return Err(self.failure(reason));
                     }
                 }
@@ -222,12 +229,25 @@
         deadline.since(self.gateway.clock.now())
     }
 
-    /// Whether the request may be sent again; takes a retry from the service's retry budget if so.
-    pub(super) async fn may_retry(&self, target: &Target) -> bool {
-        target.route.repeatable()
-            && self.has_attempts_left(target)
-            && self.left(target) >= MIN_RETRY_TIME
-            && self.gateway.control.take_retry(&target.service).await
+    /// Takes a retry from the service's retry budget if the request may be sent again.
+    pub(super) async fn take_retry(&self, target: &Target) -> Option<Retry> {
+        if !target.route.repeatable() || !self.may_repeat(target) {
+            return None;
+        }
+        self.gateway.control.take_retry(&target.service).await
+    }
+
+    /// Whether attempts and time are left for another attempt.
+    fn may_repeat(&self, target: &Target) -> bool {
+        self.has_attempts_left(target) && self.left(target) >= MIN_RETRY_TIME
+    }
+
+    /// Counts a retry once something is sent for it.
+    fn spend(&self, retry: &mut Option<Retry>) {
+        if let Some(retry) = retry.take() {
+            retry.spend();
+            self.gateway.metrics.count_retry();
+        }
     }
 
     /// The length of the prompt; zero for a call to a plain service.
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -23,6 +23,7 @@
 use crate::direct::Grant;
 use crate::direct::Message;
 use crate::direct::Outcome;
+use crate::direct::Retry;
 use crate::direct::Server;
 use crate::http;
 use crate::http::Reply;
@@ -41,9 +42,10 @@
         target: &Target,
         grant: Grant,
         last: Option<u64>,
+        retry: &mut Option<Retry>,
     ) -> Result<AttemptResult<UpstreamResponse>> {
         self.log_placement(target, &grant.placement);
-        let grant = match self.reserve_memory(grant).await {
+        let grant = match self.reserve_memory(grant, retry).await {
             Ok(grant) => grant,
             Err(error) => return Ok(Err(error)),
         };
@@ -66,16 +68,22 @@
             connection.give_back();
             return Ok(Err(AttemptError::NotRun(Reason::Leaving)));
         }
+        self.spend(retry);
         let sent = self.send(&target, grant, connection, last);
         Ok(self.await_response(&target, sent, last).await)
     }
 
     /// Reserves memory at the helpers that keep a part of the prompt.
-    async fn reserve_memory(&self, mut grant: Grant) -> AttemptResult<Grant> {
+    async fn reserve_memory(
+        &self,
+        mut grant: Grant,
+        retry: &mut Option<Retry>,
+    ) -> AttemptResult<Grant> {
         let helpers = &grant.placement.helpers;
         if helpers.iter().all(|helper| helper.memory == Tokens::ZERO) {
             return Ok(grant);
         }
+        self.spend(retry);
         // An order of an earlier try may still be carried out, so each try has names of its own.
         let tries = self.reservations.get() + 1;
         self.reservations.set(tries);
--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -16,6 +16,7 @@
 use crate::direct::Grant;
 use crate::direct::Outcome;
 use crate::direct::Placement;
+use crate::direct::Retry;
 use crate::direct::RouteKind;
 use crate::direct::SendFault;
 use crate::refusal::Reason;
@@ -36,8 +37,8 @@
                 return self.accept_head(target, sent.grant, head);
             }
             self.log_silent(&sent.grant.placement, timeout);
-            if self.may_retry(target).await {
-                return self.await_first(target, sent, last).await;
+            if let Some(retry) = self.take_retry(target).await {
+                return self.await_first(target, sent, last, retry).await;
             }
             self.log_kept(&"no retry left");
         }
@@ -52,9 +53,10 @@
         target: &Target,
         mut sent: SentRequest,
         last: Option<u64>,
+        retry: Retry,
     ) -> AttemptResult<UpstreamResponse> {
         let silence = self.keep_silent(&sent.grant.placement.primary.id);
-        let mut other = Box::pin(self.open(target.clone(), last, true));
+        let mut other = Box::pin(self.open(target.clone(), last, Some(retry)));
         let first = match select(Box::pin(sent.head()), other.as_mut()).await {
             Either::Left((head, _)) => Either::Left(head),
             Either::Right((outcome, _)) => Either::Right(outcome),
--- a/jujubewind/src/direct/api/relay/handover.rs
+++ b/jujubewind/src/direct/api/relay/handover.rs
@@ -46,12 +46,10 @@
     /// granted; returns its first events.
     pub(super) async fn resume(&mut self) -> Option<Bytes> {
         for _ in 0..MAX_ATTEMPTS {
-            if !self.exchange.may_retry(&self.target).await {
-                break;
-            }
+            let retry = self.exchange.take_retry(&self.target).await?;
             let runs = self.exchange.runs();
             let (exchange, target) = (self.exchange.clone(), self.target.clone());
-            if let Some(replacement) = take_over(exchange, target, self.last).await {
+            if let Some(replacement) = take_over(exchange, target, self.last, retry).await {
                 return Some(self.switch_to(replacement, BROKEN));
             }
             if self.exchange.runs() == runs {
@@ -71,13 +69,13 @@
         let quiet = self.exchange.gateway.clock.now().since(self.progress);
         let placement = &source.grant.placement;
         self.exchange.log_silent(placement, quiet);
-        if !self.exchange.may_retry(&self.target).await {
+        let Some(retry) = self.exchange.take_retry(&self.target).await else {
             self.exchange.log_kept(&"no retry left");
             return;
-        }
+        };
         self.silence = Some(self.exchange.keep_silent(&placement.primary.id));
         let (exchange, target) = (self.exchange.clone(), self.target.clone());
-        self.takeover = Some(take_over(exchange, target, self.last));
+        self.takeover = Some(take_over(exchange, target, self.last, retry));
     }
 
     /// Ends the current attempt and goes on with the first events of its replacement.
--- a/jujubewind/src/direct/api/takeover.rs
+++ b/jujubewind/src/direct/api/takeover.rs
@@ -18,6 +18,7 @@
 use super::source::Source;
 use super::target::Target;
 use crate::direct::Dialect;
+use crate::direct::Retry;
 
 /// Completes with the replacement, or `None` if no backend server takes the stream over.
 pub(super) type Takeover = Pin<Box<dyn Future<Output = Option<Replacement>>>>;
@@ -38,10 +39,11 @@
     exchange: Rc<Exchange<D>>,
     target: Target,
     last: Option<u64>,
+    retry: Retry,
 ) -> Takeover {
     let left = exchange.left(&target);
     Box::pin(async move {
-        let opening = open(&exchange, &target, last);
+        let opening = open(&exchange, &target, last, retry);
         let opened = compio::time::timeout(left.duration(), opening).await;
         opened.unwrap_or_else(|_| {
             exchange.log_kept(&"no event in time");
@@ -54,8 +56,9 @@
     exchange: &Exchange<D>,
     target: &Target,
     last: Option<u64>,
+    retry: Retry,
 ) -> Option<Replacement> {
-    let upstream = match exchange.open(target.clone(), last, true).await {
+    let upstream = match exchange.open(target.clone(), last, Some(retry)).await {
         Ok(upstream) if upstream.response.status().is_success() => upstream,
         Ok(upstream) => {
             exchange.log_kept(&upstream.response.status());
--- a/jujubewind/src/direct/budget.rs
+++ b/jujubewind/src/direct/budget.rs
@@ -73,6 +73,13 @@
         true
     }
 
+    /// Takes back a retry that was granted at `taken`, as nothing was sent.
+    pub fn give_back(&mut self, taken: MonoTime) {
+        if let Some(index) = self.retries.iter().position(|at| *at == taken) {
+            self.retries.remove(index);
+        }
+    }
+
     fn expire(&mut self, now: MonoTime) {
         for times in [&mut self.requests, &mut self.retries] {
             while times
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -149,6 +149,11 @@
         self.budget(service).take(now, entries)
     }
 
+    /// Gives a retry that was granted at `taken` back to a service's budget.
+    pub fn give_back(&mut self, service: &ServiceId, taken: MonoTime) {
+        self.budget(service).give_back(taken);
+    }
+
     /// Drops expired suspects, rows of load and servers; returns the dropped servers.
     pub fn expire(&mut self, now: MonoTime) -> Vec<ServerId> {
         self.suspects.expire(now);
--- a/jujubewind/src/direct/control/handle.rs
+++ b/jujubewind/src/direct/control/handle.rs
@@ -7,6 +7,7 @@
 
 use super::Grant;
 use super::Message;
+use super::Retry;
 use super::Verdict;
 use crate::conviction::Prints;
 use crate::direct::Job;
@@ -76,12 +77,17 @@
         }
     }
 
-    /// Takes one retry from the service's budget; returns whether the budget had room for it.
-    pub async fn take_retry(&self, service: &ServiceId) -> bool {
+    /// Takes one retry from the service's budget, if that has room for it.
+    pub async fn take_retry(&self, service: &ServiceId) -> Option<Retry> {
         let (reply, answer) = flume::bounded(1);
         let service = service.clone();
-        self.send(Message::Retry { service, reply });
-        answer.recv_async().await.unwrap_or(false)
+        let control = self.clone();
+        self.send(Message::Retry {
+            service,
+            control,
+            reply,
+        });
+        answer.recv_async().await.ok().flatten()
     }
 
     /// Sends a message to the control task; ignored once the task has ended.
--- a/jujubewind/src/direct/control/message.rs
+++ b/jujubewind/src/direct/control/message.rs
@@ -4,8 +4,10 @@
 
 use flume::Sender;
 
+use super::Control;
 use super::FleetChange;
 use super::Outcome;
+use super::Retry;
 use super::Verdict;
 use crate::conviction::Prints;
 use crate::direct::Digest;
@@ -67,8 +69,17 @@
     Retry {
         /// The service.
         service: ServiceId,
-        /// Receives whether the retry was granted.
-        reply: Sender<bool>,
+        /// Takes the retry back if it is not used.
+        control: Control,
+        /// Receives the retry if it was granted.
+        reply: Sender<Option<Retry>>,
+    },
+    /// Gives a retry back to a service's budget.
+    UnusedRetry {
+        /// The service.
+        service: ServiceId,
+        /// When the retry was granted.
+        taken: MonoTime,
     },
     /// A newer table.
     Configure(Rc<Table>),
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -13,6 +13,7 @@
 use super::FleetChange;
 use super::Message;
 use super::Outcome;
+use super::Retry;
 use super::Verdict;
 use super::limits::EXPIRY_PERIOD;
 use super::limits::TICK_PERIOD;
@@ -136,13 +137,15 @@
             Message::Progressed { job, prints } => self.core.mark_progressed(now, job, &prints),
             Message::Notice { server, notice } => self.record_notice(now, &server, notice),
             Message::HelperFailed(server) => self.core.quarantine(now, &server),
-            Message::Retry { service, reply } => {
-                let granted = self.core.take_retry(now, &service);
-                if granted {
-                    self.shared.metrics.count_retry();
-                }
-                let _ = reply.send(granted);
+            Message::Retry {
+                service,
+                control,
+                reply,
+            } => {
+                let is_granted = self.core.take_retry(now, &service);
+                let _ = reply.send(is_granted.then(|| Retry::new(control, service, now)));
             }
+            Message::UnusedRetry { service, taken } => self.core.give_back(&service, taken),
             Message::Configure(table) => self.core.configure(table),
             Message::Fleet(change) => self.apply_fleet_change(now, change),
             Message::PeerLoad { digest, pass_on } => {
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -42,6 +42,7 @@
 pub use control::Outcome;
 pub use control::Peer;
 pub use control::PeerRoutes;
+pub use control::Retry;
 pub use control::Verdict;
 pub use daemon::Daemon;
 pub use daemon::Settings;
--- a/jujubewind/tests/direct/budget.rs
+++ b/jujubewind/tests/direct/budget.rs
@@ -29,6 +29,32 @@
     assert!(young < old, "{young} then {old}");
 }
 
+#[test]
+fn a_retry_that_was_given_back_is_granted_again() {
+    let mut budget = Budget::new(budget(), MonoTime::ZERO);
+    let now = at(20_000);
+    while budget.take(now, 1) {}
+
+    budget.give_back(now);
+
+    assert!(budget.take(now, 1));
+    assert!(!budget.take(now, 1));
+}
+
+#[test]
+fn a_retry_that_is_given_back_after_its_window_does_not_count_for_another() {
+    let limits = budget();
+    let mut budget = Budget::new(limits.clone(), MonoTime::ZERO);
+    let first = at(20_000);
+    budget.take(first, 1);
+    let later = first.after(limits.window);
+    while budget.take(later, 1) {}
+
+    budget.give_back(first);
+
+    assert!(!budget.take(later, 1));
+}
+
 proptest! {
     #[test]
     fn all_entries_together_stay_within_the_budget_in_every_window(
