--- a/jujubewind/src/direct/api/exchange/first_event.rs
+++ b/jujubewind/src/direct/api/exchange/first_event.rs
@@ -13,6 +13,7 @@
 use super::attempt::AttemptResult;
 use crate::direct::Dialect;
 use crate::direct::Outcome;
+use crate::direct::Retry;
 use crate::direct::RouteKind;
 use crate::refusal::Reason;
 
@@ -23,8 +24,9 @@
         &self,
         target: &Target,
         last: Option<u64>,
+        retry: Retry,
     ) -> Result<UpstreamResponse> {
-        let mut upstream = self.open(target.clone(), last, true).await?;
+        let mut upstream = self.open(target.clone(), last, Some(retry)).await?;
         if !is_stream(target, &upstream) {
             return Ok(upstream);
         }
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -33,6 +33,7 @@
 use crate::conviction::limits::PROGRESS_SPAN;
 use crate::direct::Dialect;
 use crate::direct::Outcome;
+use crate::direct::Retry;
 use crate::http;
 use crate::http::ReadLimit;
 use crate::http::Reply;
@@ -77,6 +78,8 @@
     handover: Handover,
     /// Keeps the request from being sent again to a silent backend server.
     silence: Option<Silence>,
+    /// Pays for the request to another backend server.
+    retry: Option<Retry>,
     /// Another backend server that is asked to take the stream over.
     other: Option<Takeover>,
     /// The other one's response, once its first events have arrived.
@@ -101,6 +104,7 @@
             last: exchange.call.last,
             handover: Handover::new(exchange.gateway.clock.now(), deadline, max_silence(&target)),
             silence: None,
+            retry: None,
             other: None,
             replacement: None,
             runs: exchange.runs(),
--- a/jujubewind/src/direct/api/relay/actions.rs
+++ b/jujubewind/src/direct/api/relay/actions.rs
@@ -57,12 +57,13 @@
         self.handover.apply(now, input)
     }
 
-    async fn take_retry(&self) -> Input {
+    async fn take_retry(&mut self) -> Input {
         if let Some(source) = &self.source {
             let quiet = self.handover.quiet(self.exchange.gateway.clock.now());
             self.exchange.log_silent(&source.grant.placement, quiet);
         }
-        if self.exchange.may_retry(&self.target).await {
+        self.retry = self.exchange.take_retry(&self.target).await;
+        if self.retry.is_some() {
             return Input::RetryGranted;
         }
         if self.source.is_some() {
@@ -80,7 +81,8 @@
         }
         self.runs = self.exchange.runs();
         let (exchange, target) = (self.exchange.clone(), self.target.clone());
-        self.other = Some(take_over(exchange, target, self.last));
+        let retry = self.retry.take();
+        self.other = retry.map(|retry| take_over(exchange, target, self.last, retry));
     }
 
     /// Ends the current attempt and goes on with its replacement.
--- a/jujubewind/src/direct/api/takeover.rs
+++ b/jujubewind/src/direct/api/takeover.rs
@@ -7,6 +7,7 @@
 use super::target::Target;
 use super::upstream_response::UpstreamResponse;
 use crate::direct::Dialect;
+use crate::direct::Retry;
 
 /// Completes with a response that was read up to its first events, or `None` if no backend server
 /// takes the stream over.
@@ -18,10 +19,11 @@
     exchange: Rc<Exchange<D>>,
     target: Target,
     last: Option<u64>,
+    retry: Retry,
 ) -> Takeover {
     let left = exchange.left(&target);
     Box::pin(async move {
-        let opening = open(&exchange, &target, last);
+        let opening = open(&exchange, &target, last, retry);
         let opened = compio::time::timeout(left.duration(), opening).await;
         opened.unwrap_or_else(|_| {
             exchange.log_kept(&"no event in time");
@@ -34,8 +36,9 @@
     exchange: &Exchange<D>,
     target: &Target,
     last: Option<u64>,
+    retry: Retry,
 ) -> Option<UpstreamResponse> {
-    match exchange.open_begun(target, last).await {
+    match exchange.open_begun(target, last, retry).await {
         Ok(upstream) if upstream.response.status().is_success() => Some(upstream),
         Ok(upstream) => {
             exchange.log_kept(&upstream.response.status());
