Do not give up a hand-over for one event of a silent engine

Seen by callers: a stream ended two seconds after its last event with most of its time left. Its engine had been silent for 1.2 s, another one was asked, the first sent one event 80 ms later and was then silent for good.

Cause: whichever sent an event first went on, so one event of the stalling engine closed the connection to the other before it had run the request. The other one still counted as an attempt, and with two attempts none was left for the second silence. The engines stall for 1.28 s, send an event and stall again.

Change: the other one is kept until the silent engine has gone on for as long as it may be silent (recovery.rs); with its first event that the caller lacks it takes the stream over. What both have sent is cut off. The silent engine is still not given up before that event.

Evidence: two tests of deadlines.rs failed before (the stream ended after event 3 of 5, or 4 of 5); that a stream stays with an engine that has recovered was and stays green.

--- a/jujubewind/src/direct/api/events.rs
+++ b/jujubewind/src/direct/api/events.rs
@@ -27,6 +27,23 @@
         self.first.is_none() || self.first > last
     }
 
+    /// The events after the event `last`; `None` if there are none.
+    #[must_use]
+    pub fn after(self, last: Option<u64>) -> Option<Self> {
+        if self.follow(last) {
+            return Some(self);
+        }
+        let mut start = 0;
+        while let Some(size) = delimited(&self.bytes[start..]) {
+            let id = ids(&self.bytes[start..start + size]).next();
+            if id > last {
+                return Some(Self::new(self.bytes[start..].to_vec()));
+            }
+            start += size;
+        }
+        None
+    }
+
     fn new(bytes: Vec<u8>) -> Self {
         let ids: Vec<u64> = ids(&bytes).collect();
         Self {
@@ -69,6 +86,13 @@
     }
 }
 
+/// The size of the first event with its delimiter.
+fn delimited(events: &[u8]) -> Option<usize> {
+    let mut windows = events.windows(DELIMITER.len());
+    let end = windows.position(|window| window == DELIMITER)?;
+    Some(end + DELIMITER.len())
+}
+
 fn ids(events: &[u8]) -> impl Iterator<Item = u64> {
     let lines = events.split(|byte| *byte == b'\n');
     let ids = lines.filter_map(|line| line.strip_prefix(ID_PREFIX));
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -2,6 +2,7 @@
 
 mod handover;
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use futures::stream;
@@ -17,6 +18,7 @@
 use super::gap_tracker::GapTracker;
 use super::hop::end_to_end;
 use super::limits::EVENT_GAP_PERMILLE;
+use super::recovery::Recovery;
 use super::source::Source;
 use super::takeover::Takeover;
 use super::target::Target;
@@ -63,7 +65,7 @@
     target: Target,
     source: Option<Source>,
     events: EventSplitter,
-    last: Option<u64>,
+    last: Rc<Cell<Option<u64>>>,
     status: StatusCode,
     gaps: GapTracker,
     /// When the current backend server sent its first event.
@@ -75,6 +77,8 @@
     patient: bool,
     /// Another backend server that is asked to take the stream over.
     takeover: Option<Takeover>,
+    /// Observes the silent backend server while another one is asked.
+    recovery: Option<Recovery>,
 }
 
 impl<D: Dialect> Relay<D> {
@@ -87,10 +91,11 @@
         let status = upstream.response.status();
         let headers = end_to_end(upstream.response.headers());
         let relay = Self {
-            last: exchange.call.last,
+            last: Rc::new(Cell::new(exchange.call.last)),
             progress: exchange.gateway.clock.now(),
             patient: false,
             takeover: None,
+            recovery: None,
             exchange,
             target,
             source: Some(Source::new(upstream)),
@@ -121,7 +126,7 @@
                     if let Some(bytes) = self.resume().await {
                         return Some((Ok(Frame::data(bytes)), self));
                     }
-                    self.exchange.log_truncated(what, self.last);
+                    self.exchange.log_truncated(what, self.last.get());
                     return Some((Err(TruncatedBody), self));
                 }
             }
@@ -176,7 +181,7 @@
             }
             return Step::Events(Bytes::new());
         };
-        if !events.follow(self.last) {
+        if !events.follow(self.last.get()) {
             return Step::Broken(REPEATED);
         }
         Step::Events(self.accept_events(events))
@@ -190,10 +195,16 @@
         }
         let now = self.exchange.gateway.clock.now();
         // Events without an id, such as comments, do not show that a numbered stream goes on.
-        if events.last.is_some() || self.last.is_none() {
+        if events.last.is_some() || self.last.get().is_none() {
             self.progress = now;
-            self.patient = false;
-            self.end_silence();
+            // Events without an id cannot be told from those of another backend server.
+            let is_recovered = self
+                .recovery
+                .as_mut()
+                .is_none_or(|recovery| recovery.record(now) || events.last.is_none());
+            if is_recovered {
+                self.end_silence();
+            }
         }
         let began = *self.began.get_or_insert(now);
         if let Some(source) = &self.source
@@ -201,7 +212,7 @@
         {
             source.grant.mark_progressed();
         }
-        self.last = events.last.or(self.last);
+        self.last.set(events.last.or(self.last.get()));
         self.gaps.record(now);
         events.bytes
     }
@@ -230,8 +241,9 @@
         self.exchange.log_attempt_failure(
             &source.grant.placement,
             what,
-            format!("after event {:?}", self.last),
+            format!("after event {:?}", self.last.get()),
         );
+        self.recovery = None;
         let server = &source.grant.placement.primary.id;
         self.exchange.end_silence(server);
         self.exchange.exclude(server);
--- a/jujubewind/src/direct/api/relay/handover.rs
+++ b/jujubewind/src/direct/api/relay/handover.rs
@@ -5,6 +5,7 @@
 use hyper::body::Bytes;
 
 use super::super::limits::MAX_ATTEMPTS;
+use super::super::recovery::Recovery;
 use super::super::takeover::Replacement;
 use super::super::takeover::Takeover;
 use super::super::takeover::take_over;
@@ -16,16 +17,16 @@
 use crate::direct::Dialect;
 
 impl<D: Dialect> Relay<D> {
-    /// Reads from the stream while another backend server is asked to take it over: whichever sends
-    /// an event first goes on.
+    /// Reads from the stream while another backend server is asked to take it over. The other one
+    /// goes on with its first event that the caller lacks, unless the silent one has recovered: a
+    /// single event does not show that, and there may be no attempt left for its next silence.
     pub(super) async fn step_beside(&mut self, mut takeover: Takeover) -> Step {
-        let before = self.progress;
         let first = match select(Box::pin(self.step()), takeover.as_mut()).await {
             Either::Left((step, _)) => Either::Left(step),
             Either::Right((replacement, _)) => Either::Right(replacement),
         };
         match first {
-            Either::Left(Step::Events(bytes)) if self.progress == before => {
+            Either::Left(Step::Events(bytes)) if self.recovery.is_some() => {
                 self.takeover = Some(takeover);
                 Step::Events(bytes)
             }
@@ -38,7 +39,10 @@
             }
             Either::Left(step) => step,
             Either::Right(Some(replacement)) => Step::Events(self.switch_to(replacement, SILENT)),
-            Either::Right(None) => Step::Events(Bytes::new()),
+            Either::Right(None) => {
+                self.give_up_handover();
+                Step::Events(Bytes::new())
+            }
         }
     }
 
@@ -51,7 +55,7 @@
             }
             let runs = self.exchange.runs();
             let (exchange, target) = (self.exchange.clone(), self.target.clone());
-            if let Some(replacement) = take_over(exchange, target, self.last).await {
+            if let Some(replacement) = take_over(exchange, target, self.last.clone()).await {
                 return Some(self.switch_to(replacement, BROKEN));
             }
             if self.exchange.runs() == runs {
@@ -64,6 +68,9 @@
     /// Asks another backend server to take the stream over, if a retry is granted. The silent one is
     /// kept until the other has sent an event, as it may be slow but sound.
     pub(super) async fn ask_another(&mut self) {
+        let Some(max_silence) = self.max_silence() else {
+            return;
+        };
         self.patient = true;
         let Some(source) = &self.source else {
             return;
@@ -76,11 +83,23 @@
             return;
         }
         self.exchange.keep_silent(&placement.primary.id);
+        self.recovery = Some(Recovery::new(max_silence, self.progress));
         let (exchange, target) = (self.exchange.clone(), self.target.clone());
-        self.takeover = Some(take_over(exchange, target, self.last));
+        self.takeover = Some(take_over(exchange, target, self.last.clone()));
     }
 
-    pub(super) fn end_silence(&self) {
+    /// Ends the wait for another backend server; the silent one is trusted again if it has gone on.
+    fn give_up_handover(&mut self) {
+        let recovery = self.recovery.take();
+        if recovery.is_some_and(|recovery| recovery.has_resumed()) {
+            self.end_silence();
+        }
+    }
+
+    /// Records that the backend server goes on after a silence, if there was one.
+    pub(super) fn end_silence(&mut self) {
+        self.recovery = None;
+        self.patient = false;
         if let Some(source) = &self.source {
             let server = &source.grant.placement.primary.id;
             self.exchange.end_silence(server);
--- a/jujubewind/src/direct/api/takeover.rs
+++ b/jujubewind/src/direct/api/takeover.rs
@@ -1,5 +1,6 @@
 //! Another backend server takes a stream over from one that is silent.
 
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 
@@ -32,16 +33,16 @@
     pub(super) first: Option<Events>,
 }
 
-/// Sends the rest of a stream, after the event `last`, to another backend server and waits for its
-/// first event.
+/// Sends the rest of a stream to another backend server and waits for its first event after `last`,
+/// the last one that the caller has, which may advance meanwhile.
 pub(super) fn take_over<D: Dialect>(
     exchange: Rc<Exchange<D>>,
     target: Target,
-    last: Option<u64>,
+    last: Rc<Cell<Option<u64>>>,
 ) -> Takeover {
     let left = exchange.left(&target);
     Box::pin(async move {
-        let opening = open(&exchange, &target, last);
+        let opening = open(&exchange, &target, &last);
         let opened = compio::time::timeout(left.duration(), opening).await;
         opened.unwrap_or_else(|_| {
             exchange.log_kept(&"no event in time");
@@ -53,9 +54,10 @@
 async fn open<D: Dialect>(
     exchange: &Exchange<D>,
     target: &Target,
-    last: Option<u64>,
+    last: &Cell<Option<u64>>,
 ) -> Option<Replacement> {
-    let upstream = match exchange.open(target.clone(), last, true).await {
+    let start = last.get();
+    let upstream = match exchange.open(target.clone(), start, true).await {
         Ok(upstream) if upstream.response.status().is_success() => upstream,
         Ok(upstream) => {
             exchange.log_kept(&upstream.response.status());
@@ -69,7 +71,7 @@
     let status = upstream.response.status();
     let mut source = Source::new(upstream);
     let mut events = EventSplitter::default();
-    match first_events(&mut source, &mut events, last).await {
+    match first_events(&mut source, &mut events, (start, last)).await {
         Ok(first) => Some(Replacement {
             source,
             status,
@@ -86,12 +88,14 @@
     }
 }
 
-/// Reads up to the first complete events; `None` if the stream ends without any.
+/// Reads up to the first complete events after `last`; `None` if the stream ends without any. Events
+/// after `start` may repeat what the silent backend server has sent since.
 async fn first_events(
     source: &mut Source,
     events: &mut EventSplitter,
-    last: Option<u64>,
+    (start, last): (Option<u64>, &Cell<Option<u64>>),
 ) -> Result<Option<Events>, &'static str> {
+    let mut sent = start;
     loop {
         let frame = source.grant.while_held(source.body.frame()).await;
         let frame = match frame.ok_or(MEMORY_LOST)? {
@@ -106,8 +110,15 @@
             return Err(MALFORMED);
         }
         // A comment does not show that the stream goes on.
-        if let Some(found) = found.filter(|found| found.last.is_some() || last.is_none()) {
-            return found.follow(last).then_some(Some(found)).ok_or(REPEATED);
+        let Some(found) = found.filter(|found| found.last.is_some() || start.is_none()) else {
+            continue;
+        };
+        if !found.follow(sent) {
+            return Err(REPEATED);
+        }
+        sent = found.last.or(sent);
+        if let Some(found) = found.after(last.get()) {
+            return Ok(Some(found));
         }
     }
 }
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -27,6 +27,7 @@
 pub use api::Events;
 pub use api::Gateway;
 pub use api::GatewaySettings;
+pub use api::Recovery;
 pub use api::RefusalSampler;
 pub use boot_time::BootTime;
 pub use budget::Budget;
--- a/jujubewind/tests/direct/events.rs
+++ b/jujubewind/tests/direct/events.rs
@@ -27,6 +27,19 @@
     assert!(!events.follow(Some(7)));
 }
 
+#[test]
+fn events_that_were_forwarded_are_cut_off() {
+    let events = EventSplitter::default().push(b"id: 3\ndata: c\n\nid: 4\ndata: d\n\n");
+    let events = events.expect("two events");
+
+    assert_eq!(events.clone().after(Some(2)), Some(events.clone()));
+    assert_eq!(
+        events.clone().after(Some(3)),
+        Some(events_of("id: 4\ndata: d\n\n", Some(4)))
+    );
+    assert_eq!(events.after(Some(4)), None);
+}
+
 #[test]
 fn incomplete_event_is_buffered() {
     let mut events = EventSplitter::default();
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -17,6 +17,7 @@
 mod plan;
 mod poison_parts;
 mod queue;
+mod recovery;
 mod reservation;
 mod roster;
 mod simulation;
