Merge the observation of a silent engine into the hand-over's state machine

The machine tells an event of a silent engine from its recovery; its search of short runs checks that the other engine is dropped only after it, or for events without an id.

--- a/jujubewind/src/direct/api/exchange/first_event.rs
+++ b/jujubewind/src/direct/api/exchange/first_event.rs
@@ -1,5 +1,7 @@
 //! The wait for the first event of a stream that two backend servers were asked for.
 
+use std::cell::Cell;
+
 use futures::future::Either;
 use futures::future::select;
 
@@ -19,18 +21,19 @@
 
 impl<D: Dialect> Exchange<D> {
     /// Sends the request to another backend server until one responds; a stream is read up to its
-    /// first events.
+    /// first events that the caller lacks after the event `seen`, which may advance meanwhile.
     pub(in crate::direct::api) async fn open_begun(
         &self,
         target: &Target,
         last: Option<u64>,
+        seen: &Cell<Option<u64>>,
         retry: Retry,
     ) -> Result<UpstreamResponse> {
         let mut upstream = self.open(target.clone(), last, Some(retry)).await?;
         if !is_stream(target, &upstream) {
             return Ok(upstream);
         }
-        match upstream.begin(last.or(self.call.last)).await {
+        match upstream.begin(last.or(self.call.last), seen).await {
             Ok(()) => Ok(upstream),
             Err(what) => {
                 self.fail_begun(upstream, what);
@@ -48,7 +51,9 @@
         mut other: impl Future<Output = Result<UpstreamResponse>> + Unpin,
         last: Option<u64>,
     ) -> AttemptResult<UpstreamResponse> {
-        let begun = Box::pin(own.begin(last.or(self.call.last)));
+        let last = last.or(self.call.last);
+        let seen = Cell::new(last);
+        let begun = Box::pin(own.begin(last, &seen));
         let first = match select(begun, &mut other).await {
             Either::Left((begun, _)) => Either::Left(begun),
             Either::Right((outcome, _)) => Either::Right(outcome),
--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -1,5 +1,7 @@
 //! The wait for a response, beside other backend servers if the first one is silent.
 
+use std::cell::Cell;
+
 use futures::future::Either;
 use futures::future::select;
 
@@ -57,7 +59,8 @@
         retry: Retry,
     ) -> AttemptResult<UpstreamResponse> {
         let silence = self.keep_silent(&sent.grant.placement.primary.id);
-        let mut other = Box::pin(self.open_begun(target, last, retry));
+        let seen = Cell::new(last.or(self.call.last));
+        let mut other = Box::pin(self.open_begun(target, last, &seen, retry));
         let first = match select(Box::pin(sent.head()), other.as_mut()).await {
             Either::Left((head, _)) => Either::Left(head),
             Either::Right((outcome, _)) => Either::Right(outcome),
--- a/jujubewind/src/direct/api/handover.rs
+++ b/jujubewind/src/direct/api/handover.rs
@@ -1,6 +1,7 @@
 //! Decides from which of two backend servers a stream is read on.
 
 use super::limits::MAX_ATTEMPTS;
+use super::recovery::Recovery;
 use crate::types::Millis;
 use crate::types::MonoTime;
 
@@ -13,7 +14,10 @@
     /// Nothing arrived for as long as `Handover::wait` told.
     Elapsed,
     /// The backend server sent an event.
-    Event,
+    Event {
+        /// Whether it has an id, so that it can be told from the other one's events.
+        numbered: bool,
+    },
     /// The backend server completed the stream.
     Ended,
     /// The attempt at the backend server failed, for this cause.
@@ -67,6 +71,8 @@
     broken: Option<&'static str>,
     /// Whether another backend server is being asked.
     has_other: bool,
+    /// Observes the silent backend server while another one is asked.
+    recovery: Option<Recovery>,
     /// How often the stream was to be resumed since it broke.
     resumptions: usize,
 }
@@ -82,6 +88,7 @@
             is_patient: false,
             broken: None,
             has_other: false,
+            recovery: None,
             resumptions: 0,
         }
     }
@@ -104,16 +111,11 @@
     pub fn apply(&mut self, now: MonoTime, input: Input) -> Output {
         match input {
             Input::Elapsed => self.elapse(now),
-            Input::Event => {
-                self.record_progress(now);
-                if std::mem::take(&mut self.has_other) {
-                    return Output::DropOther;
-                }
-                Output::Read
-            }
+            Input::Event { numbered } => self.accept_event(now, numbered),
             Input::Ended => Output::End,
             Input::Broken(what) => {
                 self.broken = Some(what);
+                self.recovery = None;
                 self.resumptions = 0;
                 if self.has_other {
                     return Output::Read;
@@ -122,19 +124,25 @@
             }
             Input::RetryGranted => {
                 self.has_other = true;
+                self.recovery = self.observe();
                 Output::AskOther
             }
             Input::RetryDenied => self.broken.map_or(Output::Read, Output::Truncate),
             Input::OtherBegan => {
-                self.record_progress(now);
+                self.progress = now;
+                self.is_patient = false;
                 self.has_other = false;
+                self.recovery = None;
                 self.broken = None;
                 Output::Switch
             }
             Input::OtherFailed { sent } => {
                 self.has_other = false;
                 match self.broken {
-                    None => Output::Read,
+                    None => {
+                        self.trust_resumed();
+                        Output::Read
+                    }
                     Some(what) if self.resumptions > 0 && !sent => Output::Truncate(what),
                     Some(what) => self.resume(what),
                 }
@@ -170,8 +178,34 @@
         self.max_silence.map(|most| most.saturating_sub(quiet))
     }
 
-    const fn record_progress(&mut self, now: MonoTime) {
+    /// Records progress. The other backend server is given up once the silent one has recovered: a
+    /// single event does not show that, and no attempt may be left for its next silence.
+    fn accept_event(&mut self, now: MonoTime, numbered: bool) -> Output {
         self.progress = now;
+        let recovery = self.recovery.as_mut();
+        let is_recovered = recovery.is_none_or(|recovery| recovery.record(now) || !numbered);
+        if !is_recovered {
+            return Output::Read;
+        }
+        self.recovery = None;
         self.is_patient = false;
+        if std::mem::take(&mut self.has_other) {
+            return Output::DropOther;
+        }
+        Output::Read
+    }
+
+    /// Starts to observe a silent backend server.
+    fn observe(&self) -> Option<Recovery> {
+        let silent = self.max_silence.filter(|_| self.broken.is_none());
+        silent.map(|max_silence| Recovery::new(max_silence, self.progress))
+    }
+
+    /// Allows another silence if the silent backend server has gone on.
+    fn trust_resumed(&mut self) {
+        let recovery = self.recovery.take();
+        if recovery.is_some_and(|recovery| recovery.has_resumed()) {
+            self.is_patient = false;
+        }
     }
 }
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 
+use std::cell::Cell;
 use std::future;
 use std::rc::Rc;
 
@@ -70,7 +71,7 @@
     exchange: Rc<Exchange<D>>,
     target: Target,
     source: Option<Source>,
-    last: Option<u64>,
+    last: Rc<Cell<Option<u64>>>,
     status: StatusCode,
     gaps: GapTracker,
     /// When the current backend server sent its first event.
@@ -101,7 +102,7 @@
         let deadline = exchange.gateway.clock.now().after(left);
         let read_limit = ReadLimit(Millis(left.get() + READ_MARGIN.get()));
         let relay = Self {
-            last: exchange.call.last,
+            last: Rc::new(Cell::new(exchange.call.last)),
             handover: Handover::new(exchange.gateway.clock.now(), deadline, max_silence(&target)),
             silence: None,
             retry: None,
@@ -170,7 +171,7 @@
             }
             return Step::Bytes(Bytes::new());
         };
-        if !events.follow(self.last) {
+        if !events.follow(self.last.get()) {
             return Step::Input(Input::Broken(REPEATED));
         }
         Step::Bytes(self.accept_events(events))
@@ -184,11 +185,14 @@
         }
         let now = self.exchange.gateway.clock.now();
         // Events without an id, such as comments, do not show that a numbered stream goes on.
-        if events.last.is_some() || self.last.is_none() {
-            self.silence = None;
-            if self.decide(Input::Event) == Output::DropOther {
+        if events.last.is_some() || self.last.get().is_none() {
+            let numbered = events.last.is_some();
+            if self.decide(Input::Event { numbered }) == Output::DropOther {
                 self.other = None;
             }
+            if self.other.is_none() {
+                self.silence = None;
+            }
         }
         let began = *self.began.get_or_insert(now);
         if let Some(source) = &self.source
@@ -196,7 +200,7 @@
         {
             source.grant.mark_progressed();
         }
-        self.last = events.last.or(self.last);
+        self.last.set(events.last.or(self.last.get()));
         self.gaps.record(now);
         events.bytes
     }
@@ -225,7 +229,7 @@
         self.exchange.log_attempt_failure(
             &source.grant.placement,
             what,
-            format!("after event {:?}", self.last),
+            format!("after event {:?}", self.last.get()),
         );
         self.silence = None;
         self.exchange.exclude(&source.grant.placement.primary.id);
--- a/jujubewind/src/direct/api/relay/actions.rs
+++ b/jujubewind/src/direct/api/relay/actions.rs
@@ -45,7 +45,7 @@
                 Output::Truncate(what) => {
                     self.other = None;
                     self.end_broken(what);
-                    self.exchange.log_truncated(what, self.last);
+                    self.exchange.log_truncated(what, self.last.get());
                     return Flow::Truncate;
                 }
             };
@@ -82,7 +82,7 @@
         self.runs = self.exchange.runs();
         let (exchange, target) = (self.exchange.clone(), self.target.clone());
         let retry = self.retry.take();
-        self.other = retry.map(|retry| take_over(exchange, target, self.last, retry));
+        self.other = retry.map(|retry| take_over(exchange, target, self.last.clone(), retry));
     }
 
     /// Ends the current attempt and goes on with its replacement.
--- a/jujubewind/src/direct/api/takeover.rs
+++ b/jujubewind/src/direct/api/takeover.rs
@@ -1,5 +1,6 @@
 //! Another backend server takes a stream over from one that is silent.
 
+use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
 
@@ -13,17 +14,17 @@
 /// takes the stream over.
 pub(super) type Takeover = Pin<Box<dyn Future<Output = Option<UpstreamResponse>>>>;
 
-/// Sends the rest of a stream, after the event `last`, to another backend server and waits for its
-/// first event.
+/// Sends the rest of a stream to another backend server and waits for its first event after `last`,
+/// the last one that the caller has, which may advance meanwhile.
 pub(super) fn take_over<D: Dialect>(
     exchange: Rc<Exchange<D>>,
     target: Target,
-    last: Option<u64>,
+    last: Rc<Cell<Option<u64>>>,
     retry: Retry,
 ) -> Takeover {
     let left = exchange.left(&target);
     Box::pin(async move {
-        let opening = open(&exchange, &target, last, retry);
+        let opening = open(&exchange, &target, &last, retry);
         let opened = compio::time::timeout(left.duration(), opening).await;
         opened.unwrap_or_else(|_| {
             exchange.log_kept(&"no event in time");
@@ -35,10 +36,10 @@
 async fn open<D: Dialect>(
     exchange: &Exchange<D>,
     target: &Target,
-    last: Option<u64>,
+    last: &Cell<Option<u64>>,
     retry: Retry,
 ) -> Option<UpstreamResponse> {
-    match exchange.open_begun(target, last, retry).await {
+    match exchange.open_begun(target, last.get(), last, retry).await {
         Ok(upstream) if upstream.response.status().is_success() => Some(upstream),
         Ok(upstream) => {
             exchange.log_kept(&upstream.response.status());
--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -1,5 +1,7 @@
 //! A response whose head has arrived.
 
+use std::cell::Cell;
+
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -43,9 +45,15 @@
         }
     }
 
-    /// Reads a stream up to its first events after the event `last`, or to its end if there are none;
-    /// the error says what went wrong. May be cancelled and called again.
-    pub async fn begin(&mut self, last: Option<u64>) -> Result<(), &'static str> {
+    /// Reads a stream that starts after the event `last` up to its first events that the caller lacks,
+    /// or to its end if there are none; the error says what went wrong. `seen` is the last event that
+    /// the caller has, which may advance meanwhile. May be cancelled and called again.
+    pub async fn begin(
+        &mut self,
+        last: Option<u64>,
+        seen: &Cell<Option<u64>>,
+    ) -> Result<(), &'static str> {
+        let mut sent = last;
         while self.first.is_none() {
             let frame = self.grant.while_held(self.response.body_mut().frame());
             let frame = match frame.await.ok_or(MEMORY_LOST)? {
@@ -60,10 +68,16 @@
                 return Err(MALFORMED);
             }
             // A comment does not show that the stream goes on.
-            self.first = found.filter(|found| found.last.is_some() || last.is_none());
+            let Some(found) = found.filter(|found| found.last.is_some() || last.is_none()) else {
+                continue;
+            };
+            if !found.follow(sent) {
+                return Err(REPEATED);
+            }
+            sent = found.last.or(sent);
+            self.first = found.after(seen.get());
         }
-        let is_next = self.first.as_ref().is_some_and(|first| first.follow(last));
-        is_next.then_some(()).ok_or(REPEATED)
+        Ok(())
     }
 
     /// Returns the connection to the pool and ends the grant after the whole body was read.
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -30,6 +30,7 @@
 pub use api::Handover;
 pub use api::HandoverInput;
 pub use api::HandoverOutput;
+pub use api::Recovery;
 pub use api::RefusalSampler;
 pub use boot_time::BootTime;
 pub use budget::Budget;
