Do not send a request again once its route forbids a second run

Callers would see: a call that was accepted on an idempotent route and broke off after a change had made the route non-idempotent ran a second time.

Cause: whether a request may run again was asked of the route as it was before the request was sent. Right before the send the route is looked up anew, for its key and its server; now a request that may have run already is not sent if the route in force forbids it, and ends in doubt. Found by a review.

--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -25,6 +25,7 @@
 use crate::direct::Outcome;
 use crate::direct::Retry;
 use crate::direct::Server;
+use crate::entry::Failure;
 use crate::http;
 use crate::http::Reply;
 use crate::refusal::Reason;
@@ -53,9 +54,13 @@
             Ok(connected) => connected,
             Err(error) => return Ok(Err(error)),
         };
-        // The key may have been revoked while the connection was opened, and the server may have
-        // asked for no requests.
+        // Since the request was placed its key may have been revoked, its route may no longer allow a
+        // second run, and the server may have asked for no requests.
         let target = self.resolve()?;
+        if self.runs() > 0 && !target.route.repeatable() {
+            connection.give_back();
+            return Err(Failure::in_doubt(Reason::OutcomeUnknown));
+        }
         let server = &grant.placement.primary;
         if !self
             .gateway
