Cut off what the caller has got while a third engine was asked

Callers would see: an event twice, on routes with three attempts or more. While a second engine was silent a third one was asked; the first engine sent an event meanwhile, and the third one's first events were compared with what the caller had when it was asked. They are compared again before they are used.

Made by joining the waits for a first event with hand-overs that go on beside events of the silent engine; found by a review. several_attempts::a_third_engine_repeats_no_event_that_a_silent_one_has_sent_meanwhile failed before (event 3 twice).

--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -53,7 +53,8 @@
         last: Option<u64>,
         seen: &Cell<Option<u64>>,
     ) -> Result<(), &'static str> {
-        let mut sent = last;
+        let mut sent = self.first.as_ref().and_then(|first| first.last).or(last);
+        self.first = self.first.take().and_then(|first| first.after(seen.get()));
         while self.first.is_none() {
             let frame = self.grant.while_held(self.response.body_mut().frame());
             let frame = match frame.await.ok_or(MEMORY_LOST)? {
