Do not take an early end of a replacement for the end of the answer

Callers would see: an answer that ends in order but lacks its last events, if a replacement that is behind the silent engine ends its stream early. Such an end is an error of the replacement now; the silent engine goes on.

deadlines::a_stream_is_not_ended_by_a_replacement_that_ends_before_what_the_caller_has failed before (event 5 of 5 missing).

--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -60,6 +60,7 @@
             let frame = match frame.await.ok_or(MEMORY_LOST)? {
                 Some(frame) => frame.map_err(|_| BROKEN)?,
                 None if self.events.has_partial_event() => return Err(TORN),
+                None if sent < seen.get() => return Err(TORN),
                 None if is_framed(self.response.headers()) => return Ok(()),
                 None => return Err(BROKEN),
             };
