Serve the connections that have reached a listener before it is closed

Cause: a stopping process went on to listen until it ended. It ended once no connection was open, and those that had been made meanwhile, or waited in the listener's queue, were reset with the process.

Change: when its requests have ended, the process accepts what is in the queue, closes the listener, and waits for these connections as for the others; later callers get a refused connection.

A handshake that is under way as the listener is closed can still be reset.

--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -180,6 +180,7 @@
                 break;
             }
         }
+        self.serving.end_accepting();
         self.wait_for_connections(started, settings.grace).await;
         crate::event!(info, "stopped", open = gateway.open());
     }
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -16,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
+use socket2::SockRef;
 
 use super::ReadLimit;
 use super::Reply;
@@ -34,16 +36,40 @@
     fn handle(self: Rc<Self>, request: Request<Incoming>) -> impl Future<Output = Reply>;
 }
 
-/// Serves all connections that `listener` accepts, until the future is dropped.
+/// Serves all connections that `listener` accepts, until `handle` ends that.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>, handle: ServerHandle) {
-    loop {
-        let Ok((stream, caller)) = listener.accept().await else {
-            continue;
-        };
+    let _counted = handle.count_connection();
+    let start = |stream: TcpStream, caller| {
         let _ = stream.set_nodelay(true);
         let connection = serve_connection(stream, caller, handler.clone(), handle.clone());
         compio::runtime::spawn(connection).detach();
+    };
+    loop {
+        let accepting = std::pin::pin!(listener.accept());
+        let ended = std::pin::pin!(handle.accepting_ended());
+        match select(accepting, ended).await {
+            Either::Left((Ok((stream, caller)), _)) => start(stream, caller),
+            Either::Left((Err(_), _)) => {}
+            Either::Right(_) => break,
+        }
+    }
+    for (stream, caller) in close_listener(&listener) {
+        start(stream, caller);
+    }
+}
+
+/// Closes a listener and returns the connections that had reached it.
+fn close_listener(listener: &TcpListener) -> Vec<(TcpStream, SocketAddr)> {
+    let socket = SockRef::from(listener);
+    let _ = socket.set_nonblocking(true);
+    let mut accepted = Vec::new();
+    while let Ok((stream, caller)) = socket.accept() {
+        let stream = TcpStream::from_std(stream.into());
+        accepted.extend(stream.ok().zip(caller.as_socket()));
     }
+    // The descriptor may be in use by an accept that is being cancelled.
+    let _ = socket.shutdown(Shutdown::Both);
+    accepted
 }
 
 /// Serves one connection; once `handle` is closed, it ends after the request in progress, or after
--- a/jujubewind/src/http/server_handle.rs
+++ b/jujubewind/src/http/server_handle.rs
@@ -22,6 +22,9 @@
     /// Dropped to signal `closed`; nothing is ever sent.
     open: Rc<RefCell<Option<Sender<Infallible>>>>,
     closed: Receiver<Infallible>,
+    /// Dropped to signal `accepting_ended`; nothing is ever sent.
+    accepting: Rc<RefCell<Option<Sender<Infallible>>>>,
+    accepting_ended: Receiver<Infallible>,
     connections: Rc<Cell<usize>>,
 }
 
@@ -30,10 +33,13 @@
     #[must_use]
     pub fn new() -> Self {
         let (open, closed) = flume::bounded(1);
+        let (accepting, accepting_ended) = flume::bounded(1);
         Self {
             idle_timer: IdleTimer::new(DEFAULT_IDLE_LIMIT),
             open: Rc::new(RefCell::new(Some(open))),
             closed,
+            accepting: Rc::new(RefCell::new(Some(accepting))),
+            accepting_ended,
             connections: Rc::default(),
         }
     }
@@ -51,7 +57,13 @@
         drop(self.open.borrow_mut().take());
     }
 
-    /// The number of open connections.
+    /// Ends `serve` once the connections that have reached the listener are accepted: as long as it
+    /// listens, a caller may have connected to a process that is about to end.
+    pub fn end_accepting(&self) {
+        drop(self.accepting.borrow_mut().take());
+    }
+
+    /// The number of open connections; a listener counts as one.
     #[must_use]
     pub fn connections(&self) -> usize {
         self.connections.get()
@@ -66,6 +78,11 @@
         self.idle_timer.clone()
     }
 
+    /// Waits until no more connections are to be accepted.
+    pub(super) async fn accepting_ended(&self) {
+        let _ = self.accepting_ended.recv_async().await;
+    }
+
     /// Waits until the handle is closed.
     pub(super) async fn closed(&self) {
         let _ = self.closed.recv_async().await;
