Count a connection when it is accepted, not when its task first runs

Callers could see a connection closed without an answer as a process stops. Found while tracing the one failure of the stop's regression test; not its cause (that test's failure needs the gap before the listener's close).

Cause: a connection was counted by its own task. Between the accept and the first run of that task the listener's count was gone as well, so a stop that looked in between saw no connection and the process ended. It takes a runtime with more ready tasks than it runs between two looks.

Change: the connection is counted where it is accepted, and the count goes with its task.

listener::a_server_waits_for_a_connection_that_it_accepted_last, with 500 other tasks that are always ready, failed before (connection reset by peer) and passes now.

--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -23,6 +23,7 @@
 use super::Reply;
 use super::ReplyBody;
 use super::ServerHandle;
+use super::counted_connection::CountedConnection;
 use super::limited_body::LimitedBody;
 use crate::types::Millis;
 
@@ -41,8 +42,10 @@
     let _counted = handle.count_connection();
     let start = |stream: TcpStream, caller| {
         let _ = stream.set_nodelay(true);
+        // Counted before its task runs: a stop that looks in between would end the process.
+        let counted = handle.count_connection();
         let connection = serve_connection(stream, caller, handler.clone(), handle.clone());
-        compio::runtime::spawn(connection).detach();
+        compio::runtime::spawn(count(connection, counted)).detach();
     };
     loop {
         let accepting = std::pin::pin!(listener.accept());
@@ -58,6 +61,12 @@
     }
 }
 
+/// Keeps a connection in the count until it has ended.
+async fn count(connection: impl Future<Output = ()>, counted: CountedConnection) {
+    connection.await;
+    drop(counted);
+}
+
 /// Closes a listener and returns the connections that had reached it.
 fn close_listener(listener: &TcpListener) -> Vec<(TcpStream, SocketAddr)> {
     let socket = SockRef::from(listener);
@@ -80,7 +89,6 @@
     handler: Rc<H>,
     handle: ServerHandle,
 ) {
-    let _counted = handle.count_connection();
     let has_request = Rc::new(Cell::new(false));
     let requested = has_request.clone();
     let (expired, unread) = flume::bounded(1);
