Complete the handshakes under way before a listener is closed

Callers saw: a connection that was made as a stopping process closed its listener was reset, and a request written on it got neither an answer nor a refusal. stops::a_request_on_a_connection_that_meets_the_end_of_the_process_is_answered failed so once in a run of all tests on.

Cause: the listener is shut down after its queue was found empty; a handshake that completes between the two calls, or is under way, is reset by the kernel.

Change: the listener first drops the packets that open a connection, by a socket filter that lets all other packets pass, accepts for 200 ms what is under way, serves its queue and closes. A caller that connects meanwhile sends its packet again and finds the port closed. Where the system refuses the filter, that is logged and the listener is closed at once, as before. A failed shutdown is logged as well.

--- a/jujubewind/src/http/mod.rs
+++ b/jujubewind/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod counted_connection;
 mod error;
 mod events;
+mod handshake_filter;
 mod idle_limits;
 mod idle_sleep;
 mod idle_timer;
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -24,6 +24,7 @@
 use super::ReplyBody;
 use super::ServerHandle;
 use super::counted_connection::CountedConnection;
+use super::handshake_filter;
 use super::limited_body::LimitedBody;
 use crate::types::Millis;
 
@@ -31,6 +32,10 @@
 /// first request that is already on its way, or sent once more after a loss, is answered.
 const FIRST_REQUEST_LIMIT: Millis = Millis(1_000);
 
+/// How long handshakes that are under way may take to complete before a listener closes: a round trip,
+/// without the retransmission of a lost packet.
+const HANDSHAKE_LIMIT: Millis = Millis(200);
+
 /// Handles the requests of a server.
 pub trait Handler: 'static {
     /// Returns the response to one request.
@@ -47,10 +52,13 @@
         let connection = serve_connection(stream, caller, handler.clone(), handle.clone());
         compio::runtime::spawn(count(connection, counted)).detach();
     };
+    let mut ended = std::pin::pin!(async {
+        handle.accepting_ended().await;
+        complete_handshakes(&listener).await;
+    });
     loop {
         let accepting = std::pin::pin!(listener.accept());
-        let ended = std::pin::pin!(handle.accepting_ended());
-        match select(accepting, ended).await {
+        match select(accepting, ended.as_mut()).await {
             Either::Left((Ok((stream, caller)), _)) => start(stream, caller),
             Either::Left((Err(_), _)) => {}
             Either::Right(_) => break,
@@ -67,6 +75,15 @@
     drop(counted);
 }
 
+/// Ignores new connections, whose callers try again and find the listener closed, and waits until the
+/// handshakes under way have completed: the close of a listener resets them.
+async fn complete_handshakes(listener: &TcpListener) {
+    match handshake_filter::attach(&SockRef::from(listener)) {
+        Ok(()) => compio::time::sleep(HANDSHAKE_LIMIT.duration()).await,
+        Err(error) => crate::event!(info, "handshake_filter_refused", error = error),
+    }
+}
+
 /// Closes a listener and returns the connections that had reached it.
 fn close_listener(listener: &TcpListener) -> Vec<(TcpStream, SocketAddr)> {
     let socket = SockRef::from(listener);
@@ -77,7 +94,9 @@
         accepted.extend(stream.ok().zip(caller.as_socket()));
     }
     // The descriptor may be in use by an accept that is being cancelled.
-    let _ = socket.shutdown(Shutdown::Both);
+    if let Err(error) = socket.shutdown(Shutdown::Both) {
+        crate::event!(warn, "listener_not_closed", error = error);
+    }
     accepted
 }
 
