--- a/jujubewind/src/direct/control/updates.rs
+++ b/jujubewind/src/direct/control/updates.rs
@@ -51,6 +51,7 @@
             info,
             "server_announcement",
             server = server.id,
+            incarnation = server.started.unwrap_or_default(),
             leaving = notice.leaving,
             pause = notice.pause.unwrap_or_default()
         );
