Keep a leaving server out of use once its next incarnation leaves as well

A backend server announced its leaving and got requests again. An entry that had not yet heard of a restart kept the old incarnation as leaving. A peer then told it that the next incarnation leaves. Only one incarnation of a server is kept as leaving, and it was compared for equality, so the old one that the entry still listed counted as usable; what the server announced to this entry from then on was dropped as older news.

Ruled out by the same timelines: a request placed before the announcement, a hand-over or retry, an entry that did not hear.

An incarnation now counts as leaving if it or a later one has announced it: an earlier one has ended.

--- a/jujubewind/src/direct/fleet/notices.rs
+++ b/jujubewind/src/direct/fleet/notices.rs
@@ -78,14 +78,15 @@
             .is_some_and(|delisting| self.delistings.merge(now, server, started, delisting))
     }
 
-    /// Whether this incarnation has announced that it is leaving.
+    /// Whether this incarnation, or a later one, has announced that it is leaving.
     #[must_use]
     pub fn is_leaving(&self, server: &Server) -> bool {
         let known = self.leaving.get(&server.id);
-        known.is_some_and(|leaving| leaving.started == server.started)
+        known.is_some_and(|leaving| server.is_up_to(leaving.started))
     }
 
-    /// Whether this incarnation has announced that it is leaving, or left the list.
+    /// Whether this incarnation, or a later one, has announced that it is leaving, or this one left
+    /// the list.
     #[must_use]
     pub fn has_left(&self, now: MonoTime, server: &Server) -> bool {
         self.is_leaving(server) || self.delistings.include(now, server)
--- a/jujubewind/src/direct/fleet/server.rs
+++ b/jujubewind/src/direct/fleet/server.rs
@@ -27,3 +27,11 @@
         pub started: Option<Incarnation>,
     }
 }
+
+impl Server {
+    /// Whether this is the incarnation `other` or an earlier one of the same server, which has ended.
+    #[must_use]
+    pub fn is_up_to(&self, other: Option<Incarnation>) -> bool {
+        self.started == other || (self.started.is_some() && self.started < other)
+    }
+}
--- a/jujubewind/tests/direct/notices.rs
+++ b/jujubewind/tests/direct/notices.rs
@@ -1,6 +1,7 @@
 //! Backend servers that leave or ask for a pause: what an entry still sends them.
 
 use jujubewind::direct::Core;
+use jujubewind::direct::Digest;
 use jujubewind::direct::FleetChange;
 use jujubewind::direct::Job;
 use jujubewind::direct::JobId;
@@ -8,10 +9,12 @@
 use jujubewind::direct::Notices;
 use jujubewind::direct::PeerNotice;
 use jujubewind::direct::Server;
+use jujubewind::direct::Stamp;
 use jujubewind::direct::Verdict;
 use jujubewind::refusal::Reason;
 use jujubewind::types::Incarnation;
 use jujubewind::types::Millis;
+use jujubewind::types::Revision;
 
 use crate::fixture::at;
 use crate::fixture::core;
@@ -30,6 +33,30 @@
     }
 }
 
+/// What a peer tells of an incarnation of the first server that leaves.
+fn leaving(incarnation: u64) -> PeerNotice {
+    PeerNotice {
+        server: server(0).id,
+        started: Some(Incarnation(incarnation)),
+        notice: LEAVING,
+        delisting: None,
+    }
+}
+
+fn digest(notices: Vec<PeerNotice>) -> Digest {
+    Digest {
+        node: "entry-2".parse().expect("a name"),
+        stamp: Stamp {
+            life: Incarnation(1),
+            number: 1,
+        },
+        rows: Vec::new(),
+        suspects: Vec::new(),
+        notices,
+        newest: Revision(1),
+    }
+}
+
 /// The server that a short prompt is placed on.
 fn placed(core: &mut Core, now: u64, id: u64) -> Option<String> {
     let job = Job {
@@ -172,17 +199,55 @@
     };
     notices.record(at(0), &next, LEAVING);
 
-    let old = PeerNotice {
-        server: server(0).id,
-        started: Some(Incarnation(1)),
-        notice: LEAVING,
-        delisting: None,
-    };
-    notices.merge(at(10), &old);
+    notices.merge(at(10), &leaving(1));
 
     assert!(notices.is_leaving(&next));
 }
 
+/// An entry that had not heard of a restart sent requests to the server again.
+#[test]
+fn leaving_server_gets_nothing_once_peers_tell_that_its_next_incarnation_leaves() {
+    let mut core = core(2);
+    core.record_notice(at(10), &server(0), LEAVING);
+
+    core.merge(at(20), digest(vec![leaving(2)]));
+    let places: Vec<_> = (1..6).map(|id| placed(&mut core, 30, id)).collect();
+
+    assert!(
+        places.iter().all(|place| place.as_deref() == Some("s01")),
+        "{places:?}"
+    );
+    assert!(!core.notices().allow(at(30), &server(0)));
+}
+
+#[test]
+fn server_gets_nothing_once_peers_tell_that_its_next_incarnation_leaves() {
+    let mut core = core(2);
+
+    core.merge(at(20), digest(vec![leaving(2)]));
+    let places: Vec<_> = (1..6).map(|id| placed(&mut core, 30, id)).collect();
+
+    assert!(
+        places.iter().all(|place| place.as_deref() == Some("s01")),
+        "{places:?}"
+    );
+}
+
+#[test]
+fn incarnation_after_the_one_that_left_gets_requests_though_peers_tell_of_both_before_it() {
+    let mut core = core(1);
+    core.record_notice(at(10), &server(0), LEAVING);
+    core.merge(at(20), digest(vec![leaving(2)]));
+
+    let next = Server {
+        started: Some(Incarnation(3)),
+        ..server(0)
+    };
+    core.apply_fleet_change(at(30), FleetChange::Listed(next));
+
+    assert_eq!(placed(&mut core, 40, 1).as_deref(), Some("s00"));
+}
+
 #[test]
 fn notices_of_servers_that_are_gone_are_dropped() {
     let mut notices = Notices::default();
