Keep a drained server out of use once its next incarnation is drained as well

The later news replaces the earlier one, and was compared for equality with the incarnation that the entry still lists.

An incarnation has now left the list if it or a later one has.

--- a/jujubewind/src/direct/fleet/delistings.rs
+++ b/jujubewind/src/direct/fleet/delistings.rs
@@ -85,12 +85,12 @@
         is_news
     }
 
-    /// Whether this incarnation has left the list.
+    /// Whether this incarnation, or a later one, has left the list.
     #[must_use]
     pub fn include(&self, now: MonoTime, server: &Server) -> bool {
-        let is_same = |delisted: &&Delisted| delisted.started == server.started;
-        let told = self.told.get(&server.id).filter(is_same);
-        let seen = self.seen.get(&server.id).filter(is_same);
+        let has_ended = |delisted: &&Delisted| server.is_up_to(delisted.started);
+        let told = self.told.get(&server.id).filter(has_ended);
+        let seen = self.seen.get(&server.id).filter(has_ended);
         seen.is_some() || told.is_some_and(|told| now.since(told.at) < told.memory())
     }
 
--- a/jujubewind/src/direct/fleet/notices.rs
+++ b/jujubewind/src/direct/fleet/notices.rs
@@ -85,8 +85,7 @@
         known.is_some_and(|leaving| server.is_up_to(leaving.started))
     }
 
-    /// Whether this incarnation, or a later one, has announced that it is leaving, or this one left
-    /// the list.
+    /// Whether this incarnation, or a later one, has announced that it is leaving, or left the list.
     #[must_use]
     pub fn has_left(&self, now: MonoTime, server: &Server) -> bool {
         self.is_leaving(server) || self.delistings.include(now, server)
--- a/jujubewind/tests/direct/departures.rs
+++ b/jujubewind/tests/direct/departures.rs
@@ -102,6 +102,25 @@
     assert!(!uses(&mut cut_off, 2_600, 0));
 }
 
+/// News of the next incarnation replaced that of the one that the entry still listed.
+#[test]
+fn server_that_drains_gets_nothing_once_peers_tell_that_its_next_incarnation_drains() {
+    let (mut cut_off, mut peer) = (core(2), core_of("entry-2", 2));
+    cut_off.apply_fleet_change(at(0), FleetChange::OutageStarted);
+    peer.apply_fleet_change(at(1_000), draining(0));
+    cut_off.merge(at(1_100), digest(&mut peer, 1_100));
+
+    let next = Server {
+        state: ServerState::Draining,
+        started: Some(Incarnation(2)),
+        ..server(0)
+    };
+    peer.apply_fleet_change(at(2_000), FleetChange::Listed(next));
+    cut_off.merge(at(2_500), digest(&mut peer, 2_500));
+
+    assert!(!uses(&mut cut_off, 2_600, 0));
+}
+
 /// Requests look again right before they are sent, in what the notices say.
 #[test]
 fn server_that_left_is_refused_to_requests_that_were_placed_before() {
