Reuse connections only for the incarnation that they lead to

Requests to a backend server that had started anew were sent on connections to the incarnation before, at its address. The pool keeps connections by the server's name. A restart drops them if the entry reads it as a change; not if the whole list is read again, as after a restore of the store or a dropped history, and not those that are in use at that moment.

The back ends there keep their connections and address, so nobody lost an answer; a server that is gone without a reset, or moved, would not answer.

Idle connections now hold the server that they lead to, and are dropped if its incarnation or address differ.

--- a/jujubewind/src/direct/upstream/connection.rs
+++ b/jujubewind/src/direct/upstream/connection.rs
@@ -14,7 +14,7 @@
 use super::limits::DEFAULT_IDLE_TIMEOUT;
 use super::limits::IDLE_MARGIN;
 use super::pool::Sender;
-use crate::direct::ServerId;
+use crate::direct::Server;
 use crate::types::Millis;
 
 /// The header in which a server announces how long it keeps an idle connection open.
@@ -25,13 +25,13 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: Sender,
-    server: ServerId,
+    server: Rc<Server>,
     pool: Rc<Pool>,
     idle_timeout: Millis,
 }
 
 impl Connection {
-    pub(super) const fn new(sender: Sender, server: ServerId, pool: Rc<Pool>) -> Self {
+    pub(super) const fn new(sender: Sender, server: Rc<Server>, pool: Rc<Pool>) -> Self {
         Self {
             sender,
             server,
@@ -69,7 +69,7 @@
     /// Returns the connection to the pool; the response must have been read to its end.
     pub fn give_back(self) {
         let pool = self.pool.clone();
-        pool.put(&self.server, self.sender, self.idle_timeout);
+        pool.put(self.server, self.sender, self.idle_timeout);
     }
 }
 
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -39,10 +39,17 @@
 #[derive(Debug)]
 struct Idle {
     sender: Sender,
+    server: Rc<Server>,
     since: MonoTime,
     timeout: Millis,
 }
 
+impl Idle {
+    fn leads_to(&self, server: &Server) -> bool {
+        self.server.started == server.started && self.server.addr == server.addr
+    }
+}
+
 /// The idle connections of one process.
 #[derive(Debug)]
 pub struct Pool {
@@ -60,7 +67,7 @@
         })
     }
 
-    /// Returns an idle connection to `server` or opens a new one.
+    /// Returns an idle connection to this incarnation of `server` or opens a new one.
     ///
     /// A request that may run only `once` gets a connection that was used recently, or a new one:
     /// an older one may break while the request is sent, which would leave its outcome unknown.
@@ -69,11 +76,11 @@
     /// No connection could be opened.
     pub async fn connect(
         self: &Rc<Self>,
-        server: &Server,
+        server: &Rc<Server>,
         once: bool,
     ) -> Result<Connection, SendFault> {
-        if let Some(sender) = self.take(&server.id, once) {
-            return Ok(Connection::new(sender, server.id.clone(), self.clone()));
+        if let Some(sender) = self.take(server, once) {
+            return Ok(Connection::new(sender, server.clone(), self.clone()));
         }
         let opening = open(server);
         let sender = match compio::time::timeout(CONNECT_TIMEOUT.duration(), opening).await {
@@ -85,7 +92,7 @@
                 )));
             }
         };
-        Ok(Connection::new(sender, server.id.clone(), self.clone()))
+        Ok(Connection::new(sender, server.clone(), self.clone()))
     }
 
     /// Drops the idle connections to a server.
@@ -93,15 +100,16 @@
         self.idle.borrow_mut().remove(server);
     }
 
-    pub(super) fn put(&self, server: &ServerId, sender: Sender, timeout: Millis) {
+    pub(super) fn put(&self, server: Rc<Server>, sender: Sender, timeout: Millis) {
         if sender.requests.is_closed() || timeout == Millis::ZERO {
             return;
         }
         let since = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        let stack = idle.entry(server.clone()).or_default();
+        let stack = idle.entry(server.id.clone()).or_default();
         stack.push(Idle {
             sender,
+            server,
             since,
             timeout,
         });
@@ -110,13 +118,13 @@
         }
     }
 
-    fn take(&self, server: &ServerId, once: bool) -> Option<Sender> {
+    fn take(&self, server: &Server, once: bool) -> Option<Sender> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
-        let stack = idle.get_mut(server)?;
-        stack.retain(|idle| {
-            now.since(idle.since) < idle.timeout && !idle.sender.requests.is_closed()
-        });
+        let stack = idle.get_mut(&server.id)?;
+        let is_usable =
+            |idle: &Idle| now.since(idle.since) < idle.timeout && !idle.sender.requests.is_closed();
+        stack.retain(|idle| idle.leads_to(server) && is_usable(idle));
         let is_recent = |idle: &Idle| !once || now.since(idle.since) < MAX_ONCE_IDLE;
         let index = stack
             .iter()
