Take no incarnation from a restored store that a later one has followed

A backend server that drained, or was removed, got requests again after the store was restored from a copy older than its restart. What is known of a server was compared with the listing in the copy for equality of the incarnation, so the one before counted as a restart: ready, at the address that it had.

A listing in a restored store is now passed over if the server has restarted since, or a later incarnation was removed; the server counts as missing until it registers again.

--- a/jujubewind/src/direct/fleet/roster.rs
+++ b/jujubewind/src/direct/fleet/roster.rs
@@ -88,10 +88,10 @@
     /// Merges the list of a store that was restored from an older copy.
     ///
     /// A missing server is kept as after an outage, one that was leaving stays so, and one that was
-    /// removed since is not taken back before it registers again.
+    /// removed or has restarted since is not taken back before it registers again.
     pub fn restore(&mut self, now: MonoTime, mut servers: Vec<Server>) {
         self.grace_end = now.after(RELISTING_GRACE);
-        servers.retain(|server| !self.was_removed(server));
+        servers.retain(|server| !self.was_removed(server) && !self.has_restarted(server));
         for server in &mut servers {
             let known = self.get(&server.id);
             let is_same = |known: &&Rc<Server>| known.started == server.started;
@@ -179,9 +179,16 @@
         self.removed.get(id).and_then(|(started, _)| *started)
     }
 
+    /// Whether this incarnation, or a later one, was removed.
     fn was_removed(&self, server: &Server) -> bool {
         let removed = self.removed.get(&server.id);
-        removed.is_some_and(|(started, _)| *started == server.started)
+        removed.is_some_and(|(started, _)| server.is_up_to(*started))
+    }
+
+    /// Whether a later incarnation is listed.
+    fn has_restarted(&self, server: &Server) -> bool {
+        let known = self.get(&server.id);
+        known.is_some_and(|known| known.started != server.started && server.is_up_to(known.started))
     }
 
     fn drop_server(&mut self, now: MonoTime, id: &ServerId) -> Option<Rc<Server>> {
--- a/jujubewind/tests/direct/departures.rs
+++ b/jujubewind/tests/direct/departures.rs
@@ -68,6 +68,15 @@
     FleetChange::Removed(server(number).id)
 }
 
+/// The next incarnation of the first server is listed.
+fn next(state: ServerState) -> FleetChange {
+    FleetChange::Listed(Server {
+        state,
+        started: Some(Incarnation(2)),
+        ..server(0)
+    })
+}
+
 fn draining(number: usize) -> FleetChange {
     FleetChange::Listed(Server {
         state: ServerState::Draining,
@@ -110,17 +119,49 @@
     peer.apply_fleet_change(at(1_000), draining(0));
     cut_off.merge(at(1_100), digest(&mut peer, 1_100));
 
-    let next = Server {
-        state: ServerState::Draining,
-        started: Some(Incarnation(2)),
-        ..server(0)
-    };
-    peer.apply_fleet_change(at(2_000), FleetChange::Listed(next));
+    peer.apply_fleet_change(at(2_000), next(ServerState::Draining));
     cut_off.merge(at(2_500), digest(&mut peer, 2_500));
 
     assert!(!uses(&mut cut_off, 2_600, 0));
 }
 
+/// The copy was older than the restart of a server that drained since.
+#[test]
+fn incarnation_before_the_one_that_drains_is_not_taken_from_a_restored_store() {
+    let mut core = core(2);
+    core.apply_fleet_change(at(1_000), next(ServerState::Draining));
+
+    core.apply_fleet_change(at(2_000), FleetChange::Restored(vec![server(0), server(1)]));
+
+    assert!(!uses(&mut core, 2_100, 0));
+    assert!(!core.notices().allow(at(2_100), &server(0)));
+}
+
+#[test]
+fn incarnation_before_the_one_that_was_removed_is_not_taken_from_a_restored_store() {
+    let mut core = core(2);
+    core.apply_fleet_change(at(1_000), next(ServerState::Ready));
+    core.apply_fleet_change(at(1_500), removed(0));
+
+    core.apply_fleet_change(at(2_000), FleetChange::Restored(vec![server(0), server(1)]));
+
+    assert!(!uses(&mut core, 2_100, 0));
+}
+
+#[test]
+fn server_whose_older_incarnation_is_in_a_restored_store_is_used_on_if_it_registers_again() {
+    let mut core = core(1);
+    core.apply_fleet_change(at(1_000), next(ServerState::Ready));
+
+    core.apply_fleet_change(at(2_000), FleetChange::Restored(vec![server(0)]));
+    let before = uses(&mut core, 2_100, 0);
+    core.apply_fleet_change(at(3_000), next(ServerState::Ready));
+    core.expire(at(9_000));
+
+    assert!(before);
+    assert!(uses(&mut core, 9_100, 0));
+}
+
 /// Requests look again right before they are sent, in what the notices say.
 #[test]
 fn server_that_left_is_refused_to_requests_that_were_placed_before() {
