Note the departures that a whole list of backend servers shows

The platform allows 4 s after the end of the request; the bound is 7.2 s after the reservation began.

Cause: a single removal or restart is returned by the scheduling state as a departure, which ends the reservations and drops the idle connections. Of a list that is read as a whole, after a compaction or an outage shorter than a registration's lifetime, nothing was returned. Ruled out: longer outages, whose missing servers are kept and noted once they lapse, and entries that ask another one, which are told of single changes.

Change: the list tells what it removed and what has restarted, and both are returned. The lists of a store that was restored from an older copy return nothing, as before: they may show older incarnations.

--- a/jujubewind/src/direct/control/fleet_changes.rs
+++ b/jujubewind/src/direct/control/fleet_changes.rs
@@ -5,6 +5,7 @@
 use super::Core;
 use super::FleetChange;
 use crate::direct::Delisting;
+use crate::direct::Replacement;
 use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::ServerState;
@@ -16,11 +17,7 @@
     pub fn apply_fleet_change(&mut self, now: MonoTime, change: FleetChange) -> Vec<ServerId> {
         let mut gone = Vec::new();
         match change {
-            FleetChange::Servers(servers) => {
-                let removed = self.roster.replace_all(now, servers);
-                self.note_list(now, &removed);
-                self.health.retain(|id, _| self.roster.get(id).is_some());
-            }
+            FleetChange::Servers(servers) => gone = self.replace_servers(now, servers),
             FleetChange::Restored(servers) => {
                 self.roster.restore(now, servers);
                 self.note_list(now, &[]);
@@ -58,6 +55,18 @@
         gone
     }
 
+    /// Replaces the whole list; returns the servers whose incarnation is no longer listed.
+    fn replace_servers(&mut self, now: MonoTime, servers: Vec<Server>) -> Vec<ServerId> {
+        let Replacement { removed, restarted } = self.roster.replace_all(now, servers);
+        self.note_list(now, &removed);
+        self.health.retain(|id, _| self.roster.get(id).is_some());
+        for id in &restarted {
+            self.health.remove(id);
+        }
+        let removed = removed.iter().map(|server| server.id.clone());
+        removed.chain(restarted).collect()
+    }
+
     /// Notes which servers a new list leaves out or shows as draining.
     fn note_list(&mut self, now: MonoTime, removed: &[Rc<Server>]) {
         self.note_removals(now, removed);
--- a/jujubewind/src/direct/fleet/roster.rs
+++ b/jujubewind/src/direct/fleet/roster.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use super::Replacement;
 use super::Server;
 use super::ServerId;
 use super::ServerState;
@@ -73,16 +74,19 @@
         None
     }
 
-    /// Replaces the whole list; missing servers are removed. Returns those that were.
-    pub fn replace_all(&mut self, now: MonoTime, servers: Vec<Server>) -> Vec<Rc<Server>> {
+    /// Replaces the whole list; missing servers are removed.
+    pub fn replace_all(&mut self, now: MonoTime, servers: Vec<Server>) -> Replacement {
         let kept: Vec<ServerId> = servers.iter().map(|server| server.id.clone()).collect();
         let gone: Vec<ServerId> = self.servers.keys().cloned().collect();
         let missing = gone.iter().filter(|id| !kept.contains(id));
         let removed = missing.filter_map(|id| self.remove(now, id)).collect();
-        for server in servers {
-            self.insert(server);
-        }
-        removed
+        let listed = servers.into_iter();
+        let restarted = listed.filter_map(|server| {
+            let id = server.id.clone();
+            self.insert(server).then_some(id)
+        });
+        let restarted = restarted.collect();
+        Replacement { removed, restarted }
     }
 
     /// Merges the list of a store that was restored from an older copy.
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -77,6 +77,7 @@
 pub use fleet::Notice;
 pub use fleet::Notices;
 pub use fleet::PeerNotice;
+pub use fleet::Replacement;
 pub use fleet::Roster;
 pub use fleet::Server;
 pub use fleet::ServerId;
