Forward the first whole response of two servers that have a call

Callers of idempotent calls saw 502 or 504 although one of the two backend servers that had their request was at work and would have answered: the other one had sent a head and then stalled or broken.

Cause: of a call that was sent to a second server since the first one was silent, the first head decided, and the other attempt was closed. The response is read as a whole before any byte of it is forwarded, so nothing is gained by the earlier decision.

Change: the hedge of a call is decided by a state machine without sockets (`api/hedge.rs`): the first whole response that is no 5xx is forwarded, a 5xx only if the other server has no better one, and each attempt is open until then. Both are read beside each other, each into a buffer of its own. Only what may run again is sent twice, as before; streams are decided as before.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod demand;
 mod first_event;
+mod hedged_call;
 mod report;
 mod response;
 mod sent_request;
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -3,14 +3,11 @@
 use std::fmt::Display;
 use std::rc::Rc;
 
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::StatusCode;
 
 use super::super::hop::end_to_end;
-use super::super::limits::MAX_RESPONSE_BYTES;
 use super::super::limits::RESERVATION_RETRY_DELAY;
+use super::super::relay::outcome_of;
 use super::super::reservations::Reservations;
 use super::super::target::Target;
 use super::super::upstream_response::UpstreamResponse;
@@ -204,38 +201,40 @@
     }
 
     /// Reads the whole response; `None` if the connection broke.
-    pub(super) async fn read_body(&self, upstream: UpstreamResponse) -> Option<Reply> {
+    pub(super) async fn read_body(&self, mut upstream: UpstreamResponse) -> Option<Reply> {
+        if let Err(what) = upstream.read_whole().await {
+            self.fail_unfinished(upstream, what);
+            return None;
+        }
+        let body = upstream.take_body();
         let UpstreamResponse {
             response,
             grant,
             connection,
             ..
         } = upstream;
-        let (head, body) = response.into_parts();
-        match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-            Ok(body) => {
-                let failed = head.status.is_server_error();
-                let outcome = if failed {
-                    Outcome::Faulty
-                } else {
-                    Outcome::Served
-                };
-                self.log_end(&grant.placement, head.status, outcome, Millis::ZERO);
-                UpstreamResponse::finish(grant, connection, outcome);
-                let mut reply = http::bytes(body.to_bytes());
-                *reply.status_mut() = head.status;
-                *reply.headers_mut() = end_to_end(&head.headers);
-                Some(reply)
-            }
-            Err(error) if error.is::<LengthLimitError>() => {
-                self.fail_attempt(grant, "malformed", error, Outcome::Malformed);
-                None
-            }
-            Err(error) => {
-                self.fail_attempt(grant, "cut", error, Outcome::Broken);
-                None
-            }
-        }
+        let status = response.status();
+        let outcome = if status.is_server_error() {
+            Outcome::Faulty
+        } else {
+            Outcome::Served
+        };
+        self.log_end(&grant.placement, status, outcome, Millis::ZERO);
+        UpstreamResponse::finish(grant, connection, outcome);
+        let mut reply = http::bytes(body);
+        *reply.status_mut() = status;
+        *reply.headers_mut() = end_to_end(response.headers());
+        Some(reply)
+    }
+
+    /// Ends the attempt of a response of which the rest did not arrive.
+    pub(super) fn fail_unfinished(
+        &self,
+        upstream: UpstreamResponse,
+        what: &'static str,
+    ) -> AttemptError {
+        let cause = "before the end of the response";
+        self.fail_attempt(upstream.grant, what, cause, outcome_of(what))
     }
 }
 
--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -41,7 +41,11 @@
             }
             self.log_silent(&sent.grant.placement, timeout);
             if let Some(retry) = self.take_retry(target).await {
-                return self.await_first(target, sent, last, retry).await;
+                return if target.route.kind == RouteKind::Stream {
+                    self.await_first(target, sent, last, retry).await
+                } else {
+                    self.hedge(target, sent, last, retry).await
+                };
             }
             self.log_kept(&"no retry left");
         }
@@ -49,8 +53,8 @@
         self.accept_head(target, sent.grant, head)
     }
 
-    /// Sends the request to another backend server as well and returns the response that begins
-    /// first; a stream begins with its first event.
+    /// Sends a stream's request to another backend server as well and returns the response that
+    /// begins first; a stream begins with its first event.
     async fn await_first(
         &self,
         target: &Target,
@@ -103,7 +107,7 @@
     }
 
     /// Turns what a backend server sent first into a response that may be forwarded.
-    fn accept_head(
+    pub(super) fn accept_head(
         &self,
         target: &Target,
         grant: Grant,
@@ -147,6 +151,6 @@
 }
 
 /// Whether a response is better than waiting for that of another backend server.
-fn is_useful(upstream: &UpstreamResponse) -> bool {
+pub(super) fn is_useful(upstream: &UpstreamResponse) -> bool {
     !upstream.response.status().is_server_error()
 }
--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -4,11 +4,13 @@
 
 use http_body_util::BodyExt;
 use hyper::Response;
+use hyper::body::Bytes;
 use hyper::body::Incoming;
 
 use super::events::EventSplitter;
 use super::events::Events;
 use super::hop::is_framed;
+use super::limits::MAX_RESPONSE_BYTES;
 use super::relay::BROKEN;
 use super::relay::MALFORMED;
 use super::relay::MEMORY_LOST;
@@ -18,6 +20,9 @@
 use crate::direct::Grant;
 use crate::direct::Outcome;
 
+/// The connection broke within a response that is no stream.
+const CUT: &str = "cut";
+
 /// A backend server's response, with the grant and the connection to return after it.
 #[derive(Debug)]
 pub struct UpstreamResponse {
@@ -31,6 +36,9 @@
     pub first: Option<Events>,
     /// Buffers a partial event.
     pub events: EventSplitter,
+    /// What was read of a response that is no stream.
+    body: Vec<u8>,
+    is_whole: bool,
 }
 
 impl UpstreamResponse {
@@ -42,9 +50,34 @@
             connection,
             first: None,
             events: EventSplitter::default(),
+            body: Vec::new(),
+            is_whole: false,
         }
     }
 
+    /// Reads the rest of a response that is no stream; the error says what went wrong. May be
+    /// cancelled and called again.
+    pub async fn read_whole(&mut self) -> Result<(), &'static str> {
+        while !self.is_whole {
+            let Some(frame) = self.response.body_mut().frame().await else {
+                self.is_whole = true;
+                break;
+            };
+            if let Ok(bytes) = frame.map_err(|_| CUT)?.into_data() {
+                self.body.extend_from_slice(&bytes);
+            }
+            if self.body.len() > MAX_RESPONSE_BYTES {
+                return Err(MALFORMED);
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes what was read of a response that is no stream.
+    pub fn take_body(&mut self) -> Bytes {
+        Bytes::from(std::mem::take(&mut self.body))
+    }
+
     /// Reads a stream that starts after the event `last` up to its first events that the caller lacks,
     /// or to its end if there are none; the error says what went wrong. `seen` is the last event that
     /// the caller has, which may advance meanwhile. May be cancelled and called again.
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -23,6 +23,8 @@
 mod table;
 mod upstream;
 
+pub use api::Contender;
+pub use api::Ending;
 pub use api::EventSplitter;
 pub use api::Events;
 pub use api::Gateway;
@@ -30,6 +32,8 @@
 pub use api::Handover;
 pub use api::HandoverInput;
 pub use api::HandoverOutput;
+pub use api::Hedge;
+pub use api::HedgeVerdict;
 pub use api::Recovery;
 pub use api::RefusalSampler;
 pub use boot_time::BootTime;
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod feed_fleet;
 mod fixture;
 mod handover;
+mod hedge;
 mod ledger;
 mod load;
 mod logs;
