Tell comments from events before a stream has begun

Callers of a stream of which they had no event yet saw it truncated at their deadline although one of the two engines that had the request was sound: the other one had sent a comment and stalled.

Cause: while the caller has no event, any complete block counted as one. A comment decided the hand-over before the first event, dropped the other engine, restarted the wait for the next event, and marked reserved memory as used, so that it was renewed past the bound on unused memory.

Change: a block is an event if it has data or an id, as the standard has it; others are forwarded and decide nothing. Comments before the first event are kept in front of it, up to 1 MiB, so that a response that is read from its start stays whole.

--- a/jujubewind/src/direct/api/events.rs
+++ b/jujubewind/src/direct/api/events.rs
@@ -4,10 +4,12 @@
 
 /// The blank line that ends an event.
 const DELIMITER: &[u8] = b"\n\n";
-/// The longest event.
-const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
+/// The longest event, and the most bytes of comments before the first one.
+pub(super) const MAX_EVENT_BYTES: usize = 1_024 * 1_024;
 /// The prefix of the line with an event's id.
 const ID_PREFIX: &[u8] = b"id:";
+/// The prefix of a line with an event's data.
+const DATA_PREFIX: &[u8] = b"data:";
 
 /// A run of complete events.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,6 +23,13 @@
 }
 
 impl Events {
+    /// Whether there is an event: comments alone, or hints on how to reconnect, are none.
+    #[must_use]
+    pub fn has_event(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.any(|line| line.starts_with(DATA_PREFIX) || line.starts_with(ID_PREFIX))
+    }
+
     /// Whether the events come after the event `last`, so that none is delivered twice.
     #[must_use]
     pub fn follow(&self, last: Option<u64>) -> bool {
@@ -44,7 +53,7 @@
         None
     }
 
-    fn new(bytes: Vec<u8>) -> Self {
+    pub(super) fn new(bytes: Vec<u8>) -> Self {
         let ids: Vec<u64> = ids(&bytes).collect();
         Self {
             first: ids.first().copied(),
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -178,13 +178,16 @@
     }
 
     fn accept_events(&mut self, events: Events) -> Bytes {
+        if !events.has_event() {
+            return events.bytes;
+        }
         if let Some(source) = &self.source
             && source.grant.mark_prefilled()
         {
             self.exchange.log_first_event(&source.grant.placement);
         }
         let now = self.exchange.gateway.clock.now();
-        // Events without an id, such as comments, do not show that a numbered stream goes on.
+        // Events without an id do not show that a numbered stream goes on.
         if events.last.is_some() || self.last.get().is_none() {
             let numbered = events.last.is_some();
             if self.decide(Input::Event { numbered }) == Output::DropOther {
--- a/jujubewind/src/direct/api/source.rs
+++ b/jujubewind/src/direct/api/source.rs
@@ -24,13 +24,13 @@
 }
 
 impl Source {
-    pub(super) fn new(upstream: UpstreamResponse) -> Self {
+    pub(super) fn new(mut upstream: UpstreamResponse) -> Self {
         Self {
+            first: upstream.take_first(),
             is_framed: is_framed(upstream.response.headers()),
             body: upstream.response.into_body(),
             grant: upstream.grant,
             connection: upstream.connection,
-            first: upstream.first,
             events: upstream.events,
         }
     }
--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -9,6 +9,7 @@
 
 use super::events::EventSplitter;
 use super::events::Events;
+use super::events::MAX_EVENT_BYTES;
 use super::hop::is_framed;
 use super::limits::MAX_RESPONSE_BYTES;
 use super::relay::BROKEN;
@@ -34,6 +35,8 @@
     pub connection: Connection,
     /// The first events of a stream; `None` if none were read.
     pub first: Option<Events>,
+    /// Comments before the first events of a stream that is read from its start.
+    comments: Vec<u8>,
     /// Buffers a partial event.
     pub events: EventSplitter,
     /// What was read of a response that is no stream.
@@ -49,6 +52,7 @@
             grant,
             connection,
             first: None,
+            comments: Vec::new(),
             events: EventSplitter::default(),
             body: Vec::new(),
             is_whole: false,
@@ -102,10 +106,17 @@
             if self.events.is_overlong() {
                 return Err(MALFORMED);
             }
-            // A comment does not show that the stream goes on.
-            let Some(found) = found.filter(|found| found.last.is_some() || last.is_none()) else {
+            let Some(found) = found else {
                 continue;
             };
+            if last.is_none() && !found.has_event() {
+                self.keep_comments(&found.bytes)?;
+                continue;
+            }
+            // An event without an id does not show that a numbered stream goes on.
+            if last.is_some() && found.last.is_none() {
+                continue;
+            }
             if !found.follow(sent) {
                 return Err(REPEATED);
             }
@@ -115,6 +126,25 @@
         Ok(())
     }
 
+    fn keep_comments(&mut self, bytes: &[u8]) -> Result<(), &'static str> {
+        self.comments.extend_from_slice(bytes);
+        if self.comments.len() > MAX_EVENT_BYTES {
+            return Err(MALFORMED);
+        }
+        Ok(())
+    }
+
+    /// Takes what was read of a stream and not yet forwarded.
+    pub fn take_first(&mut self) -> Option<Events> {
+        let comments = std::mem::take(&mut self.comments);
+        let first = self.first.take();
+        if comments.is_empty() {
+            return first;
+        }
+        let events = first.map(|first| first.bytes).unwrap_or_default();
+        Some(Events::new([comments.as_slice(), &events].concat()))
+    }
+
     /// Returns the connection to the pool and ends the grant after the whole body was read.
     pub fn finish(grant: Grant, connection: Connection, outcome: Outcome) {
         connection.give_back();
--- a/jujubewind/tests/direct/events.rs
+++ b/jujubewind/tests/direct/events.rs
@@ -27,6 +27,19 @@
     assert!(!events.follow(Some(7)));
 }
 
+#[test]
+fn comments_are_told_from_events() {
+    let comments = events_of(": ping\n\n:\n\n", None);
+    let hint = events_of("retry: 3000\n\n", None);
+    let unnumbered = events_of("data: a\n\n", None);
+    let mixed = events_of(": ping\n\nweight: 2\nid: 3\n\n", Some(3));
+
+    assert!(!comments.has_event());
+    assert!(!hint.has_event());
+    assert!(unnumbered.has_event());
+    assert!(mixed.has_event());
+}
+
 #[test]
 fn events_that_were_forwarded_are_cut_off() {
     let events = EventSplitter::default().push(b"id: 3\ndata: c\n\nid: 4\ndata: d\n\n");
