Ask a third engine when the one that is to take a stream over stalls

Callers saw: a stream truncated at its deadline, after event 2 of 4, although a third engine was free and their route had three attempts. The first engine was silent, the second one sent the head of its response and then nothing.

Cause: a stream knew of one other engine, from the request to its first event. The silence of that engine was limited up to its head only; between head and first event neither it nor anybody else was asked about.

Change: the state machine counts those that were asked, one that has not responded and any number that have. If the engine and the last one that responded send no event for 60 % of the client timeout, one more is asked within the route's attempts and the retry budget. Silent ones are kept until one has sent an event, which ends all others. The search over all runs of up to nine inputs knows the head and the end of a response without events; its runs reach two stalled replacements. Two tests of resumptions moved to takeover.rs, unchanged but for a later deadline that neither depends on.

--- a/jujubewind/src/direct/api/exchange/first_event.rs
+++ b/jujubewind/src/direct/api/exchange/first_event.rs
@@ -29,10 +29,21 @@
         seen: &Cell<Option<u64>>,
         retry: Retry,
     ) -> Result<UpstreamResponse> {
-        let mut upstream = self.open(target.clone(), last, Some(retry)).await?;
+        let upstream = self.open(target.clone(), last, Some(retry)).await?;
         if !is_stream(target, &upstream) {
             return Ok(upstream);
         }
+        self.begin(upstream, last, seen).await
+    }
+
+    /// Reads a stream that was requested after the event `last` up to its first events that the caller
+    /// lacks after the event `seen`, which may advance meanwhile.
+    pub(in crate::direct::api) async fn begin(
+        &self,
+        mut upstream: UpstreamResponse,
+        last: Option<u64>,
+        seen: &Cell<Option<u64>>,
+    ) -> Result<UpstreamResponse> {
         match upstream.begin(last.or(self.call.last), seen).await {
             Ok(()) => Ok(upstream),
             Err(what) => {
--- a/jujubewind/src/direct/api/exchange/report.rs
+++ b/jujubewind/src/direct/api/exchange/report.rs
@@ -9,6 +9,7 @@
 use crate::direct::Dialect;
 use crate::direct::Outcome;
 use crate::direct::Placement;
+use crate::direct::ServerId;
 use crate::types::Millis;
 
 impl<D: Dialect> Exchange<D> {
@@ -71,12 +72,12 @@
     }
 
     /// Logs that a backend server has sent nothing for `quiet`.
-    pub(in crate::direct::api) fn log_silent(&self, placement: &Placement, quiet: Millis) {
+    pub(in crate::direct::api) fn log_silent(&self, server: &ServerId, quiet: Millis) {
         crate::event!(
             info,
             "server_silent",
             request = self.call.id,
-            server = placement.primary.id,
+            server = server,
             quiet = quiet,
             runs = self.runs.get(),
         );
--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -39,7 +39,7 @@
             if let Ok(head) = head {
                 return self.accept_head(target, sent.grant, head);
             }
-            self.log_silent(&sent.grant.placement, timeout);
+            self.log_silent(&sent.grant.placement.primary.id, timeout);
             if let Some(retry) = self.take_retry(target).await {
                 return self.await_first(target, sent, last, retry).await;
             }
--- a/jujubewind/src/direct/api/handover.rs
+++ b/jujubewind/src/direct/api/handover.rs
@@ -26,13 +26,17 @@
     RetryGranted,
     /// The request may not be sent again.
     RetryDenied,
-    /// The other backend server has sent an event.
+    /// The head of the other backend server's response has arrived.
+    OtherResponded,
+    /// Another backend server has sent an event.
     OtherBegan,
-    /// The other backend server will not go on with the stream.
+    /// The other backend server will not respond.
     OtherFailed {
         /// Whether the request was sent to it and may have run.
         sent: bool,
     },
+    /// Another backend server's response failed before an event.
+    OtherBroken,
 }
 
 /// What to do next.
@@ -44,9 +48,9 @@
     TakeRetry,
     /// Send the rest of the request to another backend server as well.
     AskOther,
-    /// Give up the other backend server and read on.
+    /// Give up the other backend servers and read on.
     DropOther,
-    /// Give up the backend server, if it is still there, and go on with the other one.
+    /// Give up the backend server, if it is still there, and go on with the other one that began.
     Switch,
     /// End the answer, which is complete.
     End,
@@ -54,8 +58,8 @@
     Truncate(&'static str),
 }
 
-/// The state of a stream that is read from one backend server, and of another one that was asked to
-/// take it over.
+/// The state of a stream that is read from one backend server, and of others that were asked to take
+/// it over.
 #[derive(Clone, Debug)]
 pub struct Handover {
     deadline: MonoTime,
@@ -69,8 +73,12 @@
     is_patient: bool,
     /// Why the backend server is no longer there.
     broken: Option<&'static str>,
-    /// Whether another backend server is being asked.
-    has_other: bool,
+    /// Whether another backend server was asked and has not responded.
+    is_opening: bool,
+    /// The number of others that have responded and sent no event.
+    stalled: usize,
+    /// When the last of them responded; `None` once one more was asked in its silence.
+    responded: Option<MonoTime>,
     /// Observes the silent backend server while another one is asked.
     recovery: Option<Recovery>,
     /// How often the stream was to be resumed since it broke.
@@ -87,7 +95,9 @@
             progress: now,
             is_patient: false,
             broken: None,
-            has_other: false,
+            is_opening: false,
+            stalled: 0,
+            responded: None,
             recovery: None,
             resumptions: 0,
         }
@@ -97,7 +107,7 @@
     #[must_use]
     pub fn wait(&self, now: MonoTime) -> Millis {
         let left = self.deadline.since(now);
-        let silence = self.silence_left(now);
+        let silence = self.next_ask().map(|at| at.since(now));
         silence.map_or(left, |silence| silence.min(left))
     }
 
@@ -113,50 +123,84 @@
             Input::Elapsed => self.elapse(now),
             Input::Event { numbered } => self.accept_event(now, numbered),
             Input::Ended => Output::End,
-            Input::Broken(what) => {
-                self.broken = Some(what);
-                self.recovery = None;
-                self.resumptions = 0;
-                if self.has_other {
-                    return Output::Read;
-                }
-                self.resume(what)
-            }
+            Input::Broken(what) => self.break_off(what),
             Input::RetryGranted => {
-                self.has_other = true;
+                self.is_opening = true;
                 self.recovery = self.observe();
                 Output::AskOther
             }
-            Input::RetryDenied => self.broken.map_or(Output::Read, Output::Truncate),
+            Input::RetryDenied => {
+                let broken = self.broken.filter(|_| !self.has_other());
+                broken.map_or(Output::Read, Output::Truncate)
+            }
+            Input::OtherResponded => {
+                self.is_opening = false;
+                self.stalled += 1;
+                self.responded = Some(now);
+                Output::Read
+            }
             Input::OtherBegan => {
                 self.progress = now;
                 self.is_patient = false;
-                self.has_other = false;
+                self.forget_others();
                 self.recovery = None;
                 self.broken = None;
                 Output::Switch
             }
             Input::OtherFailed { sent } => {
-                self.has_other = false;
-                match self.broken {
-                    None => {
-                        self.trust_resumed();
-                        Output::Read
-                    }
-                    Some(what) if self.resumptions > 0 && !sent => Output::Truncate(what),
-                    Some(what) => self.resume(what),
-                }
+                self.is_opening = false;
+                self.lose_other(sent)
+            }
+            Input::OtherBroken => {
+                self.stalled -= 1;
+                self.lose_other(true)
             }
         }
     }
 
+    fn break_off(&mut self, what: &'static str) -> Output {
+        self.broken = Some(what);
+        self.recovery = None;
+        self.resumptions = 0;
+        if self.has_other() {
+            return Output::Read;
+        }
+        self.resume(what)
+    }
+
+    fn lose_other(&mut self, sent: bool) -> Output {
+        if self.has_other() {
+            return Output::Read;
+        }
+        self.responded = None;
+        match self.broken {
+            None => {
+                self.trust_resumed();
+                Output::Read
+            }
+            Some(what) if self.resumptions > 0 && !sent => Output::Truncate(what),
+            Some(what) => self.resume(what),
+        }
+    }
+
+    const fn has_other(&self) -> bool {
+        self.is_opening || self.stalled > 0
+    }
+
+    const fn forget_others(&mut self) {
+        self.is_opening = false;
+        self.stalled = 0;
+        self.responded = None;
+    }
+
     /// The caller decides how long it waits for an event: silence alone never ends the answer.
     fn elapse(&mut self, now: MonoTime) -> Output {
         if now >= self.deadline {
             return Output::Truncate(self.broken.unwrap_or(DEADLINE));
         }
-        if self.silence_left(now) == Some(Millis::ZERO) {
+        if self.next_ask().is_some_and(|at| at <= now) {
             self.is_patient = true;
+            self.responded = None;
             return Output::TakeRetry;
         }
         Output::Read
@@ -170,15 +214,20 @@
         Output::TakeRetry
     }
 
-    fn silence_left(&self, now: MonoTime) -> Option<Millis> {
-        if self.is_patient || self.broken.is_some() {
+    /// When all that were asked have been silent for too long.
+    fn next_ask(&self) -> Option<MonoTime> {
+        let max_silence = self.max_silence?;
+        let quiet_since = if self.has_other() {
+            self.responded?.max(self.progress)
+        } else if self.is_patient || self.broken.is_some() {
             return None;
-        }
-        let quiet = self.quiet(now);
-        self.max_silence.map(|most| most.saturating_sub(quiet))
+        } else {
+            self.progress
+        };
+        Some(quiet_since.after(max_silence))
     }
 
-    /// Records progress. The other backend server is given up once the silent one has recovered: a
+    /// Records progress. The other backend servers are given up once the silent one has recovered: a
     /// single event does not show that, and no attempt may be left for its next silence.
     fn accept_event(&mut self, now: MonoTime, numbered: bool) -> Output {
         self.progress = now;
@@ -189,7 +238,8 @@
         }
         self.recovery = None;
         self.is_patient = false;
-        if std::mem::take(&mut self.has_other) {
+        if self.has_other() {
+            self.forget_others();
             return Output::DropOther;
         }
         Output::Read
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -3,7 +3,6 @@
 mod actions;
 
 use std::cell::Cell;
-use std::future;
 use std::rc::Rc;
 
 use futures::future::Either;
@@ -29,6 +28,7 @@
 use super::limits::READ_MARGIN;
 use super::source::Source;
 use super::takeover::Takeover;
+use super::takeover::next_progress;
 use super::target::Target;
 use super::upstream_response::UpstreamResponse;
 use crate::conviction::limits::PROGRESS_SPAN;
@@ -81,12 +81,10 @@
     silence: Option<Silence>,
     /// Pays for the request to another backend server.
     retry: Option<Retry>,
-    /// Another backend server that is asked to take the stream over.
-    other: Option<Takeover>,
-    /// The other one's response, once its first events have arrived.
+    /// Other backend servers that are asked to take the stream over.
+    others: Vec<Takeover>,
+    /// The response of one of them, once its first events have arrived.
     replacement: Option<UpstreamResponse>,
-    /// The number of runs when the other one was asked.
-    runs: u32,
 }
 
 impl<D: Dialect> Relay<D> {
@@ -106,9 +104,8 @@
             handover: Handover::new(exchange.gateway.clock.now(), deadline, max_silence(&target)),
             silence: None,
             retry: None,
-            other: None,
+            others: Vec::new(),
             replacement: None,
-            runs: exchange.runs(),
             exchange,
             target,
             source: Some(Source::new(upstream)),
@@ -138,7 +135,7 @@
         }
     }
 
-    /// Reads from the stream, and from another backend server if one was asked to take it over.
+    /// Reads from the stream, and from other backend servers that were asked to take it over.
     async fn step(&mut self) -> Step {
         let first = self.source.as_mut().and_then(|source| source.first.take());
         if let Some(first) = first {
@@ -146,18 +143,15 @@
         }
         let wait = self.handover.wait(self.exchange.gateway.clock.now());
         let reading = Box::pin(read(self.source.as_mut(), wait));
-        let other = self.other.as_mut().map_or_else(
-            || Either::Left(future::pending()),
-            |other| Either::Right(other.as_mut()),
-        );
-        let first = match select(reading, other).await {
+        let others = Box::pin(next_progress(&mut self.others));
+        let first = match select(reading, others).await {
             Either::Left((frame, _)) => Either::Left(frame),
-            Either::Right((replacement, _)) => Either::Right(replacement),
+            Either::Right((progress, _)) => Either::Right(progress),
         };
         match first {
             Either::Left(Ok(frame)) => self.accept_frame(frame),
             Either::Left(Err(input)) => Step::Input(input),
-            Either::Right(replacement) => Step::Input(self.accept_other(replacement)),
+            Either::Right((index, progress)) => Step::Input(self.accept_other(index, progress)),
         }
     }
 
@@ -188,9 +182,9 @@
         if events.last.is_some() || self.last.get().is_none() {
             let numbered = events.last.is_some();
             if self.decide(Input::Event { numbered }) == Output::DropOther {
-                self.other = None;
+                self.others.clear();
             }
-            if self.other.is_none() {
+            if self.others.is_empty() {
                 self.silence = None;
             }
         }
--- a/jujubewind/src/direct/api/relay/actions.rs
+++ b/jujubewind/src/direct/api/relay/actions.rs
@@ -3,8 +3,8 @@
 use super::super::handover::Input;
 use super::super::handover::Output;
 use super::super::source::Source;
-use super::super::takeover::take_over;
-use super::super::upstream_response::UpstreamResponse;
+use super::super::takeover::Progress;
+use super::super::takeover::Takeover;
 use super::Relay;
 use super::SILENT;
 use crate::direct::Dialect;
@@ -31,7 +31,7 @@
                     return Flow::Read;
                 }
                 Output::DropOther => {
-                    self.other = None;
+                    self.others.clear();
                     return Flow::Read;
                 }
                 Output::Switch => {
@@ -43,7 +43,7 @@
                     return Flow::End;
                 }
                 Output::Truncate(what) => {
-                    self.other = None;
+                    self.others.clear();
                     self.end_broken(what);
                     self.exchange.log_truncated(what, self.last.get());
                     return Flow::Truncate;
@@ -58,9 +58,10 @@
     }
 
     async fn take_retry(&mut self) -> Input {
-        if let Some(source) = &self.source {
+        if let Some(source) = self.source.as_ref().filter(|_| self.others.is_empty()) {
             let quiet = self.handover.quiet(self.exchange.gateway.clock.now());
-            self.exchange.log_silent(&source.grant.placement, quiet);
+            self.exchange
+                .log_silent(&source.grant.placement.primary.id, quiet);
         }
         self.retry = self.exchange.take_retry(&self.target).await;
         if self.retry.is_some() {
@@ -72,17 +73,20 @@
         Input::RetryDenied
     }
 
-    /// Asks another backend server to take the stream over. A silent one is kept until the other has
-    /// sent an event, as it may be slow but sound.
+    /// Asks another backend server to take the stream over. Silent ones are kept until one has sent an
+    /// event, as they may be slow but sound.
     fn ask_other(&mut self) {
         if let Some(source) = &self.source {
             let server = &source.grant.placement.primary.id;
             self.silence = Some(self.exchange.keep_silent(server));
         }
-        self.runs = self.exchange.runs();
+        for other in &mut self.others {
+            other.keep_silent(&self.exchange);
+        }
         let (exchange, target) = (self.exchange.clone(), self.target.clone());
         let retry = self.retry.take();
-        self.other = retry.map(|retry| take_over(exchange, target, self.last.clone(), retry));
+        let other = retry.map(|retry| Takeover::ask(exchange, target, self.last.get(), retry));
+        self.others.extend(other);
     }
 
     /// Ends the current attempt and goes on with its replacement.
@@ -95,14 +99,28 @@
         }
     }
 
-    /// Records how the request to another backend server ended.
-    pub(super) fn accept_other(&mut self, replacement: Option<UpstreamResponse>) -> Input {
-        self.other = None;
-        self.replacement = replacement;
-        if self.replacement.is_some() {
-            return Input::OtherBegan;
+    /// Records how far the other backend server at `index` has come.
+    pub(super) fn accept_other(&mut self, index: usize, progress: Progress) -> Input {
+        match progress {
+            Progress::Responded(upstream) => {
+                let exchange = self.exchange.clone();
+                let seen = self.last.clone();
+                self.others[index].await_event(exchange, &self.target, upstream, seen);
+                Input::OtherResponded
+            }
+            Progress::Began(upstream) => {
+                self.others.clear();
+                self.replacement = Some(upstream);
+                Input::OtherBegan
+            }
+            Progress::Failed { sent } => {
+                self.others.swap_remove(index);
+                Input::OtherFailed { sent }
+            }
+            Progress::Broken => {
+                self.others.swap_remove(index);
+                Input::OtherBroken
+            }
         }
-        let sent = self.exchange.runs() > self.runs;
-        Input::OtherFailed { sent }
     }
 }
--- a/jujubewind/src/direct/api/takeover.rs
+++ b/jujubewind/src/direct/api/takeover.rs
@@ -1,53 +1,118 @@
 //! Another backend server takes a stream over from one that is silent.
 
 use std::cell::Cell;
+use std::future;
 use std::pin::Pin;
 use std::rc::Rc;
 
+use futures::future::select_all;
+
 use super::exchange::Exchange;
+use super::exchange::Silence;
 use super::target::Target;
 use super::upstream_response::UpstreamResponse;
 use crate::direct::Dialect;
 use crate::direct::Retry;
+use crate::direct::ServerId;
+use crate::types::MonoTime;
+
+/// What became of a request to take a stream over.
+pub(super) enum Progress {
+    /// The head of the response has arrived.
+    Responded(UpstreamResponse),
+    /// The response was read up to its first events that the caller lacks.
+    Began(UpstreamResponse),
+    /// There is no response.
+    Failed {
+        /// Whether the request may have run.
+        sent: bool,
+    },
+    /// The response failed before an event.
+    Broken,
+}
 
-/// Completes with a response that was read up to its first events, or `None` if no backend server
-/// takes the stream over.
-pub(super) type Takeover = Pin<Box<dyn Future<Output = Option<UpstreamResponse>>>>;
-
-/// Sends the rest of a stream to another backend server and waits for its first event after `last`,
-/// the last one that the caller has, which may advance meanwhile.
-pub(super) fn take_over<D: Dialect>(
-    exchange: Rc<Exchange<D>>,
-    target: Target,
-    last: Rc<Cell<Option<u64>>>,
-    retry: Retry,
-) -> Takeover {
-    let left = exchange.left(&target);
-    Box::pin(async move {
-        let opening = open(&exchange, &target, &last, retry);
-        let opened = compio::time::timeout(left.duration(), opening).await;
-        opened.unwrap_or_else(|_| {
-            exchange.log_kept(&"no event in time");
-            None
-        })
-    })
+/// A request to another backend server for the rest of a stream; dropping it closes the connection.
+pub(super) struct Takeover {
+    next: Pin<Box<dyn Future<Output = Progress>>>,
+    /// The event after which the stream was requested.
+    last: Option<u64>,
+    /// The server that has responded, and when.
+    responded: Option<(ServerId, MonoTime)>,
+    /// Keeps the request from being sent again to the server while it is silent.
+    silence: Option<Silence>,
 }
 
-async fn open<D: Dialect>(
-    exchange: &Exchange<D>,
-    target: &Target,
-    last: &Cell<Option<u64>>,
-    retry: Retry,
-) -> Option<UpstreamResponse> {
-    match exchange.open_begun(target, last.get(), last, retry).await {
-        Ok(upstream) if upstream.response.status().is_success() => Some(upstream),
-        Ok(upstream) => {
-            exchange.log_kept(&upstream.response.status());
-            None
+impl Takeover {
+    /// Sends the rest of a stream after the event `last` to another backend server.
+    pub(super) fn ask<D: Dialect>(
+        exchange: Rc<Exchange<D>>,
+        target: Target,
+        last: Option<u64>,
+        retry: Retry,
+    ) -> Self {
+        let opening = async move {
+            let runs = exchange.runs();
+            let left = exchange.left(&target).duration();
+            let opening = exchange.open(target, last, Some(retry));
+            match compio::time::timeout(left, opening).await {
+                Ok(Ok(upstream)) if upstream.response.status().is_success() => {
+                    return Progress::Responded(upstream);
+                }
+                Ok(Ok(upstream)) => exchange.log_kept(&upstream.response.status()),
+                Ok(Err(failure)) => exchange.log_kept(&failure.reason),
+                Err(_) => exchange.log_kept(&"no response in time"),
+            }
+            let sent = exchange.runs() > runs;
+            Progress::Failed { sent }
+        };
+        Self {
+            next: Box::pin(opening),
+            last,
+            responded: None,
+            silence: None,
         }
-        Err(failure) => {
-            exchange.log_kept(&failure.reason);
-            None
+    }
+
+    /// Waits for the first event of the response after `seen`, the last event that the caller has,
+    /// which may advance meanwhile.
+    pub(super) fn await_event<D: Dialect>(
+        &mut self,
+        exchange: Rc<Exchange<D>>,
+        target: &Target,
+        upstream: UpstreamResponse,
+        seen: Rc<Cell<Option<u64>>>,
+    ) {
+        let server = upstream.grant.placement.primary.id.clone();
+        self.responded = Some((server, exchange.gateway.clock.now()));
+        let left = exchange.left(target).duration();
+        let last = self.last;
+        self.next = Box::pin(async move {
+            let beginning = exchange.begin(upstream, last, &seen);
+            match compio::time::timeout(left, beginning).await {
+                Ok(Ok(upstream)) => return Progress::Began(upstream),
+                Ok(Err(failure)) => exchange.log_kept(&failure.reason),
+                Err(_) => exchange.log_kept(&"no event in time"),
+            }
+            Progress::Broken
+        });
+    }
+
+    /// Records that the server is silent, if it has responded, so that one more may be asked.
+    pub(super) fn keep_silent<D: Dialect>(&mut self, exchange: &Exchange<D>) {
+        if let (Some((server, since)), None) = (&self.responded, &self.silence) {
+            let quiet = exchange.gateway.clock.now().since(*since);
+            exchange.log_silent(server, quiet);
+            self.silence = Some(exchange.keep_silent(server));
         }
     }
 }
+
+/// Waits until one of `others` makes progress; returns its index.
+pub(super) async fn next_progress(others: &mut [Takeover]) -> (usize, Progress) {
+    if others.is_empty() {
+        return future::pending().await;
+    }
+    let next = others.iter_mut().map(|other| other.next.as_mut());
+    let (progress, index, _) = select_all(next).await;
+    (index, progress)
+}
--- a/jujubewind/tests/direct/handover.rs
+++ b/jujubewind/tests/direct/handover.rs
@@ -23,7 +23,12 @@
     deadline: MonoTime,
     inputs: Vec<Input>,
     has_own: bool,
-    has_other: bool,
+    /// Whether the last one that was asked has not responded.
+    is_opening: bool,
+    /// The others that have responded and sent no event.
+    stalled: usize,
+    /// When the last of them responded, if nobody was asked since.
+    responded: Option<MonoTime>,
     /// The last progress, and the requests to others since then.
     progress: MonoTime,
     asked: usize,
@@ -45,7 +50,9 @@
             deadline,
             inputs: Vec::new(),
             has_own: true,
-            has_other: false,
+            is_opening: false,
+            stalled: 0,
+            responded: None,
             progress: now,
             asked: 0,
             resumed: None,
@@ -74,10 +81,13 @@
             ];
             possible.extend(own.map(at_once));
         }
-        if self.has_other {
+        if self.is_opening {
             let failed = [true, false].map(|sent| Input::OtherFailed { sent });
             possible.extend(failed.map(at_once));
-            possible.push(at_once(Input::OtherBegan));
+            possible.push(at_once(Input::OtherResponded));
+        }
+        if self.stalled > 0 {
+            possible.extend([Input::OtherBegan, Input::OtherBroken].map(at_once));
         }
         possible
     }
@@ -108,7 +118,16 @@
                 self.resumptions = 0;
             }
             Input::OtherFailed { .. } => {
-                self.has_other = false;
+                self.is_opening = false;
+                self.is_refused = true;
+            }
+            Input::OtherResponded => {
+                self.is_opening = false;
+                self.stalled += 1;
+                self.responded = Some(self.now);
+            }
+            Input::OtherBroken => {
+                self.stalled -= 1;
                 self.is_refused = true;
             }
             Input::RetryDenied => self.is_refused = true,
@@ -120,18 +139,19 @@
         let is_silent = self.now.since(self.progress) >= MAX_SILENCE;
         let holds = match output {
             Output::Read if matches!(input, Input::Event { .. }) => {
-                !self.has_other || !self.may_drop_other(input)
+                !self.has_other() || !self.may_drop_other(input)
             }
-            Output::Read => self.has_own || self.has_other,
-            Output::TakeRetry if self.has_own => !self.has_other && is_silent && self.asked == 0,
-            Output::TakeRetry => !self.has_other && self.resumptions < MAX_RESUMPTIONS,
-            Output::AskOther => !self.has_other && input == Input::RetryGranted,
-            Output::DropOther => self.has_other && self.may_drop_other(input),
-            Output::Switch => self.has_other && input == Input::OtherBegan,
+            Output::Read => self.has_own || self.has_other(),
+            Output::TakeRetry if self.has_other() => self.are_all_silent(),
+            Output::TakeRetry if self.has_own => is_silent && self.asked == 0,
+            Output::TakeRetry => self.resumptions < MAX_RESUMPTIONS,
+            Output::AskOther => !self.is_opening && input == Input::RetryGranted,
+            Output::DropOther => self.has_other() && self.may_drop_other(input),
+            Output::Switch => self.stalled > 0 && input == Input::OtherBegan,
             Output::End => input == Input::Ended,
             Output::Truncate("deadline") => self.has_own && self.now >= self.deadline,
             Output::Truncate("broken") => {
-                let has_nothing = !self.has_own && !self.has_other && self.is_refused;
+                let has_nothing = !self.has_own && !self.has_other() && self.is_refused;
                 has_nothing || (!self.has_own && self.now >= self.deadline)
             }
             Output::Truncate(_) => false,
@@ -139,6 +159,18 @@
         assert!(holds, "{output:?} after {:?}", self.inputs);
     }
 
+    const fn has_other(&self) -> bool {
+        self.is_opening || self.stalled > 0
+    }
+
+    /// Whether the backend server, if it is there, and the last one that has responded were silent for
+    /// too long, so that one more may be asked.
+    fn are_all_silent(&self) -> bool {
+        let quiet_since = self.responded.map(|at| at.max(self.progress));
+        let quiet = quiet_since.map(|since| self.now.since(since));
+        !self.is_opening && quiet >= Some(MAX_SILENCE)
+    }
+
     /// Whether the backend server has gone on for as long as it may be silent, or its events cannot be
     /// told from the other one's.
     fn may_drop_other(&self, input: Input) -> bool {
@@ -154,15 +186,17 @@
         match output {
             Output::TakeRetry => {
                 self.asked += 1;
-                self.resumptions += usize::from(!self.has_own);
+                self.resumptions += usize::from(!self.has_own && !self.has_other());
+                self.responded = None;
             }
             Output::AskOther => {
-                self.has_other = true;
+                self.is_opening = true;
                 self.is_refused = false;
             }
-            Output::DropOther => self.has_other = false,
+            Output::DropOther => self.forget_others(),
             Output::Switch => {
-                (self.has_own, self.has_other) = (true, false);
+                self.has_own = true;
+                self.forget_others();
                 self.record_progress();
             }
             Output::Read | Output::End | Output::Truncate(_) => {}
@@ -173,6 +207,11 @@
         matches!(self.output, Output::End | Output::Truncate(_))
     }
 
+    const fn forget_others(&mut self) {
+        (self.is_opening, self.stalled) = (false, 0);
+        self.responded = None;
+    }
+
     fn record_progress(&mut self) {
         self.progress = self.now;
         self.asked = 0;
@@ -206,8 +245,10 @@
 fn a_backend_server_is_kept_until_its_replacement_has_sent_an_event_in_all_short_runs() {
     let mut ends = Vec::new();
     let mut most_resumptions = 0;
+    let mut most_stalled = 0;
 
     explore(&Run::start(), DEPTH, &mut |run| {
+        most_stalled = most_stalled.max(run.stalled);
         most_resumptions = most_resumptions.max(run.resumptions);
         if run.has_ended() && !ends.contains(&run.output) {
             ends.push(run.output);
@@ -216,6 +257,7 @@
 
     assert_eq!(ends.len(), 3, "{ends:?}");
     assert_eq!(most_resumptions, MAX_RESUMPTIONS, "the runs are too short");
+    assert!(most_stalled >= 2, "the runs are too short");
 }
 
 #[test]
@@ -232,29 +274,3 @@
     assert_eq!(early, Output::Read);
     assert_eq!(late, Output::Truncate("deadline"));
 }
-
-#[test]
-fn a_broken_stream_is_not_resumed_again_after_a_resumption_that_sent_nothing() {
-    let now = MonoTime::default();
-    let mut handover = Handover::new(now, now.after(DEADLINE), Some(MAX_SILENCE));
-    handover.apply(now, Input::Broken("broken"));
-    handover.apply(now, Input::RetryGranted);
-
-    let output = handover.apply(now, Input::OtherFailed { sent: false });
-
-    assert_eq!(output, Output::Truncate("broken"));
-}
-
-#[test]
-fn a_broken_stream_is_resumed_after_the_one_that_was_asked_in_its_silence_sent_nothing() {
-    let now = MonoTime::default().after(MAX_SILENCE);
-    let deadline = now.after(DEADLINE);
-    let mut handover = Handover::new(MonoTime::default(), deadline, Some(MAX_SILENCE));
-    handover.apply(now, Input::Elapsed);
-    handover.apply(now, Input::RetryGranted);
-    handover.apply(now, Input::Broken("broken"));
-
-    let output = handover.apply(now, Input::OtherFailed { sent: false });
-
-    assert_eq!(output, Output::TakeRetry);
-}
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -23,3 +23,4 @@
 mod roster;
 mod simulation;
 mod stale_views;
+mod takeover;
