Ask again for a stream that nobody has taken over while its caller has time

Callers saw: a silent stream truncated at its deadline although an engine had become free since the first one was looked for, and a broken stream truncated at the first resumption that the entry refused (no_backend, queue_full, stopping). Nothing had been sent in either.

Cause: after a hand-over that failed, nobody was asked again until the silent engine sent an event, and a refusal of the entry ended a broken stream like one of a backend server.

Change: the state machine is told whether a request may have run, was rejected, or that nothing was sent, which is when no retry was spent. After the last it asks again when 100 ms have passed, doubled up to 800 ms, until the deadline; a caller that has waited enough leaves. A silent stream is treated so as well after a hand-over that may have run, and after a retry that the budget denied. What servers rejected is not sent again, and the route's attempts and the budget are asked each time.

Tried and taken back: waiting for the budget with a broken stream. A denial still truncates it.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -5,6 +5,7 @@
 mod first_event;
 mod report;
 mod response;
+mod retries;
 mod sent_request;
 mod silence;
 
@@ -21,7 +22,6 @@
 use super::gateway::Gateway;
 use super::gateway::OpenRequest;
 use super::limits::MAX_ATTEMPTS;
-use super::limits::MIN_RETRY_TIME;
 use super::limits::SERVER_RETRY_AFTER;
 use super::relay::Relay;
 use super::target::Target;
@@ -68,6 +68,8 @@
     silent: SilentServers,
     /// The number of backend servers that may have run the request.
     runs: Cell<u32>,
+    /// The number of retries for which something was sent.
+    retries: Cell<u32>,
     /// The number of times that memory was reserved for it.
     reservations: Cell<u32>,
     /// Whether the caller has got an answer, or the end of one that was truncated.
@@ -124,6 +126,7 @@
             excluded: RefCell::default(),
             silent: SilentServers::default(),
             runs: Cell::new(0),
+            retries: Cell::new(0),
             reservations: Cell::new(0),
             is_ended: Cell::new(false),
             _open_request: open_request,
@@ -229,27 +232,6 @@
         deadline.since(self.gateway.clock.now())
     }
 
-    /// Takes a retry from the service's retry budget if the request may be sent again.
-    pub(super) async fn take_retry(&self, target: &Target) -> Option<Retry> {
-        if !target.route.repeatable() || !self.may_repeat(target) {
-            return None;
-        }
-        self.gateway.control.take_retry(&target.service).await
-    }
-
-    /// Whether attempts and time are left for another attempt.
-    fn may_repeat(&self, target: &Target) -> bool {
-        self.has_attempts_left(target) && self.left(target) >= MIN_RETRY_TIME
-    }
-
-    /// Counts a retry once something is sent for it.
-    fn spend(&self, retry: &mut Option<Retry>) {
-        if let Some(retry) = retry.take() {
-            retry.spend();
-            self.gateway.metrics.count_retry();
-        }
-    }
-
     /// The length of the prompt; zero for a call to a plain service.
     pub(super) fn prompt(&self) -> Tokens {
         let size = self.call.size.as_ref();
@@ -263,7 +245,10 @@
     }
 
     pub(super) fn exclude(&self, server: &ServerId) {
-        self.excluded.borrow_mut().push(server.clone());
+        let mut excluded = self.excluded.borrow_mut();
+        if !excluded.contains(server) {
+            excluded.push(server.clone());
+        }
     }
 
     /// The number of backend servers that may have run the request.
@@ -271,10 +256,6 @@
         self.runs.get()
     }
 
-    fn has_attempts_left(&self, target: &Target) -> bool {
-        self.runs.get() < target.route.attempts.max(1)
-    }
-
     fn timed_out(&self) -> Failure {
         if self.runs.get() == 0 {
             return Failure::not_run(Reason::NoTime, SERVER_RETRY_AFTER);
--- a/jujubewind/src/direct/api/handover.rs
+++ b/jujubewind/src/direct/api/handover.rs
@@ -1,5 +1,14 @@
-//! Decides from which of two backend servers a stream is read on.
+//! Decides from which backend server a stream is read on.
 
+mod backoff;
+mod input;
+mod output;
+mod takeover_failure;
+
+use self::backoff::Backoff;
+pub use self::input::Input;
+pub use self::output::Output;
+pub use self::takeover_failure::TakeoverFailure;
 use super::limits::MAX_ATTEMPTS;
 use super::recovery::Recovery;
 use crate::types::Millis;
@@ -8,56 +17,6 @@
 /// The caller's or the route's timeout has passed.
 pub const DEADLINE: &str = "deadline";
 
-/// What happened to a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Input {
-    /// Nothing arrived for as long as `Handover::wait` told.
-    Elapsed,
-    /// The backend server sent an event.
-    Event {
-        /// Whether it has an id, so that it can be told from the other one's events.
-        numbered: bool,
-    },
-    /// The backend server completed the stream.
-    Ended,
-    /// The attempt at the backend server failed, for this cause.
-    Broken(&'static str),
-    /// The request may be sent to another backend server.
-    RetryGranted,
-    /// The request may not be sent again.
-    RetryDenied,
-    /// The head of the other backend server's response has arrived.
-    OtherResponded,
-    /// Another backend server has sent an event.
-    OtherBegan,
-    /// The other backend server will not respond.
-    OtherFailed {
-        /// Whether the request was sent to it and may have run.
-        sent: bool,
-    },
-    /// Another backend server's response failed before an event.
-    OtherBroken,
-}
-
-/// What to do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Read from the backend servers that there are.
-    Read,
-    /// Find out whether the request may be sent again.
-    TakeRetry,
-    /// Send the rest of the request to another backend server as well.
-    AskOther,
-    /// Give up the other backend servers and read on.
-    DropOther,
-    /// Give up the backend server, if it is still there, and go on with the other one that began.
-    Switch,
-    /// End the answer, which is complete.
-    End,
-    /// End the answer, which is not complete, for this cause.
-    Truncate(&'static str),
-}
-
 /// The state of a stream that is read from one backend server, and of others that were asked to take
 /// it over.
 #[derive(Clone, Debug)]
@@ -71,6 +30,8 @@
     /// Whether another backend server has been asked since the last progress, so that a silent one is
     /// waited for.
     is_patient: bool,
+    /// Paces further requests after one that nobody took.
+    backoff: Backoff,
     /// Why the backend server is no longer there.
     broken: Option<&'static str>,
     /// Whether another backend server was asked and has not responded.
@@ -94,6 +55,7 @@
             max_silence,
             progress: now,
             is_patient: false,
+            backoff: Backoff::new(),
             broken: None,
             is_opening: false,
             stalled: 0,
@@ -129,31 +91,30 @@
                 self.recovery = self.observe();
                 Output::AskOther
             }
-            Input::RetryDenied => {
-                let broken = self.broken.filter(|_| !self.has_other());
-                broken.map_or(Output::Read, Output::Truncate)
-            }
+            Input::RetryDenied { lasting } => self.accept_denial(now, lasting),
             Input::OtherResponded => {
                 self.is_opening = false;
                 self.stalled += 1;
                 self.responded = Some(now);
+                self.backoff.end();
                 Output::Read
             }
             Input::OtherBegan => {
                 self.progress = now;
                 self.is_patient = false;
                 self.forget_others();
+                self.backoff = Backoff::new();
                 self.recovery = None;
                 self.broken = None;
                 Output::Switch
             }
-            Input::OtherFailed { sent } => {
+            Input::OtherFailed(failure) => {
                 self.is_opening = false;
-                self.lose_other(sent)
+                self.lose_other(now, failure)
             }
             Input::OtherBroken => {
                 self.stalled -= 1;
-                self.lose_other(true)
+                self.lose_other(now, TakeoverFailure::MayHaveRun)
             }
         }
     }
@@ -168,18 +129,43 @@
         self.resume(what)
     }
 
-    fn lose_other(&mut self, sent: bool) -> Output {
+    fn accept_denial(&mut self, now: MonoTime, lasting: bool) -> Output {
+        if let Some(what) = self.broken.filter(|_| !self.has_other()) {
+            return Output::Truncate(what);
+        }
+        if !lasting {
+            self.backoff.pause(now);
+        }
+        Output::Read
+    }
+
+    fn lose_other(&mut self, now: MonoTime, failure: TakeoverFailure) -> Output {
         if self.has_other() {
+            self.pause_after(now, failure);
             return Output::Read;
         }
         self.responded = None;
-        match self.broken {
-            None => {
-                self.trust_resumed();
+        let Some(what) = self.broken else {
+            if !self.trust_resumed() {
+                self.pause_after(now, failure);
+            }
+            return Output::Read;
+        };
+        match failure {
+            TakeoverFailure::MayHaveRun => self.resume(what),
+            _ if self.resumptions == 0 => self.resume(what),
+            TakeoverFailure::Unsent => {
+                self.pause_after(now, failure);
                 Output::Read
             }
-            Some(what) if self.resumptions > 0 && !sent => Output::Truncate(what),
-            Some(what) => self.resume(what),
+            TakeoverFailure::Rejected => Output::Truncate(what),
+        }
+    }
+
+    /// Others are asked again after a pause, unless backend servers rejected the request.
+    fn pause_after(&mut self, now: MonoTime, failure: TakeoverFailure) {
+        if !self.is_opening && failure != TakeoverFailure::Rejected {
+            self.backoff.pause(now);
         }
     }
 
@@ -201,6 +187,10 @@
         if self.next_ask().is_some_and(|at| at <= now) {
             self.is_patient = true;
             self.responded = None;
+            self.backoff.end();
+            if self.has_other() {
+                self.recovery = self.observe();
+            }
             return Output::TakeRetry;
         }
         Output::Read
@@ -211,20 +201,30 @@
             return Output::Truncate(what);
         }
         self.resumptions += 1;
+        self.backoff.end();
         Output::TakeRetry
     }
 
-    /// When all that were asked have been silent for too long.
+    /// When another one is to be asked: all that were asked have been silent for too long, and the
+    /// pause after a request that nobody took is over.
     fn next_ask(&self) -> Option<MonoTime> {
-        let max_silence = self.max_silence?;
-        let quiet_since = if self.has_other() {
-            self.responded?.max(self.progress)
-        } else if self.is_patient || self.broken.is_some() {
+        if self.is_opening {
             return None;
-        } else {
-            self.progress
-        };
-        Some(quiet_since.after(max_silence))
+        }
+        let paused = self.backoff.until();
+        if self.broken.is_some() && paused.is_some() {
+            return paused;
+        }
+        let max_silence = self.max_silence?;
+        let silent_at = self.progress.after(max_silence);
+        if let Some(until) = paused {
+            return Some(until.max(silent_at));
+        }
+        if self.stalled > 0 {
+            return Some(self.responded?.after(max_silence).max(silent_at));
+        }
+        let is_waiting = self.is_patient || self.broken.is_some();
+        (!is_waiting).then_some(silent_at)
     }
 
     /// Records progress. The other backend servers are given up once the silent one has recovered: a
@@ -238,6 +238,7 @@
         }
         self.recovery = None;
         self.is_patient = false;
+        self.backoff = Backoff::new();
         if self.has_other() {
             self.forget_others();
             return Output::DropOther;
@@ -251,11 +252,11 @@
         silent.map(|max_silence| Recovery::new(max_silence, self.progress))
     }
 
-    /// Allows another silence if the silent backend server has gone on.
-    fn trust_resumed(&mut self) {
+    /// Allows another silence if the silent backend server has gone on; returns whether it has.
+    fn trust_resumed(&mut self) -> bool {
         let recovery = self.recovery.take();
-        if recovery.is_some_and(|recovery| recovery.has_resumed()) {
-            self.is_patient = false;
-        }
+        let has_resumed = recovery.is_some_and(|recovery| recovery.has_resumed());
+        self.is_patient &= !has_resumed;
+        has_resumed
     }
 }
--- a/jujubewind/src/direct/api/limits.rs
+++ b/jujubewind/src/direct/api/limits.rs
@@ -21,6 +21,10 @@
 pub const FIRST_EVENT_PERMILLE: u64 = 350;
 /// The longest gap between two events of a stream, in thousandths of the client timeout.
 pub const EVENT_GAP_PERMILLE: u64 = 600;
+/// The first pause before others are asked again to take over a stream that nobody has taken over.
+pub const MIN_ASK_PAUSE: Millis = Millis(100);
+/// The longest such pause.
+pub const MAX_ASK_PAUSE: Millis = Millis(800);
 /// The longest response of a plain service, and of an engine that refuses a request.
 pub const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 /// The longest response to an order.
--- a/jujubewind/src/direct/api/mod.rs
+++ b/jujubewind/src/direct/api/mod.rs
@@ -24,6 +24,7 @@
 pub use handover::Handover;
 pub use handover::Input as HandoverInput;
 pub use handover::Output as HandoverOutput;
+pub use handover::TakeoverFailure;
 pub use recovery::Recovery;
 pub use refusal_sampler::RefusalSampler;
 pub(in crate::direct) use reservations::Reservations;
--- a/jujubewind/src/direct/api/relay/actions.rs
+++ b/jujubewind/src/direct/api/relay/actions.rs
@@ -70,7 +70,8 @@
         if self.source.is_some() {
             self.exchange.log_kept(&"no retry left");
         }
-        Input::RetryDenied
+        let lasting = !self.exchange.may_retry(&self.target);
+        Input::RetryDenied { lasting }
     }
 
     /// Asks another backend server to take the stream over. Silent ones are kept until one has sent an
@@ -113,9 +114,9 @@
                 self.replacement = Some(upstream);
                 Input::OtherBegan
             }
-            Progress::Failed { sent } => {
+            Progress::Failed(failure) => {
                 self.others.swap_remove(index);
-                Input::OtherFailed { sent }
+                Input::OtherFailed(failure)
             }
             Progress::Broken => {
                 self.others.swap_remove(index);
--- a/jujubewind/src/direct/api/takeover.rs
+++ b/jujubewind/src/direct/api/takeover.rs
@@ -9,11 +9,13 @@
 
 use super::exchange::Exchange;
 use super::exchange::Silence;
+use super::handover::TakeoverFailure;
 use super::target::Target;
 use super::upstream_response::UpstreamResponse;
 use crate::direct::Dialect;
 use crate::direct::Retry;
 use crate::direct::ServerId;
+use crate::refusal::Reason;
 use crate::types::MonoTime;
 
 /// What became of a request to take a stream over.
@@ -23,10 +25,7 @@
     /// The response was read up to its first events that the caller lacks.
     Began(UpstreamResponse),
     /// There is no response.
-    Failed {
-        /// Whether the request may have run.
-        sent: bool,
-    },
+    Failed(TakeoverFailure),
     /// The response failed before an event.
     Broken,
 }
@@ -51,7 +50,8 @@
         retry: Retry,
     ) -> Self {
         let opening = async move {
-            let runs = exchange.runs();
+            let (runs, retries) = (exchange.runs(), exchange.retries());
+            let mut is_final = false;
             let left = exchange.left(&target).duration();
             let opening = exchange.open(target, last, Some(retry));
             match compio::time::timeout(left, opening).await {
@@ -59,11 +59,20 @@
                     return Progress::Responded(upstream);
                 }
                 Ok(Ok(upstream)) => exchange.log_kept(&upstream.response.status()),
-                Ok(Err(failure)) => exchange.log_kept(&failure.reason),
+                Ok(Err(failure)) => {
+                    exchange.log_kept(&failure.reason);
+                    is_final = is_lasting(failure.reason);
+                }
                 Err(_) => exchange.log_kept(&"no response in time"),
             }
-            let sent = exchange.runs() > runs;
-            Progress::Failed { sent }
+            let failure = if exchange.runs() > runs {
+                TakeoverFailure::MayHaveRun
+            } else if exchange.retries() > retries || is_final {
+                TakeoverFailure::Rejected
+            } else {
+                TakeoverFailure::Unsent
+            };
+            Progress::Failed(failure)
         };
         Self {
             next: Box::pin(opening),
@@ -116,3 +125,15 @@
     let (progress, index, _) = select_all(next).await;
     (index, progress)
 }
+
+/// Whether a request that was refused for `reason` would be refused later as well.
+const fn is_lasting(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::Convicted
+            | Reason::PromptTooLong
+            | Reason::UnknownRoute
+            | Reason::Unauthorized
+            | Reason::OutcomeUnknown
+    )
+}
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -32,6 +32,7 @@
 pub use api::HandoverOutput;
 pub use api::Recovery;
 pub use api::RefusalSampler;
+pub use api::TakeoverFailure;
 pub use boot_time::BootTime;
 pub use budget::Budget;
 pub use budget::BudgetLimits;
--- a/jujubewind/tests/direct/handover.rs
+++ b/jujubewind/tests/direct/handover.rs
@@ -1,8 +1,11 @@
 //! Every short run of what can happen to a stream and its backend servers.
 
+mod check;
+
 use jujubewind::direct::Handover;
 use jujubewind::direct::HandoverInput as Input;
 use jujubewind::direct::HandoverOutput as Output;
+use jujubewind::direct::TakeoverFailure;
 use jujubewind::types::Millis;
 use jujubewind::types::MonoTime;
 
@@ -12,6 +15,15 @@
 const DEADLINE: Millis = Millis(4_000);
 /// Long enough to pass a part of a silence, and to pass the deadline within a run.
 const PAUSES: [Millis; 2] = [Millis(700), Millis(2_500)];
+/// Shorter than the pause before others are asked again.
+const SHORT_PAUSE: Millis = Millis(50);
+/// The shortest and the longest pause before others are asked again.
+const ASK_PAUSES: [Millis; 2] = [Millis(100), Millis(800)];
+const FAILURES: [TakeoverFailure; 3] = [
+    TakeoverFailure::MayHaveRun,
+    TakeoverFailure::Rejected,
+    TakeoverFailure::Unsent,
+];
 /// Most requests to others for a stream that broke.
 const MAX_RESUMPTIONS: usize = 4;
 
@@ -35,8 +47,12 @@
     /// Since when the backend server has gone on after the silence in which another one was asked.
     resumed: Option<MonoTime>,
     resumptions: usize,
-    /// How the last attempt to get a replacement ended.
+    /// Whether nobody else will take the stream.
     is_refused: bool,
+    /// When nobody took it who may take it later.
+    unsent: Option<MonoTime>,
+    /// How often others were asked again after that.
+    asked_again: usize,
     output: Output,
 }
 
@@ -58,6 +74,8 @@
             resumed: None,
             resumptions: 0,
             is_refused: false,
+            unsent: None,
+            asked_again: 0,
             output: Output::Read,
         }
     }
@@ -69,9 +87,14 @@
         }
         let at_once = |input| (Millis::ZERO, input);
         if self.output == Output::TakeRetry {
-            return vec![at_once(Input::RetryGranted), at_once(Input::RetryDenied)];
+            let denied = [true, false].map(|lasting| Input::RetryDenied { lasting });
+            let granted = std::iter::once(Input::RetryGranted);
+            return granted.chain(denied).map(at_once).collect();
         }
         let mut possible: Vec<_> = PAUSES.map(|pause| (pause, Input::Elapsed)).to_vec();
+        if self.unsent.is_some() {
+            possible.push((SHORT_PAUSE, Input::Elapsed));
+        }
         if self.has_own {
             let own = [
                 Input::Event { numbered: true },
@@ -82,8 +105,7 @@
             possible.extend(own.map(at_once));
         }
         if self.is_opening {
-            let failed = [true, false].map(|sent| Input::OtherFailed { sent });
-            possible.extend(failed.map(at_once));
+            possible.extend(FAILURES.map(Input::OtherFailed).map(at_once));
             possible.push(at_once(Input::OtherResponded));
         }
         if self.stalled > 0 {
@@ -117,67 +139,36 @@
                 self.is_refused = false;
                 self.resumptions = 0;
             }
-            Input::OtherFailed { .. } => {
+            Input::OtherFailed(failure) => {
                 self.is_opening = false;
-                self.is_refused = true;
+                self.see_failure(failure);
             }
             Input::OtherResponded => {
                 self.is_opening = false;
                 self.stalled += 1;
                 self.responded = Some(self.now);
+                self.unsent = None;
             }
             Input::OtherBroken => {
                 self.stalled -= 1;
+                self.see_failure(TakeoverFailure::MayHaveRun);
+            }
+            Input::RetryDenied { lasting } => {
                 self.is_refused = true;
+                self.unsent = (!lasting).then_some(self.now);
             }
-            Input::RetryDenied => self.is_refused = true,
             _ => {}
         }
     }
 
-    fn check(&self, input: Input, output: Output) {
-        let is_silent = self.now.since(self.progress) >= MAX_SILENCE;
-        let holds = match output {
-            Output::Read if matches!(input, Input::Event { .. }) => {
-                !self.has_other() || !self.may_drop_other(input)
-            }
-            Output::Read => self.has_own || self.has_other(),
-            Output::TakeRetry if self.has_other() => self.are_all_silent(),
-            Output::TakeRetry if self.has_own => is_silent && self.asked == 0,
-            Output::TakeRetry => self.resumptions < MAX_RESUMPTIONS,
-            Output::AskOther => !self.is_opening && input == Input::RetryGranted,
-            Output::DropOther => self.has_other() && self.may_drop_other(input),
-            Output::Switch => self.stalled > 0 && input == Input::OtherBegan,
-            Output::End => input == Input::Ended,
-            Output::Truncate("deadline") => self.has_own && self.now >= self.deadline,
-            Output::Truncate("broken") => {
-                let has_nothing = !self.has_own && !self.has_other() && self.is_refused;
-                has_nothing || (!self.has_own && self.now >= self.deadline)
-            }
-            Output::Truncate(_) => false,
+    fn see_failure(&mut self, failure: TakeoverFailure) {
+        self.is_refused = match failure {
+            TakeoverFailure::MayHaveRun => self.resumptions == MAX_RESUMPTIONS,
+            TakeoverFailure::Rejected => true,
+            TakeoverFailure::Unsent => false,
         };
-        assert!(holds, "{output:?} after {:?}", self.inputs);
-    }
-
-    const fn has_other(&self) -> bool {
-        self.is_opening || self.stalled > 0
-    }
-
-    /// Whether the backend server, if it is there, and the last one that has responded were silent for
-    /// too long, so that one more may be asked.
-    fn are_all_silent(&self) -> bool {
-        let quiet_since = self.responded.map(|at| at.max(self.progress));
-        let quiet = quiet_since.map(|since| self.now.since(since));
-        !self.is_opening && quiet >= Some(MAX_SILENCE)
-    }
-
-    /// Whether the backend server has gone on for as long as it may be silent, or its events cannot be
-    /// told from the other one's.
-    fn may_drop_other(&self, input: Input) -> bool {
-        let gone_on = self.resumed.map(|since| self.now.since(since));
-        match input {
-            Input::Event { numbered } => !numbered || gone_on >= Some(MAX_SILENCE),
-            _ => false,
+        if failure != TakeoverFailure::Rejected && !self.is_opening {
+            self.unsent = Some(self.now);
         }
     }
 
@@ -186,8 +177,11 @@
         match output {
             Output::TakeRetry => {
                 self.asked += 1;
-                self.resumptions += usize::from(!self.has_own && !self.has_other());
+                let is_resumption = !self.has_own && !self.has_other();
+                self.resumptions += usize::from(is_resumption && !self.is_paused());
                 self.responded = None;
+                self.asked_again += usize::from(self.is_paused());
+                self.unsent = None;
             }
             Output::AskOther => {
                 self.is_opening = true;
@@ -215,18 +209,9 @@
     fn record_progress(&mut self) {
         self.progress = self.now;
         self.asked = 0;
-    }
-
-    /// A silence leads to a decision, at the deadline at the latest.
-    fn check_wait(&self) {
-        if self.has_ended() || self.output == Output::TakeRetry {
-            return;
+        if !self.has_other() {
+            self.unsent = None;
         }
-        let until = self.now.after(self.handover.wait(self.now));
-        let output = self.handover.clone().apply(until, Input::Elapsed);
-        let is_decision = matches!(output, Output::TakeRetry | Output::Truncate(_));
-        assert!(is_decision, "{output:?} in the end of {:?}", self.inputs);
-        assert!(until <= self.deadline.max(self.now), "{:?}", self.inputs);
     }
 }
 
@@ -246,9 +231,11 @@
     let mut ends = Vec::new();
     let mut most_resumptions = 0;
     let mut most_stalled = 0;
+    let mut most_asked_again = 0;
 
     explore(&Run::start(), DEPTH, &mut |run| {
         most_stalled = most_stalled.max(run.stalled);
+        most_asked_again = most_asked_again.max(run.asked_again);
         most_resumptions = most_resumptions.max(run.resumptions);
         if run.has_ended() && !ends.contains(&run.output) {
             ends.push(run.output);
@@ -258,6 +245,7 @@
     assert_eq!(ends.len(), 3, "{ends:?}");
     assert_eq!(most_resumptions, MAX_RESUMPTIONS, "the runs are too short");
     assert!(most_stalled >= 2, "the runs are too short");
+    assert!(most_asked_again >= 2, "the runs are too short");
 }
 
 #[test]
