--- a/jujubewind/src/direct/api/handover.rs
+++ b/jujubewind/src/direct/api/handover.rs
@@ -1,5 +1,14 @@
-//! Decides from which of two backend servers a stream is read on.
+//! Decides from which backend server a stream is read on.
 
+mod backoff;
+mod input;
+mod output;
+mod takeover_failure;
+
+use self::backoff::Backoff;
+pub use self::input::Input;
+pub use self::output::Output;
+pub use self::takeover_failure::TakeoverFailure;
 use super::limits::MAX_ATTEMPTS;
 use super::recovery::Recovery;
 use crate::types::Millis;
@@ -8,54 +17,8 @@
 /// The caller's or the route's timeout has passed.
 pub const DEADLINE: &str = "deadline";
 
-/// What happened to a stream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Input {
-    /// Nothing arrived for as long as `Handover::wait` told.
-    Elapsed,
-    /// The backend server sent an event.
-    Event {
-        /// Whether it has an id, so that it can be told from the other one's events.
-        numbered: bool,
-    },
-    /// The backend server completed the stream.
-    Ended,
-    /// The attempt at the backend server failed, for this cause.
-    Broken(&'static str),
-    /// The request may be sent to another backend server.
-    RetryGranted,
-    /// The request may not be sent again.
-    RetryDenied,
-    /// The other backend server has sent an event.
-    OtherBegan,
-    /// The other backend server will not go on with the stream.
-    OtherFailed {
-        /// Whether the request was sent to it and may have run.
-        sent: bool,
-    },
-}
-
-/// What to do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Read from the backend servers that there are.
-    Read,
-    /// Find out whether the request may be sent again.
-    TakeRetry,
-    /// Send the rest of the request to another backend server as well.
-    AskOther,
-    /// Give up the other backend server and read on.
-    DropOther,
-    /// Give up the backend server, if it is still there, and go on with the other one.
-    Switch,
-    /// End the answer, which is complete.
-    End,
-    /// End the answer, which is not complete, for this cause.
-    Truncate(&'static str),
-}
-
-/// The state of a stream that is read from one backend server, and of another one that was asked to
-/// take it over.
+/// The state of a stream that is read from one backend server, and of others that were asked to take
+/// it over.
 #[derive(Clone, Debug)]
 pub struct Handover {
     deadline: MonoTime,
@@ -67,10 +30,16 @@
     /// Whether another backend server has been asked since the last progress, so that a silent one is
     /// waited for.
     is_patient: bool,
+    /// Paces further requests after one that nobody took.
+    backoff: Backoff,
     /// Why the backend server is no longer there.
     broken: Option<&'static str>,
-    /// Whether another backend server is being asked.
-    has_other: bool,
+    /// Whether another backend server was asked and has not responded.
+    is_opening: bool,
+    /// The number of others that have responded and sent no event.
+    stalled: usize,
+    /// When the last of them responded; `None` once one more was asked in its silence.
+    responded: Option<MonoTime>,
     /// Observes the silent backend server while another one is asked.
     recovery: Option<Recovery>,
     /// How often the stream was to be resumed since it broke.
@@ -86,8 +55,11 @@
             max_silence,
             progress: now,
             is_patient: false,
+            backoff: Backoff::new(),
             broken: None,
-            has_other: false,
+            is_opening: false,
+            stalled: 0,
+            responded: None,
             recovery: None,
             resumptions: 0,
         }
@@ -97,7 +69,7 @@
     #[must_use]
     pub fn wait(&self, now: MonoTime) -> Millis {
         let left = self.deadline.since(now);
-        let silence = self.silence_left(now);
+        let silence = self.next_ask().map(|at| at.since(now));
         silence.map_or(left, |silence| silence.min(left))
     }
 
@@ -113,50 +85,112 @@
             Input::Elapsed => self.elapse(now),
             Input::Event { numbered } => self.accept_event(now, numbered),
             Input::Ended => Output::End,
-            Input::Broken(what) => {
-                self.broken = Some(what);
-                self.recovery = None;
-                self.resumptions = 0;
-                if self.has_other {
-                    return Output::Read;
-                }
-                self.resume(what)
-            }
+            Input::Broken(what) => self.break_off(what),
             Input::RetryGranted => {
-                self.has_other = true;
+                self.is_opening = true;
                 self.recovery = self.observe();
                 Output::AskOther
             }
-            Input::RetryDenied => self.broken.map_or(Output::Read, Output::Truncate),
+            Input::RetryDenied { lasting } => self.accept_denial(now, lasting),
+            Input::OtherResponded => {
+                self.is_opening = false;
+                self.stalled += 1;
+                self.responded = Some(now);
+                self.backoff.end();
+                Output::Read
+            }
             Input::OtherBegan => {
                 self.progress = now;
                 self.is_patient = false;
-                self.has_other = false;
+                self.forget_others();
+                self.backoff = Backoff::new();
                 self.recovery = None;
                 self.broken = None;
                 Output::Switch
             }
-            Input::OtherFailed { sent } => {
-                self.has_other = false;
-                match self.broken {
-                    None => {
-                        self.trust_resumed();
-                        Output::Read
-                    }
-                    Some(what) if self.resumptions > 0 && !sent => Output::Truncate(what),
-                    Some(what) => self.resume(what),
-                }
+            Input::OtherFailed(failure) => {
+                self.is_opening = false;
+                self.lose_other(now, failure)
+            }
+            Input::OtherBroken => {
+                self.stalled -= 1;
+                self.lose_other(now, TakeoverFailure::MayHaveRun)
             }
         }
     }
 
+    fn break_off(&mut self, what: &'static str) -> Output {
+        self.broken = Some(what);
+        self.recovery = None;
+        self.resumptions = 0;
+        if self.has_other() {
+            return Output::Read;
+        }
+        self.resume(what)
+    }
+
+    fn accept_denial(&mut self, now: MonoTime, lasting: bool) -> Output {
+        if let Some(what) = self.broken.filter(|_| !self.has_other()) {
+            return Output::Truncate(what);
+        }
+        if !lasting {
+            self.backoff.pause(now);
+        }
+        Output::Read
+    }
+
+    fn lose_other(&mut self, now: MonoTime, failure: TakeoverFailure) -> Output {
+        if self.has_other() {
+            self.pause_after(now, failure);
+            return Output::Read;
+        }
+        self.responded = None;
+        let Some(what) = self.broken else {
+            if !self.trust_resumed() {
+                self.pause_after(now, failure);
+            }
+            return Output::Read;
+        };
+        match failure {
+            TakeoverFailure::MayHaveRun => self.resume(what),
+            _ if self.resumptions == 0 => self.resume(what),
+            TakeoverFailure::Unsent => {
+                self.pause_after(now, failure);
+                Output::Read
+            }
+            TakeoverFailure::Rejected => Output::Truncate(what),
+        }
+    }
+
+    /// Others are asked again after a pause, unless backend servers rejected the request.
+    fn pause_after(&mut self, now: MonoTime, failure: TakeoverFailure) {
+        if !self.is_opening && failure != TakeoverFailure::Rejected {
+            self.backoff.pause(now);
+        }
+    }
+
+    const fn has_other(&self) -> bool {
+        self.is_opening || self.stalled > 0
+    }
+
+    const fn forget_others(&mut self) {
+        self.is_opening = false;
+        self.stalled = 0;
+        self.responded = None;
+    }
+
     /// The caller decides how long it waits for an event: silence alone never ends the answer.
     fn elapse(&mut self, now: MonoTime) -> Output {
         if now >= self.deadline {
             return Output::Truncate(self.broken.unwrap_or(DEADLINE));
         }
-        if self.silence_left(now) == Some(Millis::ZERO) {
+        if self.next_ask().is_some_and(|at| at <= now) {
             self.is_patient = true;
+            self.responded = None;
+            self.backoff.end();
+            if self.has_other() {
+                self.recovery = self.observe();
+            }
             return Output::TakeRetry;
         }
         Output::Read
@@ -167,18 +201,33 @@
             return Output::Truncate(what);
         }
         self.resumptions += 1;
+        self.backoff.end();
         Output::TakeRetry
     }
 
-    fn silence_left(&self, now: MonoTime) -> Option<Millis> {
-        if self.is_patient || self.broken.is_some() {
+    /// When another one is to be asked: all that were asked have been silent for too long, and the
+    /// pause after a request that nobody took is over.
+    fn next_ask(&self) -> Option<MonoTime> {
+        if self.is_opening {
             return None;
         }
-        let quiet = self.quiet(now);
-        self.max_silence.map(|most| most.saturating_sub(quiet))
+        let paused = self.backoff.until();
+        if self.broken.is_some() && paused.is_some() {
+            return paused;
+        }
+        let max_silence = self.max_silence?;
+        let silent_at = self.progress.after(max_silence);
+        if let Some(until) = paused {
+            return Some(until.max(silent_at));
+        }
+        if self.stalled > 0 {
+            return Some(self.responded?.after(max_silence).max(silent_at));
+        }
+        let is_waiting = self.is_patient || self.broken.is_some();
+        (!is_waiting).then_some(silent_at)
     }
 
-    /// Records progress. The other backend server is given up once the silent one has recovered: a
+    /// Records progress. The other backend servers are given up once the silent one has recovered: a
     /// single event does not show that, and no attempt may be left for its next silence.
     fn accept_event(&mut self, now: MonoTime, numbered: bool) -> Output {
         self.progress = now;
@@ -189,7 +238,9 @@
         }
         self.recovery = None;
         self.is_patient = false;
-        if std::mem::take(&mut self.has_other) {
+        self.backoff = Backoff::new();
+        if self.has_other() {
+            self.forget_others();
             return Output::DropOther;
         }
         Output::Read
@@ -201,11 +252,11 @@
         silent.map(|max_silence| Recovery::new(max_silence, self.progress))
     }
 
-    /// Allows another silence if the silent backend server has gone on.
-    fn trust_resumed(&mut self) {
+    /// Allows another silence if the silent backend server has gone on; returns whether it has.
+    fn trust_resumed(&mut self) -> bool {
         let recovery = self.recovery.take();
-        if recovery.is_some_and(|recovery| recovery.has_resumed()) {
-            self.is_patient = false;
-        }
+        let has_resumed = recovery.is_some_and(|recovery| recovery.has_resumed());
+        self.is_patient &= !has_resumed;
+        has_resumed
     }
 }
--- a/jujubewind/src/direct/api/mod.rs
+++ b/jujubewind/src/direct/api/mod.rs
@@ -25,6 +25,7 @@
 pub use handover::Handover;
 pub use handover::Input as HandoverInput;
 pub use handover::Output as HandoverOutput;
+pub use handover::TakeoverFailure;
 pub use hedge::Contender;
 pub use hedge::Ending;
 pub use hedge::Hedge;
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -36,6 +36,7 @@
 pub use api::HedgeVerdict;
 pub use api::Recovery;
 pub use api::RefusalSampler;
+pub use api::TakeoverFailure;
 pub use boot_time::BootTime;
 pub use budget::Budget;
 pub use budget::BudgetLimits;
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -24,4 +24,5 @@
 mod roster;
 mod simulation;
 mod stale_views;
+mod takeover;
 mod whole_lists;
