Let the listener's test end its servers only once callers are connecting

A review of the stop's fixes found that the test of connections made as a listener closes could pass without a caller: its servers ended accepting after 3 ms, whatever had arrived, and callers that were scheduled later found the port closed.

Each server now ends once it has answered as many requests as it has callers.

--- a/jujubewind/tests/listener.rs
+++ b/jujubewind/tests/listener.rs
@@ -1,5 +1,6 @@
 //! Callers that connect while a server ends.
 
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::Read;
 use std::io::Result;
@@ -29,21 +30,29 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
 
-/// Answers each request at once.
-struct Answering;
+/// Answers each request at once, and counts them.
+#[derive(Default)]
+struct Answering {
+    answered: Cell<usize>,
+}
 
 impl Handler for Answering {
     async fn handle(self: Rc<Self>, _request: Request<Incoming>) -> Reply {
+        self.answered.set(self.answered.get() + 1);
         plain(StatusCode::OK, "done")
     }
 }
 
-/// Serves for a moment, ends accepting, and returns when the connections have ended.
+/// Serves until each caller may have had an answer, ends accepting, and returns when the connections have
+/// ended.
 async fn serve_briefly(listener: TcpListener) {
     let handle = ServerHandle::new();
-    let serving = serve(listener, Rc::new(Answering), handle.clone());
+    let handler = Rc::new(Answering::default());
+    let serving = serve(listener, handler.clone(), handle.clone());
     compio::runtime::spawn(serving).detach();
-    compio::time::sleep(Duration::from_millis(3)).await;
+    while handler.answered.get() < CALLERS {
+        compio::time::sleep(Duration::from_millis(1)).await;
+    }
     handle.close();
     handle.end_accepting();
     while handle.connections() > 0 {
@@ -132,7 +141,7 @@
 
     let mut stream = runtime.block_on(async {
         let listener = TcpListener::from_std(listener).expect("a listener");
-        let serving = serve(listener, Rc::new(Answering), handle.clone());
+        let serving = serve(listener, Rc::new(Answering::default()), handle.clone());
         compio::runtime::spawn(serving).detach();
         yield_now().await;
         start_other_tasks(&handle);
