Pause after a connection that could not be accepted

Callers saw: a whole request on an accepted connection got no answer while the process had no descriptors left, and a stop was not heard. Found by a review of the stop's fixes.

Cause: an accept that fails is ready at once, and the loop tried again without yielding, so that the one thread of the process did nothing else. The loop of calls between processes had the same fault.

Change: 10 ms pause after a failed accept, which is logged once until one succeeds (accept_failed). A queue that is served at a listener's close logs it as well.

The pause between processes has no test of its own.

--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -36,6 +37,9 @@
 /// without the retransmission of a lost packet.
 const HANDSHAKE_LIMIT: Millis = Millis(200);
 
+/// The pause after a connection that could not be accepted, as when no descriptor is left.
+const ACCEPT_PAUSE: Millis = Millis(10);
+
 /// Handles the requests of a server.
 pub trait Handler: 'static {
     /// Returns the response to one request.
@@ -56,11 +60,23 @@
         handle.accepting_ended().await;
         complete_handshakes(&listener).await;
     });
+    let mut is_failing = false;
     loop {
         let accepting = std::pin::pin!(listener.accept());
         match select(accepting, ended.as_mut()).await {
-            Either::Left((Ok((stream, caller)), _)) => start(stream, caller),
-            Either::Left((Err(_), _)) => {}
+            Either::Left((Ok((stream, caller)), _)) => {
+                is_failing = false;
+                start(stream, caller);
+            }
+            Either::Left((Err(error), _)) => {
+                if !std::mem::replace(&mut is_failing, true) {
+                    crate::event!(warn, "accept_failed", error = error);
+                }
+                let pause = std::pin::pin!(compio::time::sleep(ACCEPT_PAUSE.duration()));
+                if let Either::Right(_) = select(pause, ended.as_mut()).await {
+                    break;
+                }
+            }
             Either::Right(_) => break,
         }
     }
@@ -89,9 +105,17 @@
     let socket = SockRef::from(listener);
     let _ = socket.set_nonblocking(true);
     let mut accepted = Vec::new();
-    while let Ok((stream, caller)) = socket.accept() {
-        let stream = TcpStream::from_std(stream.into());
-        accepted.extend(stream.ok().zip(caller.as_socket()));
+    let failure = loop {
+        match socket.accept() {
+            Ok((stream, caller)) => {
+                let stream = TcpStream::from_std(stream.into());
+                accepted.extend(stream.ok().zip(caller.as_socket()));
+            }
+            Err(error) => break error,
+        }
+    };
+    if failure.kind() != ErrorKind::WouldBlock {
+        crate::event!(warn, "accept_failed", error = failure);
     }
     // The descriptor may be in use by an accept that is being cancelled.
     if let Err(error) = socket.shutdown(Shutdown::Both) {
--- a/jujubewind/src/rpc/transport.rs
+++ b/jujubewind/src/rpc/transport.rs
@@ -19,10 +19,14 @@
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
 use crate::types::Bytes;
+use crate::types::Millis;
 
 /// The maximum frame length: fits a prompt of a million tokens and its envelope.
 const MAX_FRAME: Bytes = Bytes(32 << 20);
 
+/// The pause after a connection that could not be accepted, as when no descriptor is left.
+const ACCEPT_PAUSE: Millis = Millis(10);
+
 type Stream = Compat<Pin<Box<AsyncStream<TcpStream>>>>;
 
 /// A connection that sends `Out` and receives `In`.
@@ -49,6 +53,7 @@
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            compio::time::sleep(ACCEPT_PAUSE.duration()).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
