Wait for the whole time until others are asked about a stream

Callers saw nothing; the process read a stream again and again, with a wait of 0 ms, in the last part of a millisecond before others were to be asked or the deadline came.

Cause: the wait is in whole milliseconds and was rounded down, since for silences and before it for the deadline; what follows is decided by the exact time.

Evidence: takeover::a_wait_that_begins_within_a_millisecond_is_not_over_before_its_end failed on: "read again after 0ms".

--- a/jujubewind/src/direct/api/handover.rs
+++ b/jujubewind/src/direct/api/handover.rs
@@ -68,9 +68,9 @@
     /// How long to read before `Input::Elapsed`.
     #[must_use]
     pub fn wait(&self, now: MonoTime) -> Millis {
-        let left = self.deadline.since(now);
-        let silence = self.next_ask().map(|at| at.since(now));
-        silence.map_or(left, |silence| silence.min(left))
+        let left = now.until(self.deadline);
+        let pause = self.next_ask().map(|at| now.until(at));
+        pause.map_or(left, |pause| pause.min(left))
     }
 
     /// How long the stream has made no progress.
--- a/jujubewind/tests/direct/takeover.rs
+++ b/jujubewind/tests/direct/takeover.rs
@@ -194,3 +194,14 @@
 
     assert_eq!(output, Output::TakeRetry);
 }
+
+#[test]
+fn a_wait_that_begins_within_a_millisecond_is_not_over_before_its_end() {
+    let handover = Handover::new(MonoTime::default(), MonoTime::NEVER, Some(MAX_SILENCE));
+    let now = MonoTime::from_micros(1_199_400);
+
+    let wait = handover.wait(now);
+    let output = handover.clone().apply(now.after(wait), Input::Elapsed);
+
+    assert_eq!(output, Output::TakeRetry, "read again after {wait}");
+}
