Let the caller's time end the last attempt at a silent server

Callers with time left got 502 once two engines in turn had read nothing of a long prompt for 3 s each, or one engine of a route that runs a request once; the engines were sound and read on later.

Cause: `TCP_USER_TIMEOUT` closed a connection whose data stayed unacknowledged, or unread, for 3 s. The silence was taken for a broken connection and ended the last attempt too.

Change: the connection of an attempt after which no other one may follow allows for the time that the request has left, and for 3 s again once nobody waits for it. An attempt that may be repeated has 3 s as before: no reset ever comes from a dead server or one behind a partition, and another one may take the request. `CONNECT_TIMEOUT` is unchanged, as what could not be connected to has not run.

Tried and taken back: the time left for all attempts.

Not tested: that a connection that was given up is closed after 3 s, and a first attempt that ends after 3 s when the retry budget has nothing left, which is as before.

--- a/jujubewind/src/direct/api/engine_reservation.rs
+++ b/jujubewind/src/direct/api/engine_reservation.rs
@@ -135,7 +135,7 @@
         let Ok(mut connection) = self.gateway.pool.connect(&self.server, false).await else {
             return OrderReply::Refused;
         };
-        let response = match connection.send(request).await {
+        let response = match connection.send(request, ORDER_TIMEOUT).await {
             Ok(response) => response,
             Err(SendFault::Unsent(_)) => return OrderReply::Refused,
             Err(SendFault::Lost(_)) => return OrderReply::Missing,
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -124,8 +124,9 @@
     ) -> SentRequest {
         let request = self.request(target, &grant, last);
         self.runs.set(self.runs.get() + 1);
+        let patience = self.patience(target);
         let response = async move {
-            let response = connection.send(request).await;
+            let response = connection.send(request, patience).await;
             (connection, response)
         };
         SentRequest {
@@ -134,6 +135,15 @@
         }
     }
 
+    /// How long the server of an attempt that was just sent may acknowledge nothing: the last attempt
+    /// ends with the caller's time only, any other may be repeated elsewhere.
+    fn patience(&self, target: &Target) -> Millis {
+        if target.route.repeatable() && self.has_attempts_left(target) {
+            return Millis::ZERO;
+        }
+        self.left(target)
+    }
+
     /// Checks whether a response may be forwarded to the caller.
     pub(super) fn check_response(
         &self,
--- /dev/null
+++ b/jujubewind/src/direct/upstream/ack_limit.rs
@@ -0,0 +1,102 @@
+//! Bounds how long sent data stays unacknowledged.
+
+use std::cell::Cell;
+use std::io::Result;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+
+use compio::net::TcpStream;
+use hyper::rt::Read;
+use hyper::rt::ReadBufCursor;
+use hyper::rt::Write;
+use nix::sys::socket::setsockopt;
+use nix::sys::socket::sockopt::TcpUserTimeout;
+
+use super::limits::TCP_USER_TIMEOUT;
+use crate::types::Millis;
+
+/// How long data on one connection may stay unacknowledged: `TCP_USER_TIMEOUT`, or longer for a request
+/// that nobody else may answer, since a server that reads nothing may be about to go on.
+#[derive(Clone, Debug)]
+pub struct AckTimeout(Rc<Cell<Millis>>);
+
+impl AckTimeout {
+    pub fn new() -> Self {
+        Self(Rc::new(Cell::new(TCP_USER_TIMEOUT)))
+    }
+
+    /// Allows for a request whose server may acknowledge nothing for `patience`.
+    pub fn begin(&self, patience: Millis) {
+        self.0.set(patience.max(TCP_USER_TIMEOUT));
+    }
+
+    /// Records that no request waits for the server.
+    pub fn end(&self) {
+        self.0.set(TCP_USER_TIMEOUT);
+    }
+}
+
+/// A stream that fails once data stayed unacknowledged for too long.
+#[derive(Debug)]
+pub struct AckLimit<S> {
+    inner: S,
+    socket: TcpStream,
+    timeout: AckTimeout,
+    /// The timeout that the socket has; `None` before the first write.
+    applied: Option<Millis>,
+}
+
+impl<S> AckLimit<S> {
+    /// Wraps a stream over `socket`.
+    pub const fn new(inner: S, socket: TcpStream, timeout: AckTimeout) -> Self {
+        Self {
+            inner,
+            socket,
+            timeout,
+            applied: None,
+        }
+    }
+
+    fn apply(&mut self) -> Result<()> {
+        let timeout = self.timeout.0.get();
+        if self.applied == Some(timeout) {
+            return Ok(());
+        }
+        let millis = u32::try_from(timeout.get()).unwrap_or(u32::MAX);
+        setsockopt(&self.socket, TcpUserTimeout, &millis)?;
+        self.applied = Some(timeout);
+        Ok(())
+    }
+}
+
+impl<S: Read + Unpin> Read for AckLimit<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl<S: Write + Unpin> Write for AckLimit<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        self.apply()?;
+        Pin::new(&mut self.inner).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        self.apply()?;
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/jujubewind/src/direct/upstream/connection.rs
+++ b/jujubewind/src/direct/upstream/connection.rs
@@ -40,15 +40,18 @@
         }
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response; the server may acknowledge nothing for
+    /// `patience`.
     ///
     /// # Errors
     /// No response arrived; the error says whether the request may have run.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        patience: Millis,
     ) -> Result<Response<Incoming>, SendFault> {
         self.sender.budget.begin();
+        self.sender.ack_timeout.begin(patience);
         match self.sender.requests.try_send_request(request).await {
             Ok(response) => {
                 self.sender.budget.end();
--- a/jujubewind/src/direct/upstream/limits.rs
+++ b/jujubewind/src/direct/upstream/limits.rs
@@ -10,7 +10,8 @@
 pub const IDLE_MARGIN: Millis = Millis(700);
 /// The longest idle time of a connection that is reused for a request that may run only once.
 pub const MAX_ONCE_IDLE: Millis = Millis(300);
-/// How long sent data may stay unacknowledged before the connection is closed.
+/// How long sent data may stay unacknowledged before the connection is closed, except for the last
+/// attempt of a request.
 pub const TCP_USER_TIMEOUT: Millis = Millis(3_000);
 /// The longest head of a response, and the most bytes read ahead of a body.
 pub const MAX_HEAD_BYTES: usize = 64 * 1_024;
--- a/jujubewind/src/direct/upstream/mod.rs
+++ b/jujubewind/src/direct/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Connections to backend servers.
 
+mod ack_limit;
 mod connection;
 mod head_limit;
 mod limits;
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -10,18 +10,17 @@
 use hyper::body::Bytes;
 use hyper::client::conn::http1::Builder;
 use hyper::client::conn::http1::SendRequest;
-use nix::sys::socket::setsockopt;
-use nix::sys::socket::sockopt::TcpUserTimeout;
 
 use super::Connection;
 use super::SendFault;
+use super::ack_limit::AckLimit;
+use super::ack_limit::AckTimeout;
 use super::head_limit::HeadBudget;
 use super::head_limit::HeadLimit;
 use super::limits::CONNECT_TIMEOUT;
 use super::limits::MAX_HEAD_BYTES;
 use super::limits::MAX_IDLE_CONNECTIONS;
 use super::limits::MAX_ONCE_IDLE;
-use super::limits::TCP_USER_TIMEOUT;
 use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::timer::Clock;
@@ -33,6 +32,13 @@
 pub(super) struct Sender {
     pub(super) requests: SendRequest<Full<Bytes>>,
     pub(super) budget: HeadBudget,
+    pub(super) ack_timeout: AckTimeout,
+}
+
+impl Drop for Sender {
+    fn drop(&mut self) {
+        self.ack_timeout.end();
+    }
 }
 
 /// An idle connection.
@@ -128,10 +134,11 @@
 async fn open(server: &Server) -> anyhow::Result<Sender> {
     let stream = TcpStream::connect(server.addr).await?;
     stream.set_nodelay(true)?;
-    let timeout = u32::try_from(TCP_USER_TIMEOUT.get())?;
-    setsockopt(&stream, TcpUserTimeout, &timeout)?;
     let budget = HeadBudget::new();
+    let ack_timeout = AckTimeout::new();
+    let socket = stream.clone();
     let stream = HeadLimit::new(HyperStream::new_plain(stream), budget.clone());
+    let stream = AckLimit::new(stream, socket, ack_timeout.clone());
     let (requests, connection) = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(stream)
@@ -142,5 +149,9 @@
         }
     })
     .detach();
-    Ok(Sender { requests, budget })
+    Ok(Sender {
+        requests,
+        budget,
+        ack_timeout,
+    })
 }
