Ask another engine once that of an unanswered prompt has left

Callers of long prompts waited until their deadline for an engine that had left the list and sent nothing: a dead machine resets no connection, and what it had acknowledged before it died reaches no limit of TCP.

Cause: that an engine has left ended the reservations of a prompt, and nothing else. Another engine was asked only after twice the predicted time and 35 % of the client timeout, 5.6 s at least on the route of the test.

Change: the wait for the head of a response that may come from another server as well ends once the server has restarted, or is missing from the list for 500 ms; it is looked for every 500 ms. The request is kept, as a server that stops may finish it, and sent to another one beside it within the attempts and the retry budget. Prompts with reserved memory are given up as before: the memory of a dead engine's prompt has to be free within 4 s of its end.

--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -5,6 +5,7 @@
 use futures::future::Either;
 use futures::future::select;
 
+use super::super::limits::ABSENCE_CHECK_PERIOD;
 use super::super::limits::FIRST_EVENT_PERMILLE;
 use super::super::limits::MIN_RESPONSE_TIMEOUT;
 use super::super::target::Target;
@@ -15,6 +16,7 @@
 use super::first_event::is_stream;
 use super::sent_request::SentHead;
 use super::sent_request::SentRequest;
+use crate::direct::BootTime;
 use crate::direct::Dialect;
 use crate::direct::Grant;
 use crate::direct::Outcome;
@@ -35,8 +37,7 @@
         last: Option<u64>,
     ) -> AttemptResult<UpstreamResponse> {
         if let Some(timeout) = self.response_timeout(target, &sent.grant.placement) {
-            let head = compio::time::timeout(timeout.duration(), sent.head()).await;
-            if let Ok(head) = head {
+            if let Some(head) = self.expect_head(&mut sent, timeout).await {
                 return self.accept_head(target, sent.grant, head);
             }
             self.log_silent(&sent.grant.placement, timeout);
@@ -53,6 +54,28 @@
         self.accept_head(target, sent.grant, head)
     }
 
+    /// Waits for the head of the response until the server was silent for `timeout` or has left; `None`
+    /// if none arrived.
+    async fn expect_head(
+        &self,
+        sent: &mut SentRequest,
+        timeout: Millis,
+    ) -> Option<Option<SentHead>> {
+        let (began, clock) = (BootTime::now(), &self.gateway.clock);
+        let until = clock.now().after(timeout);
+        let server = sent.grant.placement.primary.id.clone();
+        loop {
+            let wait = until.since(clock.now()).min(ABSENCE_CHECK_PERIOD);
+            let head = compio::time::timeout(wait.duration(), sent.head()).await;
+            if let Ok(head) = head {
+                return Some(head);
+            }
+            if clock.now() >= until || self.gateway.has_departed(began, &server) {
+                return None;
+            }
+        }
+    }
+
     /// Sends a stream's request to another backend server as well and returns the response that
     /// begins first; a stream begins with its first event.
     async fn await_first(
--- a/jujubewind/src/direct/api/limits.rs
+++ b/jujubewind/src/direct/api/limits.rs
@@ -33,6 +33,8 @@
 pub const MIN_RETRY_TIME: Millis = Millis(50);
 /// How often a reservation checks whether the engine that its request was sent to has left.
 pub const DEPARTURE_CHECK_PERIOD: Millis = Millis(200);
+/// How often a request without a response checks whether its backend server has left.
+pub const ABSENCE_CHECK_PERIOD: Millis = Millis(500);
 /// How long after its deadline a stream is closed that its caller has stopped reading: the stream
 /// is given this time to end by itself.
 pub const READ_MARGIN: Millis = Millis(200);
