Answer a request that has arrived on an idle connection when a stop closes it

Callers saw: a request on a kept connection that ended without an answer 2.5 s after the SIGTERM of its entry, although it had reached the entry before the close.

Cause: a stop closes idle connections without looking at what has arrived on them. The connections are closed one after the other, and a request that arrives after the last turn of the event loop is thrown away with its connection.

Change: an idle connection on which bytes have arrived is treated like one without a request: it stays open for up to 1 s, and the response closes it.

a_request_that_has_arrived_on_an_idle_connection_is_answered_when_the_server_closes fails without the change ("" in place of a response) and passes with it.

--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,7 +28,8 @@
 use crate::types::Millis;
 
 /// How long a connection without a request stays open after the close of its server, so that a
-/// first request that is already on its way, or sent once more after a loss, is answered.
+/// first request that is already on its way, or sent once more after a loss, is answered; the same
+/// for a later request that has arrived.
 const FIRST_REQUEST_LIMIT: Millis = Millis(1_000);
 
 /// Handles the requests of a server.
@@ -72,8 +74,24 @@
     accepted
 }
 
+/// Waits until a connection is to be ended after the request in progress.
+async fn await_end(handle: &ServerHandle, has_request: &Cell<bool>, socket: &TcpStream) {
+    handle.closed().await;
+    if !has_request.get() || has_arrived(socket) {
+        compio::time::sleep(FIRST_REQUEST_LIMIT.duration()).await;
+    }
+}
+
+/// Whether bytes have arrived that the connection has not read.
+fn has_arrived(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(stream)
+        .peek(&mut byte)
+        .is_ok_and(|length| length > 0)
+}
+
 /// Serves one connection; once `handle` is closed, it ends after the request in progress, or after
-/// `FIRST_REQUEST_LIMIT` if there was none.
+/// `FIRST_REQUEST_LIMIT` if there was none or another one has arrived.
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
     caller: SocketAddr,
@@ -81,6 +99,7 @@
     handle: ServerHandle,
 ) {
     let _counted = handle.count_connection();
+    let socket = stream.clone();
     let has_request = Rc::new(Cell::new(false));
     let requested = has_request.clone();
     let (expired, unread) = flume::bounded(1);
@@ -95,12 +114,7 @@
         .timer(idle_timer)
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let closing = std::pin::pin!(async {
-        handle.closed().await;
-        if !has_request.get() {
-            compio::time::sleep(FIRST_REQUEST_LIMIT.duration()).await;
-        }
-    });
+    let closing = std::pin::pin!(await_end(&handle, &has_request, &socket));
     let serving = std::pin::pin!(async {
         match select(connection.as_mut(), closing).await {
             Either::Left((outcome, _)) => outcome,
