Close the listener before the grace period of a stop ends

Callers saw: a connection made shortly before the end of the grace period of a stop was reset with the process, and the request on it got neither an answer nor a refusal. Found by a review of the stop's fixes.

Cause: the listener was closed once the requests had ended; at the end of the grace period that began with the end of the process, which left 50 ms for the handshakes and the first requests on the last connections.

Change: a stopping process accepts no more 1.2 s before its grace period is over, the time that its server may take to end, and not before new requests are refused.

--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -157,7 +157,8 @@
     }
 
     /// Waits for a stop signal, then accepts requests for `accept` more and serves open requests
-    /// until all have ended or `grace` is over.
+    /// until all have ended or `grace` is over. The listener closes in time for its last callers to be
+    /// answered within `grace`.
     async fn until_stopped<D: Dialect>(self, settings: Settings, gateway: Rc<Gateway<D>>) {
         let _guard = StopSignalGuard::new().await;
         if let Err(error) = daemon::stop_signal().await {
@@ -167,6 +168,10 @@
         let started = self.timer.clock().now();
         crate::event!(info, "stop_began", open = gateway.open());
         self.state.mark_stopping();
+        let listen_limit = settings
+            .grace
+            .saturating_sub(http::END_LIMIT)
+            .max(settings.accept);
         loop {
             self.timer.sleep(STOP_POLL_INTERVAL).await;
             let elapsed = self.timer.clock().now().since(started);
@@ -175,6 +180,9 @@
                 self.serving.close();
                 self.control.send(Message::Drain);
             }
+            if elapsed >= listen_limit {
+                self.serving.end_accepting();
+            }
             let is_drained = elapsed >= settings.accept && gateway.open() == 0;
             if is_drained || elapsed >= settings.grace {
                 break;
--- a/jujubewind/src/http/mod.rs
+++ b/jujubewind/src/http/mod.rs
@@ -29,6 +29,7 @@
 pub use response::json_bytes;
 pub use response::plain;
 pub use response::streamed;
+pub use server::END_LIMIT;
 pub use server::Handler;
 pub use server::serve;
 pub use server_handle::ServerHandle;
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -39,6 +39,10 @@
 /// without the retransmission of a lost packet.
 const HANDSHAKE_LIMIT: Millis = Millis(200);
 
+/// How long a server may take to end once it accepts no more, if its callers send what they have begun:
+/// the handshakes under way and the first requests on their connections.
+pub const END_LIMIT: Millis = Millis(1_200);
+
 /// The pause after a connection that could not be accepted, as when no descriptor is left.
 const ACCEPT_PAUSE: Millis = Millis(10);
 
