Give the limit on unacknowledged data a file of its own

The limit of a connection and the stream that applies it stood in one file; the house style has one type a file. The time that a server takes to end is now the sum of the two limits that make it up, instead of a figure of its own. No behaviour changes.

--- a/jujubewind/src/direct/upstream/ack_limit.rs
+++ b/jujubewind/src/direct/upstream/ack_limit.rs
@@ -1,9 +1,7 @@
 //! Bounds how long sent data stays unacknowledged.
 
-use std::cell::Cell;
 use std::io::Result;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -14,30 +12,9 @@
 use nix::sys::socket::setsockopt;
 use nix::sys::socket::sockopt::TcpUserTimeout;
 
-use super::limits::TCP_USER_TIMEOUT;
+use super::ack_timeout::AckTimeout;
 use crate::types::Millis;
 
-/// How long data on one connection may stay unacknowledged: `TCP_USER_TIMEOUT`, or longer for a request
-/// that nobody else may answer, since a server that reads nothing may be about to go on.
-#[derive(Clone, Debug)]
-pub struct AckTimeout(Rc<Cell<Millis>>);
-
-impl AckTimeout {
-    pub fn new() -> Self {
-        Self(Rc::new(Cell::new(TCP_USER_TIMEOUT)))
-    }
-
-    /// Allows for a request whose server may acknowledge nothing for `patience`.
-    pub fn begin(&self, patience: Millis) {
-        self.0.set(patience.max(TCP_USER_TIMEOUT));
-    }
-
-    /// Records that no request waits for the server.
-    pub fn end(&self) {
-        self.0.set(TCP_USER_TIMEOUT);
-    }
-}
-
 /// A stream that fails once data stayed unacknowledged for too long.
 #[derive(Debug)]
 pub struct AckLimit<S> {
@@ -60,7 +37,7 @@
     }
 
     fn apply(&mut self) -> Result<()> {
-        let timeout = self.timeout.0.get();
+        let timeout = self.timeout.get();
         if self.applied == Some(timeout) {
             return Ok(());
         }
--- a/jujubewind/src/direct/upstream/mod.rs
+++ b/jujubewind/src/direct/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to backend servers.
 
 mod ack_limit;
+mod ack_timeout;
 mod connection;
 mod head_limit;
 mod limits;
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -14,7 +14,7 @@
 use super::Connection;
 use super::SendFault;
 use super::ack_limit::AckLimit;
-use super::ack_limit::AckTimeout;
+use super::ack_timeout::AckTimeout;
 use super::head_limit::HeadBudget;
 use super::head_limit::HeadLimit;
 use super::limits::CONNECT_TIMEOUT;
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -41,7 +41,7 @@
 
 /// How long a server may take to end once it accepts no more, if its callers send what they have begun:
 /// the handshakes under way and the first requests on their connections.
-pub const END_LIMIT: Millis = Millis(1_200);
+pub const END_LIMIT: Millis = Millis(HANDSHAKE_LIMIT.0 + FIRST_REQUEST_LIMIT.0);
 
 /// The pause after a connection that could not be accepted, as when no descriptor is left.
 const ACCEPT_PAUSE: Millis = Millis(10);
