Log the limits on requests that backend servers name

Change: the limit is parsed from each response, the lowest if there are several; a value that is no decimal number, or negative, is logged and neither sets nor ends one. Entries tell their peers with the other announcements what a server said to them. server_limit_named, server_limit_ended, server_limit_lapsed and server_limit_not_read name the server, its incarnation, and the peer and age if a peer told; jujube_direct_limited_servers counts the limits in force. A limit ends with two responses in a row that name none, to requests that were sent after it was named, or with the incarnation; a response to another request says nothing of it. Where requests are placed is unchanged.

--- a/jujubewind/src/direct/api/engine_reservation.rs
+++ b/jujubewind/src/direct/api/engine_reservation.rs
@@ -18,6 +18,7 @@
 use crate::direct::BootTime;
 use crate::direct::Dialect;
 use crate::direct::MemoryHold;
+use crate::direct::NamedLimit;
 use crate::direct::Order;
 use crate::direct::OrderReply;
 use crate::direct::Reservation;
@@ -141,8 +142,12 @@
             Err(SendFault::Lost(_)) => return OrderReply::Missing,
         };
         let status = response.status();
-        self.gateway.note(&self.server, status, response.headers());
         let head = dialect.parse_response(status, response.headers());
+        let mut notice = dialect.parse_notice(status, response.headers());
+        if head.id.is_some() {
+            notice.limit = NamedLimit::Absent;
+        }
+        self.gateway.note(&self.server, notice, None);
         if head.id.is_some() {
             // A late copy of the response to an earlier request on this connection.
             return OrderReply::Missing;
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -19,6 +19,7 @@
 use crate::direct::Dialect;
 use crate::direct::Grant;
 use crate::direct::Message;
+use crate::direct::NamedLimit;
 use crate::direct::Outcome;
 use crate::direct::Retry;
 use crate::direct::Server;
@@ -123,6 +124,7 @@
         last: Option<u64>,
     ) -> SentRequest {
         let request = self.request(target, &grant, last);
+        grant.mark_sent(self.gateway.clock.now());
         self.runs.set(self.runs.get() + 1);
         let patience = self.patience(target);
         let response = async move {
@@ -153,9 +155,17 @@
         let status = upstream.response.status();
         let headers = upstream.response.headers();
         let server = &upstream.grant.placement.primary;
-        self.gateway.note(server, status, headers);
         let head = self.gateway.dialect.parse_response(status, headers);
-        if head.id.as_ref().is_some_and(|id| *id != self.call.id) {
+        let mut notice = self.gateway.dialect.parse_notice(status, headers);
+        let is_crossed = head.id.as_ref().is_some_and(|id| *id != self.call.id);
+        if is_crossed {
+            // The response to an earlier request tells nothing of the server's present limit.
+            notice.limit = NamedLimit::Absent;
+        }
+        let is_own = head.id.is_some() && !is_crossed;
+        let sent = upstream.grant.sent().filter(|_| is_own);
+        self.gateway.note(server, notice, sent);
+        if is_crossed {
             return Err(self.fail_attempt(upstream.grant, "crossed", status, Outcome::Faulty));
         }
         if head.refused {
--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -3,9 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use hyper::HeaderMap;
 use hyper::Request;
-use hyper::StatusCode;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
@@ -146,12 +144,17 @@
         );
     }
 
-    /// Passes on what a backend server announces of itself in a response.
-    pub(super) fn note(&self, server: &Rc<Server>, status: StatusCode, headers: &HeaderMap) {
-        let notice = self.dialect.parse_notice(status, headers);
-        if notice != Notice::default() {
+    /// Passes on what a backend server announces of itself in a response; `sent` is when the request
+    /// was sent that the response is surely to.
+    pub(super) fn note(&self, server: &Rc<Server>, notice: Notice, sent: Option<MonoTime>) {
+        let is_limited = self.state.notices().limit(server).is_some();
+        if notice != Notice::default() || is_limited {
             let server = server.clone();
-            self.control.send(Message::Notice { server, notice });
+            self.control.send(Message::Notice {
+                server,
+                notice,
+                sent,
+            });
         }
     }
 
--- a/jujubewind/src/direct/control/availability.rs
+++ b/jujubewind/src/direct/control/availability.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use super::Core;
+use crate::direct::NamedLimit;
 use crate::direct::Notice;
 use crate::direct::Notices;
 use crate::direct::Server;
@@ -19,6 +20,18 @@
         self.notices.record(now, server, notice)
     }
 
+    /// Records what a response named as the limit of its backend server; returns whether the limit in
+    /// force changed.
+    pub fn record_limit(
+        &mut self,
+        now: MonoTime,
+        server: &Server,
+        limit: NamedLimit,
+        sent: Option<MonoTime>,
+    ) -> bool {
+        self.notices.record_limit(now, server, limit, sent)
+    }
+
     /// The announcements of backend servers that are in force.
     #[must_use]
     pub const fn notices(&self) -> &Notices {
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -177,8 +177,12 @@
         self.ledger.expire(now);
         let gone = self.roster.expire(now);
         let roster = &self.roster;
-        self.notices
+        let lapsed = self
+            .notices
             .expire(now, |id, started| roster.lists(id, started));
+        for server in lapsed {
+            crate::event!(info, "server_limit_lapsed", server = server);
+        }
         self.notices.expire_delistings(now, roster.is_readable());
         self.note_removals(now, &gone);
         gone.iter().map(|server| server.id.clone()).collect()
@@ -195,13 +199,14 @@
         !self.queue.is_empty()
     }
 
-    /// The number of servers, live peers and queued requests.
+    /// The number of servers, live peers, queued requests and servers with a limit.
     #[must_use]
     pub fn counts(&self, now: MonoTime) -> Counts {
         Counts {
             servers: self.roster.len(),
             peers: self.ledger.live_peers(now),
             waiting: self.queue.len(),
+            limited: self.notices.limited().count(),
         }
     }
 
--- a/jujubewind/src/direct/control/counts.rs
+++ b/jujubewind/src/direct/control/counts.rs
@@ -9,4 +9,6 @@
     pub peers: usize,
     /// Requests that are queued for a backend server.
     pub waiting: usize,
+    /// Backend servers whose limit on requests is in force.
+    pub limited: usize,
 }
--- a/jujubewind/src/direct/control/exchange.rs
+++ b/jujubewind/src/direct/control/exchange.rs
@@ -3,7 +3,9 @@
 use super::Core;
 use crate::conviction::Suspect;
 use crate::direct::Digest;
+use crate::direct::PeerNotice;
 use crate::direct::Row;
+use crate::direct::ToldLimit;
 use crate::types::MonoTime;
 use crate::types::NodeId;
 
@@ -12,6 +14,11 @@
     pub fn merge(&mut self, now: MonoTime, digest: Digest) {
         self.merge_suspects(now, &digest.node, &digest.suspects);
         for notice in &digest.notices {
+            if let Some(told) = notice.limit
+                && self.notices.merge_limit(now, notice)
+            {
+                log_told_limit(&digest.node, notice, told);
+            }
             if self.notices.merge(now, notice) {
                 crate::event!(
                     info,
@@ -44,3 +51,26 @@
         (rows, suspects)
     }
 }
+
+fn log_told_limit(peer: &NodeId, notice: &PeerNotice, told: ToldLimit) {
+    let incarnation = notice.started.unwrap_or_default();
+    match told.rate {
+        Some(rate) => crate::event!(
+            info,
+            "server_limit_named",
+            server = notice.server,
+            incarnation = incarnation,
+            rate = rate,
+            peer = peer,
+            age = told.age
+        ),
+        None => crate::event!(
+            info,
+            "server_limit_ended",
+            server = notice.server,
+            incarnation = incarnation,
+            peer = peer,
+            age = told.age
+        ),
+    }
+}
--- a/jujubewind/src/direct/control/grant.rs
+++ b/jujubewind/src/direct/control/grant.rs
@@ -12,6 +12,7 @@
 use crate::direct::JobId;
 use crate::direct::Placement;
 use crate::direct::api::Reservations;
+use crate::types::MonoTime;
 
 /// Permission to send one request to its placement; dropping it releases the servers' capacity.
 #[derive(Debug)]
@@ -22,6 +23,8 @@
     job: JobId,
     prints: Prints,
     outcome: Cell<Outcome>,
+    /// When the request was sent.
+    sent: Cell<Option<MonoTime>>,
     prefilled: Cell<bool>,
     has_progressed: Cell<bool>,
     reservations: Option<Reservations>,
@@ -35,12 +38,24 @@
             job,
             prints,
             outcome: Cell::new(Outcome::Abandoned),
+            sent: Cell::new(None),
             prefilled: Cell::new(false),
             has_progressed: Cell::new(false),
             reservations: None,
         }
     }
 
+    /// Records that the request is sent.
+    pub fn mark_sent(&self, now: MonoTime) {
+        self.sent.set(Some(now));
+    }
+
+    /// When the request was sent.
+    #[must_use]
+    pub const fn sent(&self) -> Option<MonoTime> {
+        self.sent.get()
+    }
+
     /// Records that the first token arrived; returns whether it is the first call.
     pub fn mark_prefilled(&self) -> bool {
         let is_first = !self.prefilled.replace(true);
--- a/jujubewind/src/direct/control/message.rs
+++ b/jujubewind/src/direct/control/message.rs
@@ -62,6 +62,8 @@
         server: Rc<Server>,
         /// What it announced.
         notice: Notice,
+        /// When the request was sent that the response with the announcement is surely to.
+        sent: Option<MonoTime>,
     },
     /// A backend server failed as a helper.
     HelperFailed(ServerId),
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -135,7 +135,11 @@
                 outcome,
             } => self.finish(now, job, &server, prints, outcome),
             Message::Progressed { job, prints } => self.core.mark_progressed(now, job, &prints),
-            Message::Notice { server, notice } => self.record_notice(now, &server, notice),
+            Message::Notice {
+                server,
+                notice,
+                sent,
+            } => self.record_notice(now, &server, notice, sent),
             Message::HelperFailed(server) => self.core.quarantine(now, &server),
             Message::Retry {
                 service,
--- a/jujubewind/src/direct/control/updates.rs
+++ b/jujubewind/src/direct/control/updates.rs
@@ -9,11 +9,13 @@
 use crate::direct::BootTime;
 use crate::direct::Datagram;
 use crate::direct::Digest;
+use crate::direct::NamedLimit;
 use crate::direct::Notice;
 use crate::direct::OutboundDatagram;
 use crate::direct::Server;
 use crate::types::MonoTime;
 use crate::types::NodeId;
+use crate::types::RequestRate;
 
 /// Rows in one datagram, so that it stays below the smallest MTU.
 const ROWS_PER_DATAGRAM: usize = 16;
@@ -43,7 +45,14 @@
     }
 
     /// Records a backend server's announcement and sends nothing new there from now on.
-    pub(super) fn record_notice(&mut self, now: MonoTime, server: &Server, notice: Notice) {
+    pub(super) fn record_notice(
+        &mut self,
+        now: MonoTime,
+        server: &Server,
+        notice: Notice,
+        sent: Option<MonoTime>,
+    ) {
+        self.record_limit(now, server, notice.limit, sent);
         if !self.core.record_notice(now, server, notice) {
             return;
         }
@@ -61,6 +70,26 @@
         self.dirty = true;
     }
 
+    /// Records the limit that a backend server named, or no longer names, in a response.
+    fn record_limit(
+        &mut self,
+        now: MonoTime,
+        server: &Server,
+        limit: NamedLimit,
+        sent: Option<MonoTime>,
+    ) {
+        if limit == NamedLimit::Unreadable {
+            crate::event!(warn, "server_limit_not_read", server = server.id);
+        }
+        if !self.core.record_limit(now, server, limit, sent) {
+            return;
+        }
+        log_limit(server, self.core.notices().limit(server));
+        self.publish_notices();
+        self.has_notices = true;
+        self.dirty = true;
+    }
+
     /// Tells a peer that has just been listed which table is in force, who takes no requests and what
     /// is convicted.
     pub(super) fn greet(&mut self, now: MonoTime, addr: SocketAddr) {
@@ -137,3 +166,22 @@
         }
     }
 }
+
+fn log_limit(server: &Server, limit: Option<RequestRate>) {
+    let incarnation = server.started.unwrap_or_default();
+    match limit {
+        Some(rate) => crate::event!(
+            info,
+            "server_limit_named",
+            server = server.id,
+            incarnation = incarnation,
+            rate = rate
+        ),
+        None => crate::event!(
+            info,
+            "server_limit_ended",
+            server = server.id,
+            incarnation = incarnation
+        ),
+    }
+}
--- a/jujubewind/src/direct/daemon/metrics_page.rs
+++ b/jujubewind/src/direct/daemon/metrics_page.rs
@@ -50,6 +50,7 @@
             servers: counts.servers,
             peers: counts.peers,
             waiting: counts.waiting,
+            limited: counts.limited,
             open: self.gateway.open(),
         };
         http::plain(StatusCode::OK, self.shared.metrics.encode(&gauges))
--- a/jujubewind/src/direct/fleet/notice.rs
+++ b/jujubewind/src/direct/fleet/notice.rs
@@ -1,5 +1,6 @@
 //! What a backend server says of itself in a response.
 
+use super::NamedLimit;
 use crate::types::Millis;
 
 crate::data! {
@@ -10,5 +11,7 @@
         pub leaving: bool,
         /// How long it asks this entry to send nothing.
         pub pause: Option<Millis>,
+        /// How many requests it takes.
+        pub limit: NamedLimit,
     }
 }
--- a/jujubewind/src/direct/fleet/notices.rs
+++ b/jujubewind/src/direct/fleet/notices.rs
@@ -1,19 +1,22 @@
-//! Which backend servers take no requests, by what they announced to this entry or to its peers, or
-//! as they left the list.
+//! Which backend servers take no requests or few, by what they announced to this entry or to its
+//! peers, or as they left the list.
 
 use std::collections::BTreeMap;
 
 use super::Delisting;
 use super::Delistings;
+use super::NamedLimit;
 use super::Notice;
 use super::PeerNotice;
 use super::Server;
 use super::ServerId;
+use super::ServerLimits;
 use super::limits::LEAVING_MEMORY;
 use super::limits::MAX_PAUSE;
 use crate::types::Incarnation;
 use crate::types::Millis;
 use crate::types::MonoTime;
+use crate::types::RequestRate;
 
 /// An incarnation that is leaving, and when that was last heard.
 #[derive(Clone, Copy, Debug)]
@@ -31,6 +34,7 @@
     /// Until when a server accepts nothing from a peer.
     strained: BTreeMap<ServerId, MonoTime>,
     delistings: Delistings,
+    limits: ServerLimits,
 }
 
 impl Notices {
@@ -47,6 +51,40 @@
         is_leaving || is_longer
     }
 
+    /// Records what a response named as the server's limit; `sent` is when its request was sent, if
+    /// the response is surely to that one. Returns whether the limit in force changed.
+    pub fn record_limit(
+        &mut self,
+        now: MonoTime,
+        server: &Server,
+        limit: NamedLimit,
+        sent: Option<MonoTime>,
+    ) -> bool {
+        match (limit, sent) {
+            (NamedLimit::Rate(rate), _) => self.limits.record_named(now, server, rate),
+            (NamedLimit::Absent, Some(sent)) => self.limits.record_unlimited(now, server, sent),
+            (NamedLimit::Absent | NamedLimit::Unreadable, _) => false,
+        }
+    }
+
+    /// Merges the limit that a peer was told; returns whether the limit in force changed.
+    pub fn merge_limit(&mut self, now: MonoTime, peer: &PeerNotice) -> bool {
+        let (server, started) = (&peer.server, peer.started);
+        peer.limit
+            .is_some_and(|told| self.limits.merge(now, server, started, told))
+    }
+
+    /// The requests a second that a server takes from all entries together; `None` without a limit.
+    #[must_use]
+    pub fn limit(&self, server: &Server) -> Option<RequestRate> {
+        self.limits.rate(server)
+    }
+
+    /// The servers with a limit in force.
+    pub fn limited(&self) -> impl Iterator<Item = &ServerId> {
+        self.limits.limited()
+    }
+
     /// Records that a server left the list; returns whether it was news.
     pub fn record_delisting(
         &mut self,
@@ -110,7 +148,8 @@
         !self.has_left(now, server) && self.pause(now, &server.id) == Millis::ZERO
     }
 
-    /// The announcements to this entry, the leaving servers and the latest delistings, for peers.
+    /// The announcements to this entry, the leaving servers, the latest delistings and the limits, for
+    /// peers.
     #[must_use]
     pub fn to_peers(&self, now: MonoTime) -> Vec<PeerNotice> {
         let leaving = self.leaving.iter().map(|(server, leaving)| PeerNotice {
@@ -118,9 +157,10 @@
             started: leaving.started,
             notice: Notice {
                 leaving: true,
-                pause: None,
+                ..Notice::default()
             },
             delisting: None,
+            limit: None,
         });
         let is_paused = |(_, until): &(&ServerId, &MonoTime)| now < **until;
         let paused = self.paused.iter().filter(is_paused);
@@ -128,10 +168,11 @@
             server: server.clone(),
             started: None,
             notice: Notice {
-                leaving: false,
                 pause: Some(now.until(*until)),
+                ..Notice::default()
             },
             delisting: None,
+            limit: None,
         });
         let delisted = self.delistings.to_peers(now);
         let delisted = delisted.map(|(server, started, delisting)| PeerNotice {
@@ -139,21 +180,36 @@
             started,
             notice: Notice::default(),
             delisting: Some(delisting),
+            limit: None,
+        });
+        let limited = self.limits.to_peers(now);
+        let limited = limited.map(|(server, started, limit)| PeerNotice {
+            server: server.clone(),
+            started,
+            notice: Notice::default(),
+            delisting: None,
+            limit: Some(limit),
         });
-        leaving.chain(paused).chain(delisted).collect()
+        leaving
+            .chain(paused)
+            .chain(delisted)
+            .chain(limited)
+            .collect()
     }
 
-    /// Drops what no longer matters; `is_listed` tells whether an incarnation is listed.
+    /// Drops what no longer matters; `is_listed` tells whether an incarnation is listed. Returns the
+    /// servers whose limit no longer holds.
     pub fn expire(
         &mut self,
         now: MonoTime,
         is_listed: impl Fn(&ServerId, Option<Incarnation>) -> bool,
-    ) {
+    ) -> Vec<ServerId> {
         self.leaving.retain(|server, leaving| {
             is_listed(server, leaving.started) || now.since(leaving.heard) < LEAVING_MEMORY
         });
         self.paused.retain(|_, until| now < *until);
         self.strained.retain(|_, until| now < *until);
+        self.limits.expire(now, is_listed)
     }
 
     /// Drops delistings that no longer matter; `can_read` tells whether this entry reads the list.
--- a/jujubewind/src/direct/fleet/peer_notice.rs
+++ b/jujubewind/src/direct/fleet/peer_notice.rs
@@ -3,6 +3,7 @@
 use super::Delisting;
 use super::Notice;
 use super::ServerId;
+use super::ToldLimit;
 use crate::types::Incarnation;
 
 crate::data! {
@@ -12,9 +13,12 @@
         pub server: ServerId,
         /// Its incarnation.
         pub started: Option<Incarnation>,
-        /// What it announced; the pause is what remains of it.
+        /// What it announced; the pause is what remains of it, and the limit is told
+        /// apart.
         pub notice: Notice,
         /// How it left the list.
         pub delisting: Option<Delisting>,
+        /// The limit that it named.
+        pub limit: Option<ToldLimit>,
     }
 }
--- /dev/null
+++ b/jujubewind/src/direct/fleet/server_limits.rs
@@ -0,0 +1,179 @@
+//! The limits on requests that backend servers have named to this entry or to its peers.
+
+use std::collections::BTreeMap;
+
+use super::Server;
+use super::ServerId;
+use super::ToldLimit;
+use super::limits::LEAVING_MEMORY;
+use super::limits::TELLING_SPAN;
+use super::limits::TOLD_MEMORY;
+use super::limits::UNLIMITED_RESPONSES;
+use crate::types::Incarnation;
+use crate::types::MonoTime;
+use crate::types::RequestRate;
+
+/// The latest that is known of the limit of one incarnation.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    started: Option<Incarnation>,
+    /// `None` once the limit has ended.
+    rate: Option<RequestRate>,
+    /// When the server said so, to this entry or to a peer.
+    at: MonoTime,
+    /// When it said so to this entry, if it did.
+    heard: Option<MonoTime>,
+    /// When a peer last told it.
+    told: MonoTime,
+    /// The responses in a row without a limit, to requests that were sent after `at`.
+    unlimited: u32,
+}
+
+/// The limits that are in force, and those that ended lately.
+///
+/// Responses overtake each other, so a response without a limit ends one only if its request was
+/// sent after the limit had been named; of what peers tell, the later one holds.
+#[derive(Clone, Debug, Default)]
+pub struct ServerLimits {
+    known: BTreeMap<ServerId, Known>,
+}
+
+impl ServerLimits {
+    /// Records that a response to this entry named a limit; returns whether the limit in force
+    /// changed.
+    pub fn record_named(&mut self, now: MonoTime, server: &Server, rate: RequestRate) -> bool {
+        let known = self.known.get(&server.id);
+        if known.is_some_and(|known| known.started > server.started) {
+            return false;
+        }
+        let before = self.rate(server);
+        let known = Known {
+            started: server.started,
+            rate: Some(rate),
+            at: now,
+            heard: Some(now),
+            told: now,
+            unlimited: 0,
+        };
+        self.known.insert(server.id.clone(), known);
+        before != Some(rate)
+    }
+
+    /// Records a response without a limit to a request that was sent at `sent`; returns whether it
+    /// ended the limit in force.
+    pub fn record_unlimited(&mut self, now: MonoTime, server: &Server, sent: MonoTime) -> bool {
+        let Some(known) = self.known.get_mut(&server.id) else {
+            return false;
+        };
+        let is_same = known.started == server.started && known.rate.is_some();
+        if !is_same || sent <= known.at {
+            return false;
+        }
+        known.unlimited += 1;
+        if known.unlimited < UNLIMITED_RESPONSES {
+            return false;
+        }
+        known.rate = None;
+        known.at = now;
+        known.heard = Some(now);
+        true
+    }
+
+    /// Merges what a peer was told; returns whether the limit in force changed.
+    pub fn merge(
+        &mut self,
+        now: MonoTime,
+        server: &ServerId,
+        started: Option<Incarnation>,
+        told: ToldLimit,
+    ) -> bool {
+        let at = now.before(told.age);
+        let Some(known) = self.known.get_mut(server) else {
+            let known = Known {
+                started,
+                rate: told.rate,
+                at,
+                heard: None,
+                told: now,
+                unlimited: 0,
+            };
+            self.known.insert(server.clone(), known);
+            return told.rate.is_some();
+        };
+        let is_same = known.started == started;
+        if is_same && known.rate == told.rate {
+            known.told = now;
+            if at > known.at {
+                known.at = at;
+                known.unlimited = 0;
+            }
+            return false;
+        }
+        if known.started > started || (is_same && at < known.at) {
+            return false;
+        }
+        let before = known.rate;
+        *known = Known {
+            started,
+            rate: told.rate,
+            at,
+            heard: None,
+            told: now,
+            unlimited: 0,
+        };
+        !is_same || before != told.rate
+    }
+
+    /// The requests a second that a server takes from all entries together; `None` without a limit.
+    #[must_use]
+    pub fn rate(&self, server: &Server) -> Option<RequestRate> {
+        let known = self.known.get(&server.id)?;
+        known.rate.filter(|_| server.is_up_to(known.started))
+    }
+
+    /// The servers with a limit in force.
+    pub fn limited(&self) -> impl Iterator<Item = &ServerId> {
+        let known = self.known.iter();
+        known
+            .filter(|(_, known)| known.rate.is_some())
+            .map(|(server, _)| server)
+    }
+
+    /// What servers have said to this entry itself, for peers; the end of a limit for a while.
+    pub fn to_peers(
+        &self,
+        now: MonoTime,
+    ) -> impl Iterator<Item = (&ServerId, Option<Incarnation>, ToldLimit)> {
+        let known = self.known.iter();
+        known.filter_map(move |(server, known)| {
+            let age = now.since(known.heard?);
+            let is_current = known.rate.is_some() || age < TELLING_SPAN;
+            let rate = known.rate;
+            is_current.then_some((server, known.started, ToldLimit { rate, age }))
+        })
+    }
+
+    /// Drops what no longer matters; `is_listed` tells whether an incarnation is listed. Returns the
+    /// servers whose limit no longer holds, as no peer repeats it.
+    pub fn expire(
+        &mut self,
+        now: MonoTime,
+        is_listed: impl Fn(&ServerId, Option<Incarnation>) -> bool,
+    ) -> Vec<ServerId> {
+        let mut lapsed = Vec::new();
+        self.known.retain(|server, known| {
+            let is_current = match (known.rate, known.heard) {
+                (Some(_), Some(heard)) => {
+                    is_listed(server, known.started) || now.since(heard) < LEAVING_MEMORY
+                }
+                (Some(_), None) => now.since(known.told) < TOLD_MEMORY,
+                (None, _) => now.since(known.at) < TELLING_SPAN,
+            };
+            if !is_current && known.rate.is_some() {
+                lapsed.push(server.clone());
+            }
+            is_current
+        });
+        lapsed
+    }
+}
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -55,6 +55,8 @@
     pub peers: usize,
     /// Number of requests that wait for a backend server.
     pub waiting: usize,
+    /// Number of backend servers whose limit on requests is in force.
+    pub limited: usize,
     /// Number of requests in progress.
     pub open: usize,
 }
@@ -78,6 +80,7 @@
     servers: Gauge,
     peers: Gauge,
     waiting: Gauge,
+    limited: Gauge,
     open: Gauge,
 }
 
@@ -101,6 +104,7 @@
             servers: Gauge::default(),
             peers: Gauge::default(),
             waiting: Gauge::default(),
+            limited: Gauge::default(),
             open: Gauge::default(),
         };
         metrics.register_counters();
@@ -177,6 +181,7 @@
         self.servers.set(to_gauge(gauges.servers));
         self.peers.set(to_gauge(gauges.peers));
         self.waiting.set(to_gauge(gauges.waiting));
+        self.limited.set(to_gauge(gauges.limited));
         self.open.set(to_gauge(gauges.open));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
@@ -254,6 +259,11 @@
             "Requests that wait for a backend server",
             self.waiting.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Backend servers whose limit on requests is in force",
+            self.limited.clone(),
+        );
         registry.register("open", "Requests in hand", self.open.clone());
     }
 }
--- a/jujubewind/src/types/mod.rs
+++ b/jujubewind/src/types/mod.rs
@@ -5,6 +5,7 @@
 mod monotime;
 mod parse_error;
 mod quantity;
+mod request_rate;
 
 pub use class::Class;
 pub use id::AttemptId;
@@ -25,3 +26,4 @@
 pub use quantity::Millis;
 pub use quantity::Revision;
 pub use quantity::Tokens;
+pub use request_rate::RequestRate;
--- a/jujubewind/src/types/monotime.rs
+++ b/jujubewind/src/types/monotime.rs
@@ -39,6 +39,12 @@
         Self(self.0.saturating_add(span.0.saturating_mul(1_000)))
     }
 
+    /// The time `span` earlier, saturating at the start of the clock.
+    #[must_use]
+    pub const fn before(self, span: Millis) -> Self {
+        Self(self.0.saturating_sub(span.0.saturating_mul(1_000)))
+    }
+
     /// The time elapsed since `earlier`; zero if `earlier` is later than this.
     #[must_use]
     pub const fn since(self, earlier: Self) -> Millis {
--- a/jujubewind/src/types/parse_error.rs
+++ b/jujubewind/src/types/parse_error.rs
@@ -36,6 +36,7 @@
         }
         "RequestId" | "AttemptId" | "ChangeId" => "write 32 hexadecimal digits",
         "KeyHash" | "ContentHash" => "write the 64 hexadecimal digits of a SHA-256 digest",
+        "RequestRate" => "write a decimal number of requests a second",
         "Tokens" | "Bytes" | "Millis" | "Revision" | "Fence" | "Incarnation" | "Credit" => {
             "write a whole number"
         }
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -22,6 +22,7 @@
 mod recovery;
 mod reservation;
 mod roster;
+mod server_limits;
 mod simulation;
 mod stale_views;
 mod takeover;
--- a/jujubewind/tests/direct/notices.rs
+++ b/jujubewind/tests/direct/notices.rs
@@ -5,6 +5,7 @@
 use jujubewind::direct::FleetChange;
 use jujubewind::direct::Job;
 use jujubewind::direct::JobId;
+use jujubewind::direct::NamedLimit;
 use jujubewind::direct::Notice;
 use jujubewind::direct::Notices;
 use jujubewind::direct::PeerNotice;
@@ -24,12 +25,13 @@
 const LEAVING: Notice = Notice {
     leaving: true,
     pause: None,
+    limit: NamedLimit::Absent,
 };
 
 fn pause(millis: u64) -> Notice {
     Notice {
-        leaving: false,
         pause: Some(Millis(millis)),
+        ..Notice::default()
     }
 }
 
@@ -40,6 +42,7 @@
         started: Some(Incarnation(incarnation)),
         notice: LEAVING,
         delisting: None,
+        limit: None,
     }
 }
 
--- a/jujubewind/tests/operations.rs
+++ b/jujubewind/tests/operations.rs
@@ -43,7 +43,7 @@
     direct.count_truncated("deadline");
     direct.count_notice(Notice {
         leaving: true,
-        pause: None,
+        ..Notice::default()
     });
     direct.record_first_event(Tokens(1), Millis(1));
     direct.record_end(Tokens(1), Millis(1), Millis(1));
