Add failing tests: requests beyond a limit that a backend server named

Cause: entries log the limit on requests that a backend server names and place requests on it as before.

--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -11,6 +11,7 @@
 mod handover;
 mod hedge;
 mod ledger;
+mod limited_servers;
 mod load;
 mod logs;
 mod memory_hold;
