Keep requests within the limits that backend servers name

Callers saw nothing; backend servers in need got all the requests that entries would have sent anyway.

Cause: the limit was read by nobody. It holds for all entries together, and no bound in an entry was of that kind.

Change: each entry has a share of a server's limit, decided from the limit, the list of the entries and nothing else: all entries, or as many as the limit carries with one request at a time each, chosen by rendezvous hashing, send at an even rate. The shares add up to the limit, and bursts to two requests more, so entries that see each other join or leave at different times stay within the users' bound. What was sent before the limit was named counts, and first requests are spread over an interval. If all servers of a service have limits, a request waits for a place in its time or is refused at once with the time of the next one. Before the list of entries is read nothing is sent to such a server. server_limit_shared and jujube_direct_held show the share and what it held back.

Evidence: the incident's logs show placements on the servers going on at the old rate on all entries after they named their limit.

--- a/jujubewind/src/direct/api/engine_reservation.rs
+++ b/jujubewind/src/direct/api/engine_reservation.rs
@@ -18,6 +18,7 @@
 use crate::direct::BootTime;
 use crate::direct::Dialect;
 use crate::direct::MemoryHold;
+use crate::direct::Message;
 use crate::direct::NamedLimit;
 use crate::direct::Order;
 use crate::direct::OrderReply;
@@ -136,6 +137,8 @@
         let Ok(mut connection) = self.gateway.pool.connect(&self.server, false).await else {
             return OrderReply::Refused;
         };
+        let server = self.server.id.clone();
+        self.gateway.control.send(Message::OrderSent(server));
         let response = match connection.send(request, ORDER_TIMEOUT).await {
             Ok(response) => response,
             Err(SendFault::Unsent(_)) => return OrderReply::Refused,
--- a/jujubewind/src/direct/control/availability.rs
+++ b/jujubewind/src/direct/control/availability.rs
@@ -29,7 +29,11 @@
         limit: NamedLimit,
         sent: Option<MonoTime>,
     ) -> bool {
-        self.notices.record_limit(now, server, limit, sent)
+        let is_news = self.notices.record_limit(now, server, limit, sent);
+        if is_news {
+            self.refresh_limit(now, &server.id);
+        }
+        is_news
     }
 
     /// The announcements of backend servers that are in force.
--- a/jujubewind/src/direct/control/candidate_set.rs
+++ b/jujubewind/src/direct/control/candidate_set.rs
@@ -5,6 +5,7 @@
 use crate::direct::Candidate;
 use crate::direct::Ledger;
 use crate::direct::Placement;
+use crate::direct::SendPaces;
 use crate::direct::Server;
 use crate::types::MonoTime;
 
@@ -12,11 +13,30 @@
 #[derive(Debug)]
 pub struct CandidateSet {
     candidates: Vec<Candidate>,
+    /// The number of servers whose limit leaves no room now.
+    held: usize,
 }
 
 impl CandidateSet {
-    pub(super) fn new(candidates: Vec<Candidate>) -> Self {
-        Self { candidates }
+    /// Sets the servers apart to which no request may be sent now by their limits.
+    pub(super) fn new(now: MonoTime, candidates: Vec<Candidate>, paces: &SendPaces) -> Self {
+        let held = 0;
+        let mut set = Self { candidates, held };
+        set.hold(now, paces);
+        set
+    }
+
+    /// The number of servers whose limit leaves no room now.
+    pub(super) const fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Sets the servers apart whose limits leave no room any more.
+    pub(super) fn hold(&mut self, now: MonoTime, paces: &SendPaces) {
+        let before = self.candidates.len();
+        self.candidates
+            .retain(|candidate| paces.allow(now, &candidate.server.id));
+        self.held += before - self.candidates.len();
     }
 
     pub(super) fn candidates(&self) -> &[Candidate] {
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -18,6 +18,7 @@
 use crate::direct::Notices;
 use crate::direct::Queue;
 use crate::direct::Roster;
+use crate::direct::SendPaces;
 use crate::direct::ServerId;
 use crate::direct::ServiceId;
 use crate::direct::Table;
@@ -58,6 +59,12 @@
     /// What identifies the content of the queued requests.
     pub(super) queued_prints: BTreeMap<JobId, Prints>,
     pub(super) peers: BTreeSet<NodeId>,
+    /// Whether the list of the other entries has been read.
+    pub(super) has_peers_listed: bool,
+    /// What this entry may send to servers that have named a limit.
+    pub(super) paces: SendPaces,
+    /// Requests for which a server's limit left no room.
+    pub(super) held: u64,
     /// Whether this process stops and queues no requests.
     pub(super) is_draining: bool,
 }
@@ -82,6 +89,9 @@
             progressed: BTreeSet::new(),
             queued_prints: BTreeMap::new(),
             peers: BTreeSet::new(),
+            has_peers_listed: false,
+            paces: SendPaces::default(),
+            held: 0,
             is_draining: false,
         }
     }
@@ -182,7 +192,9 @@
             .expire(now, |id, started| roster.lists(id, started));
         for server in lapsed {
             crate::event!(info, "server_limit_lapsed", server = server);
+            self.paces.lift(&server);
         }
+        self.paces.expire(now);
         self.notices.expire_delistings(now, roster.is_readable());
         self.note_removals(now, &gone);
         gone.iter().map(|server| server.id.clone()).collect()
--- a/jujubewind/src/direct/control/exchange.rs
+++ b/jujubewind/src/direct/control/exchange.rs
@@ -18,6 +18,7 @@
                 && self.notices.merge_limit(now, notice)
             {
                 log_told_limit(&digest.node, notice, told);
+                self.refresh_limit(now, &notice.server);
             }
             if self.notices.merge(now, notice) {
                 crate::event!(
--- a/jujubewind/src/direct/control/fleet_changes.rs
+++ b/jujubewind/src/direct/control/fleet_changes.rs
@@ -17,10 +17,14 @@
     pub fn apply_fleet_change(&mut self, now: MonoTime, change: FleetChange) -> Vec<ServerId> {
         let mut gone = Vec::new();
         match change {
-            FleetChange::Servers(servers) => gone = self.replace_servers(now, servers),
+            FleetChange::Servers(servers) => {
+                gone = self.replace_servers(now, servers);
+                self.refresh_limits(now);
+            }
             FleetChange::Restored(servers) => {
                 self.roster.restore(now, servers);
                 self.note_list(now, &[]);
+                self.refresh_limits(now);
             }
             FleetChange::Listed(server) => {
                 let id = server.id.clone();
@@ -29,6 +33,7 @@
                     gone.push(id.clone());
                 }
                 self.note_listing(now, &id);
+                self.refresh_limit(now, &id);
             }
             FleetChange::Removed(id) => {
                 let removed = self.roster.remove(now, &id);
@@ -43,13 +48,17 @@
             FleetChange::OutageEnded => self.roster.end_outage(now),
             FleetChange::Peers(peers) => {
                 self.peers = peers.into_iter().map(|peer| peer.node).collect();
+                self.has_peers_listed = true;
+                self.refresh_limits(now);
             }
             FleetChange::PeerListed(peer) => {
                 self.peers.insert(peer.node);
+                self.refresh_limits(now);
             }
             FleetChange::PeerRemoved(peer) => {
                 self.peers.remove(&peer);
                 self.ledger.remove_peer(&peer);
+                self.refresh_limits(now);
             }
         }
         gone
--- a/jujubewind/src/direct/control/message.rs
+++ b/jujubewind/src/direct/control/message.rs
@@ -65,6 +65,8 @@
         /// When the request was sent that the response with the announcement is surely to.
         sent: Option<MonoTime>,
     },
+    /// An order about reserved memory was sent to a backend server.
+    OrderSent(ServerId),
     /// A backend server failed as a helper.
     HelperFailed(ServerId),
     /// Asks for one retry from a service's budget.
--- a/jujubewind/src/direct/control/mod.rs
+++ b/jujubewind/src/direct/control/mod.rs
@@ -13,6 +13,7 @@
 mod grant;
 mod handle;
 mod limits;
+mod limits_hold;
 mod message;
 mod outcome;
 mod peer;
--- a/jujubewind/src/direct/control/placing.rs
+++ b/jujubewind/src/direct/control/placing.rs
@@ -13,6 +13,7 @@
 use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::ServiceId;
+use crate::direct::Share;
 use crate::direct::Spread;
 use crate::direct::place_plain;
 use crate::direct::plan;
@@ -23,14 +24,15 @@
 
 impl Core {
     /// The servers that may take a request; quarantined ones only if there are no others. A server
-    /// that asked for a pause gets nothing.
-    pub(super) fn candidates(&self, now: MonoTime, service: &ServiceId) -> Vec<Candidate> {
+    /// that asked for a pause gets nothing, and one with a limit no more than this entry's share.
+    pub(super) fn candidates(&self, now: MonoTime, service: &ServiceId) -> CandidateSet {
         let mut spread = self.spread(now, service);
         let may_send = |server: &&Rc<Server>| self.notices.allow(now, server);
         let candidate = |server: &Rc<Server>| Candidate {
             server: server.clone(),
             load: self.ledger.load(now, &server.id),
             strained: self.notices.is_strained(now, &server.id),
+            may_help: self.may_help(&server.id),
             spread: spread.draw(),
         };
         let ready = self.accepting(now, service).filter(may_send);
@@ -42,7 +44,14 @@
         if candidates.iter().any(is_usable) {
             candidates.retain(is_usable);
         }
-        candidates
+        CandidateSet::new(now, candidates, &self.paces)
+    }
+
+    /// Whether a server may prefill parts of prompts; one with a small limit spends it on prompts of
+    /// its own.
+    fn may_help(&self, server: &ServerId) -> bool {
+        let carries_orders = |share: Share| share.carries_orders();
+        !self.paces.is_limited(server) || self.paces.share(server).is_some_and(carries_orders)
     }
 
     /// The random costs of a placement, by the work that each server has probably been sent by other
@@ -94,7 +103,7 @@
             return true;
         };
         let plan = EnginePlan::new(engine, job, set.candidates(), &self.settings.domain);
-        plan.fits_fleet(job.latency_target)
+        plan.fits_fleet(job.latency_target, set.held())
     }
 
     /// Whether every placement now would miss the request's first token deadline.
@@ -138,6 +147,7 @@
             };
             aside = aside.saturating_add(helper.memory);
             self.ledger.assign(&helper.server.id, part);
+            self.paces.record(now, &helper.server.id);
         }
         let memory = assignment.memory.saturating_sub(aside);
         let assignment = Assignment {
@@ -145,7 +155,9 @@
             ..assignment
         };
         self.ledger.assign(&placement.primary.id, assignment);
+        self.paces.record(now, &placement.primary.id);
         set.refresh(now, &self.ledger, &placement);
+        set.hold(now, &self.paces);
         Verdict::Place(placement)
     }
 
--- a/jujubewind/src/direct/control/queueing.rs
+++ b/jujubewind/src/direct/control/queueing.rs
@@ -50,7 +50,12 @@
         if let Some(refusal) = self.unavailable(now, &job.service) {
             return Some(Verdict::Refuse(refusal));
         }
-        let mut set = CandidateSet::new(self.candidates(now, &job.service));
+        if let Some(refusal) = self.hold(now, &job).refusal(now, &job) {
+            self.held += 1;
+            return Some(Verdict::Refuse(refusal));
+        }
+        let mut set = self.candidates(now, &job.service);
+        self.held += u64::from(set.held() > 0);
         if !self.fits_fleet(&set, &job) {
             return Some(refuse(Reason::PromptTooLong, plan::MAX_RETRY_DELAY));
         }
@@ -87,7 +92,7 @@
         for job in self.queue.order(now) {
             let set = sets
                 .entry(job.service.clone())
-                .or_insert_with(|| CandidateSet::new(self.candidates(now, &job.service)));
+                .or_insert_with(|| self.candidates(now, &job.service));
             let verdict = if let Some(refusal) = self.queued_refusal(now, job.id) {
                 Verdict::Refuse(refusal)
             } else if let Some(refusal) = self.unavailable(now, &job.service) {
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -140,6 +140,7 @@
                 notice,
                 sent,
             } => self.record_notice(now, &server, notice, sent),
+            Message::OrderSent(server) => self.core.record_order(now, &server),
             Message::HelperFailed(server) => self.core.quarantine(now, &server),
             Message::Retry {
                 service,
@@ -261,6 +262,7 @@
         }
         self.last_expiry = now;
         self.shared.state.set_counts(self.core.counts(now));
+        self.shared.metrics.count_held(self.core.take_held());
         for server in self.core.expire(now) {
             crate::event!(warn, "server_lapsed", server = server);
             self.forget_server(server);
--- /dev/null
+++ b/jujubewind/src/direct/pace/limits.rs
@@ -0,0 +1,18 @@
+//! Parameters of the shares in a backend server's limit.
+
+use crate::types::Millis;
+use crate::types::RequestRate;
+
+/// The span over which a backend server counts requests, those before it named its limit included.
+pub const WINDOW: Millis = Millis(4_000);
+/// The precision at which the requests of the last window are remembered.
+pub const SLOT: Millis = Millis(250);
+/// The entries that may send to a server whose limit is under one request a second. In a window a
+/// server accepts five requests beyond its limit; the rest is left for requests that were on their
+/// way as the limit was named, and for entries that see others leave or join earlier.
+pub const MIN_HOLDERS: u64 = 3;
+/// What all entries together still send to a server that takes nothing, so that they notice when
+/// its limit ends.
+pub const MIN_RATE: RequestRate = RequestRate::from_milli(100);
+/// The share with which an engine may keep reserved memory, as each renewal is a request.
+pub const MIN_HELPER_RATE: RequestRate = RequestRate::from_milli(2_000);
--- a/jujubewind/src/direct/plan/candidate.rs
+++ b/jujubewind/src/direct/plan/candidate.rs
@@ -23,6 +23,8 @@
     pub load: ServerLoad,
     /// Whether it has asked a peer for a pause.
     pub strained: bool,
+    /// Whether it may prefill a part of another engine's prompt.
+    pub may_help: bool,
     /// A random cost, so that entries with the same view choose different servers.
     pub spread: Work,
 }
--- a/jujubewind/src/direct/plan/engine_plan.rs
+++ b/jujubewind/src/direct/plan/engine_plan.rs
@@ -103,13 +103,14 @@
         Work(waits.into_iter().sum::<Work>().get() / count)
     }
 
-    /// Whether half of the engines could prefill the prompt within `latency_target` if they did
-    /// nothing else.
+    /// Whether half of the engines, `others` that take no request now included, could prefill the
+    /// prompt within `latency_target` if they did nothing else.
     ///
     /// A longer prompt would delay all other requests for longer than its own latency target.
     #[must_use]
-    pub fn fits_fleet(&self, latency_target: Millis) -> bool {
-        let engines = u64::try_from(self.candidates.len().div_ceil(2)).unwrap_or(u64::MAX);
+    pub fn fits_fleet(&self, latency_target: Millis, others: usize) -> bool {
+        let engines = self.candidates.len() + others;
+        let engines = u64::try_from(engines.div_ceil(2)).unwrap_or(u64::MAX);
         self.prefill.get()
             <= Work::from_millis(latency_target)
                 .get()
@@ -146,7 +147,9 @@
         let memory = self.job.prompt.saturating_add(self.job.output);
         let eligible = || self.candidates.iter().filter(|scored| fits(scored, part));
         let primary = self.primary(eligible(), memory)?;
-        let rest = eligible().filter(|scored| !scored.is_same_server(&primary));
+        let may_help = |scored: &&Scored<'a>| scored.candidate.may_help;
+        let others = eligible().filter(may_help);
+        let rest = others.filter(|scored| !scored.is_same_server(&primary));
         let helpers: Vec<Scored<'a>> = rest.take(parts - 1).copied().collect();
         if helpers.len() + 1 < parts {
             return None;
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -70,6 +70,7 @@
     truncated: Family<CauseLabel, Counter>,
     retries: Counter,
     notices: Family<NoticeLabel, Counter>,
+    held: Counter,
     dropped_digests: Counter,
     dropped_feed: Counter,
     first_event: Family<DecadeLabel, Histogram>,
@@ -94,6 +95,7 @@
             truncated: Family::default(),
             retries: Counter::default(),
             notices: Family::default(),
+            held: Counter::default(),
             dropped_digests: Counter::default(),
             dropped_feed: Counter::default(),
             first_event: family(),
@@ -135,6 +137,11 @@
         self.retries.inc();
     }
 
+    /// Counts requests for which the limit of a backend server left no room.
+    pub fn count_held(&self, count: u64) {
+        self.held.inc_by(count);
+    }
+
     /// Counts a digest that was not sent as too many were waiting.
     pub fn count_dropped_digest(&self) {
         self.dropped_digests.inc();
@@ -213,6 +220,11 @@
             "Announcements of backend servers that want fewer or no requests, by kind",
             self.notices.clone(),
         );
+        registry.register(
+            "held",
+            "Requests for which the limit of a backend server left no room there",
+            self.held.clone(),
+        );
         registry.register(
             "dropped_digests",
             "Updates to peers that were not sent as too many were waiting",
--- a/jujubewind/tests/direct/fixture.rs
+++ b/jujubewind/tests/direct/fixture.rs
@@ -108,6 +108,7 @@
         server: Rc::new(server(number)),
         load: load(assignments),
         strained: false,
+        may_help: true,
         spread: Work::ZERO,
     };
     assignments.iter().enumerate().map(candidate).collect()
--- a/jujubewind/tests/direct/limited_servers.rs
+++ b/jujubewind/tests/direct/limited_servers.rs
@@ -14,7 +14,9 @@
 use jujubewind::direct::ServerId;
 use jujubewind::direct::Stamp;
 use jujubewind::direct::Verdict;
+use jujubewind::refusal::Reason;
 use jujubewind::types::Incarnation;
+use jujubewind::types::Millis;
 use jujubewind::types::NodeId;
 use jujubewind::types::RequestRate;
 use jujubewind::types::Revision;
@@ -59,11 +61,17 @@
     /// The servers that name a limit; the others have none.
     limited: usize,
     limit: RequestRate,
+    /// When the servers no longer name a limit.
+    ends_at: u64,
+    /// When the entries' views of each other begin to differ.
+    split_at: u64,
     open: VecDeque<Open>,
     updates: VecDeque<(u64, usize, Digest)>,
     /// The times at which requests reached each server.
     arrivals: Vec<(ServerId, u64)>,
     jobs: u64,
+    /// The refusals so far.
+    refused: usize,
 }
 
 impl Fleet {
@@ -78,10 +86,13 @@
             cores: cores.collect(),
             limited,
             limit,
+            ends_at: u64::MAX,
+            split_at: u64::MAX,
             open: VecDeque::new(),
             updates: VecDeque::new(),
             arrivals: Vec::new(),
             jobs: 0,
+            refused: 0,
         }
     }
 
@@ -91,6 +102,9 @@
         let quiet_period = 1_000 / u64::try_from(servers).expect("few servers");
         let mut due = 0;
         for now in 0..END_MILLIS {
+            if now == self.split_at {
+                self.split_views(now, 2);
+            }
             self.deliver(now);
             self.respond(now);
             if now < SURGE_AT_MILLIS {
@@ -116,6 +130,20 @@
         }
     }
 
+    /// Tells every second entry of some more that start, and the others of some that have left.
+    fn split_views(&mut self, now: u64, changed: usize) {
+        let entries = self.cores.len();
+        for (entry, core) in self.cores.iter_mut().enumerate() {
+            let known = if entry % 2 == 0 {
+                entries + changed
+            } else {
+                entries - changed
+            };
+            let peers = (0..known).filter(|peer| *peer != entry).map(peer);
+            core.apply_fleet_change(at(now), FleetChange::Peers(peers.collect()));
+        }
+    }
+
     fn arrive(&mut self, now: u64) {
         self.jobs += 1;
         let entry = usize::try_from(self.jobs).expect("few requests") % self.cores.len();
@@ -140,6 +168,7 @@
 
     fn accept(&mut self, now: u64, entry: usize, job: u64, verdict: Verdict) {
         let Verdict::Place(placement) = verdict else {
+            self.refused += 1;
             return;
         };
         let helpers = placement.helpers.iter().map(|helper| &helper.server);
@@ -175,7 +204,7 @@
 
     fn names_limit(&self, now: u64, id: &ServerId) -> NamedLimit {
         let is_limited = (0..self.limited).any(|number| server(number).id == *id);
-        if is_limited && now >= NAMED_AT_MILLIS {
+        if is_limited && now >= NAMED_AT_MILLIS && now < self.ends_at {
             NamedLimit::Rate(self.limit)
         } else {
             NamedLimit::Absent
@@ -224,6 +253,25 @@
         ends.chain([first_end]).map(count).max().unwrap_or_default()
     }
 
+    /// The requests that a server got in the last `span` milliseconds.
+    fn late_requests(&self, id: &ServerId, span: u64) -> u64 {
+        let times = self.times(id);
+        let late = times.iter().filter(|time| **time >= END_MILLIS - span);
+        u64::try_from(late.count()).expect("few requests")
+    }
+
+    fn assert_limits_held(&self) {
+        for number in 0..self.limited {
+            let most = self.most_in_window(&server(number).id);
+            assert!(
+                u64::try_from(most).expect("few requests") <= allowed(self.limit),
+                "{most} requests in a window at a limit of {} from {} entries",
+                self.limit,
+                self.cores.len()
+            );
+        }
+    }
+
     fn times(&self, id: &ServerId) -> Vec<u64> {
         let own = self.arrivals.iter().filter(|(server, _)| server == id);
         own.map(|(_, time)| *time).collect()
@@ -256,13 +304,114 @@
 
             fleet.play(3);
 
+            fleet.assert_limits_held();
+        }
+    }
+}
+
+#[test]
+fn the_limit_holds_while_entries_know_others_that_start_and_leave() {
+    for milli in [200, 1_000, 20_000] {
+        let limit = RequestRate::from_milli(milli);
+        let mut fleet = Fleet::new(8, 3, 3, limit);
+        fleet.split_at = 6_000;
+
+        fleet.play(3);
+
+        fleet.assert_limits_held();
+    }
+}
+
+#[test]
+fn at_least_half_of_a_limit_is_used_while_requests_are_refused() {
+    for entries in [1, 4, 30] {
+        for milli in [1_000, 1_400, 20_000] {
+            let limit = RequestRate::from_milli(milli);
+            let demand = SURGE_PER_ENTRY * u64::try_from(entries).expect("few entries");
+            if demand < 3 * limit.per_second() {
+                continue;
+            }
+            let mut fleet = Fleet::new(entries, 3, 3, limit);
+
+            fleet.play(3);
+
             for number in 0..3 {
-                let most = fleet.most_in_window(&server(number).id);
+                let used = fleet.late_requests(&server(number).id, 8_000);
+                let whole = milli * 8 / 1_000;
                 assert!(
-                    u64::try_from(most).expect("few requests") <= allowed(limit),
-                    "{most} requests in a window at a limit of {limit} from {entries} entries"
+                    used * 2 >= whole,
+                    "{used} of {whole} from {entries} entries"
                 );
             }
         }
     }
 }
+
+#[test]
+fn no_request_is_refused_while_other_servers_have_no_limit() {
+    let mut fleet = Fleet::new(4, 3, 1, RequestRate::from_milli(1_000));
+
+    fleet.play(3);
+
+    fleet.assert_limits_held();
+    assert_eq!(fleet.refused, 0);
+}
+
+#[test]
+fn servers_that_no_longer_name_a_limit_get_their_requests_again() {
+    let mut fleet = Fleet::new(4, 3, 3, RequestRate::from_milli(1_000));
+    fleet.ends_at = 6_000;
+
+    fleet.play(3);
+
+    let served: u64 = (0..3)
+        .map(|number| fleet.late_requests(&server(number).id, 1_000))
+        .sum();
+    assert_eq!(served, SURGE_PER_ENTRY * 4);
+}
+
+#[test]
+fn a_request_beyond_all_limits_is_refused_at_once_with_the_time_of_the_next_place() {
+    let mut core = core_of("entry-0", 1);
+    core.apply_fleet_change(at(0), FleetChange::Peers(Vec::new()));
+    let limit = NamedLimit::Rate(RequestRate::from_milli(200));
+    core.record_limit(at(0), &server(0), limit, None);
+
+    let mut late = job(1, PROMPT_TOKENS);
+    late.arrived = at(1_000);
+    let verdict = core.admit(at(1_000), late, Fingerprint::from_number(1));
+
+    let Some(Verdict::Refuse(refusal)) = verdict else {
+        panic!("there is no place in its time: {verdict:?}");
+    };
+    assert_eq!(refusal.reason, Reason::QueueFull);
+    assert_eq!(refusal.retry, Millis(5_000 - 1_000));
+}
+
+#[test]
+fn a_request_waits_for_a_place_that_comes_in_its_time() {
+    let mut core = core_of("entry-0", 1);
+    core.apply_fleet_change(at(0), FleetChange::Peers(Vec::new()));
+    let limit = NamedLimit::Rate(RequestRate::from_milli(1_000));
+    core.record_limit(at(0), &server(0), limit, None);
+
+    let queued = core.admit(at(0), job(1, PROMPT_TOKENS), Fingerprint::from_number(1));
+    let early = core.poll(at(990));
+    let late = core.poll(at(1_000));
+
+    assert_eq!(queued, None);
+    assert_eq!((early.len(), late.len()), (0, 1));
+}
+
+#[test]
+fn an_entry_that_does_not_know_the_others_sends_nothing_to_a_server_with_a_limit() {
+    let mut core = core_of("entry-0", 1);
+    let limit = NamedLimit::Rate(RequestRate::from_milli(20_000));
+    core.record_limit(at(0), &server(0), limit, None);
+
+    let mut late = job(1, PROMPT_TOKENS);
+    late.arrived = at(9_000);
+    let verdict = core.admit(at(9_000), late, Fingerprint::from_number(1));
+
+    assert!(matches!(verdict, Some(Verdict::Refuse(_))), "{verdict:?}");
+}
--- a/jujubewind/tests/direct/plan.rs
+++ b/jujubewind/tests/direct/plan.rs
@@ -146,7 +146,7 @@
     let fleet = candidates(&vec![vec![]; 14]);
     let fits = |prompt| {
         let job = job(9, prompt);
-        EnginePlan::new(&engine, &job, &fleet, &domain).fits_fleet(Millis(4_000))
+        EnginePlan::new(&engine, &job, &fleet, &domain).fits_fleet(Millis(4_000), 0)
     };
 
     assert!(fits(400_000));
