End no stream as complete with an error of the engine that took it over

Callers saw (another operator's report; here in a test only): a stream broke off, the next engine answered with an error text, and the stream ended as if it were complete.

Cause: an engine that takes a stream over may send comments before the next event, and the stream may end without any more. Text that is neither an event nor a comment, and events without an id, were skipped like comments, so a success with an error text in its body looked like a stream that had ended. No such text got into the stream, and errors with another status were not taken.

Change: if anything but comments and hints to reconnect came in place of numbered events, the end is malformed: another engine is asked, or the answer is truncated.

--- a/jujubewind/src/direct/api/events.rs
+++ b/jujubewind/src/direct/api/events.rs
@@ -11,6 +11,11 @@
 /// The prefix of a line with an event's data.
 const DATA_PREFIX: &[u8] = b"data:";
 
+/// The prefix of a comment.
+const COMMENT_PREFIX: &[u8] = b":";
+/// The prefix of a line that tells how long to wait before reconnecting.
+const RETRY_PREFIX: &[u8] = b"retry:";
+
 /// A run of complete events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Events {
@@ -30,6 +35,15 @@
         lines.any(|line| line.starts_with(DATA_PREFIX) || line.starts_with(ID_PREFIX))
     }
 
+    /// Whether there is nothing but comments and hints on how to reconnect.
+    #[must_use]
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| {
+            line.is_empty() || line.starts_with(COMMENT_PREFIX) || line.starts_with(RETRY_PREFIX)
+        })
+    }
+
     /// Whether the events come after the event `last`, so that none is delivered twice.
     #[must_use]
     pub fn follow(&self, last: Option<u64>) -> bool {
--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -42,6 +42,8 @@
     /// What was read of a response that is no stream.
     body: Vec<u8>,
     is_whole: bool,
+    /// Whether something came in place of the numbered events of a stream that is taken over.
+    has_unnumbered: bool,
 }
 
 impl UpstreamResponse {
@@ -56,6 +58,7 @@
             events: EventSplitter::default(),
             body: Vec::new(),
             is_whole: false,
+            has_unnumbered: false,
         }
     }
 
@@ -97,6 +100,7 @@
             let frame = match frame.await.ok_or(MEMORY_LOST)? {
                 Some(frame) => frame.map_err(|_| BROKEN)?,
                 None if self.events.has_partial_event() => return Err(TORN),
+                None if self.has_unnumbered => return Err(MALFORMED),
                 None if sent < seen.get() => return Err(TORN),
                 None if is_framed(self.response.headers()) => return Ok(()),
                 None => return Err(BROKEN),
@@ -115,6 +119,7 @@
             }
             // An event without an id does not show that a numbered stream goes on.
             if last.is_some() && found.last.is_none() {
+                self.has_unnumbered |= !found.is_comment();
                 continue;
             }
             if !found.follow(sent) {
