Take a refusal that does not name its request for no statement about it

Callers saw (another operator's report; here in a test only): 503, "not run", for a call that a backend server had run or was running, or the call ran at a second server.

Cause: a refusal whose id is that of another request was taken for one that had crossed, but one without an id for the answer to the current request. A copy of an earlier refusal could end an attempt that runs.

Change: a refusal counts only with the id of its request. Without, the attempt is faulty and may have run: what may run once ends with 502, what may be repeated goes on elsewhere within the retry budget. A connection is closed after each refusal, so a copy with the same id has no way to a later attempt.

--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -168,7 +168,8 @@
         if is_crossed {
             return Err(self.fail_attempt(upstream.grant, "crossed", status, Outcome::Faulty));
         }
-        if head.refused {
+        // Without its id, a copy of an earlier refusal could pass for one of this request.
+        if head.refused && is_own {
             self.runs.set(self.runs.get() - 1);
             self.end_refused(upstream.grant, head.culprit.as_deref(), status);
             return Err(AttemptError::NotRun(Reason::QueueFull));
