Pace requests by the rate limiter that the catalogue's limits use

Cause: the pace of requests to a backend server with a limit was a second implementation of the generic cell rate algorithm, in the part for entries without agents; agents will need it too.

--- a/jujubewind/src/direct/api/engine_reservation.rs
+++ b/jujubewind/src/direct/api/engine_reservation.rs
@@ -19,7 +19,6 @@
 use crate::direct::Dialect;
 use crate::direct::MemoryHold;
 use crate::direct::Message;
-use crate::direct::NamedLimit;
 use crate::direct::Order;
 use crate::direct::OrderReply;
 use crate::direct::Reservation;
@@ -27,6 +26,7 @@
 use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::Step;
+use crate::pace::NamedLimit;
 use crate::types::Millis;
 
 /// The memory reserved at one engine.
--- a/jujubewind/src/direct/control/availability.rs
+++ b/jujubewind/src/direct/control/availability.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 
 use super::Core;
-use crate::direct::NamedLimit;
 use crate::direct::Notice;
 use crate::direct::Notices;
 use crate::direct::Server;
 use crate::direct::ServiceId;
 use crate::direct::plan;
+use crate::pace::NamedLimit;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::types::Millis;
--- a/jujubewind/src/direct/control/limits_hold.rs
+++ b/jujubewind/src/direct/control/limits_hold.rs
@@ -3,8 +3,8 @@
 use super::Core;
 use crate::direct::Job;
 use crate::direct::ServerId;
-use crate::direct::Share;
 use crate::direct::plan;
+use crate::pace::Share;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::types::Millis;
--- a/jujubewind/src/direct/fleet/limits.rs
+++ b/jujubewind/src/direct/fleet/limits.rs
@@ -27,6 +27,3 @@
 pub const TOLD_MEMORY: Millis = Millis(2_500);
 /// How long it is remembered that a server was removed, for the same reason.
 pub const REMOVAL_MEMORY: Millis = Millis(60_000);
-/// The responses in a row without a limit after which a server's limit has ended: one may come from
-/// before the server named it.
-pub const UNLIMITED_RESPONSES: u32 = 2;
--- a/jujubewind/src/direct/fleet/notice.rs
+++ b/jujubewind/src/direct/fleet/notice.rs
@@ -1,6 +1,6 @@
 //! What a backend server says of itself in a response.
 
-use super::NamedLimit;
+use crate::pace::NamedLimit;
 use crate::types::Millis;
 
 crate::data! {
--- a/jujubewind/src/direct/fleet/notices.rs
+++ b/jujubewind/src/direct/fleet/notices.rs
@@ -5,7 +5,6 @@
 
 use super::Delisting;
 use super::Delistings;
-use super::NamedLimit;
 use super::Notice;
 use super::PeerNotice;
 use super::Server;
@@ -13,6 +12,7 @@
 use super::ServerLimits;
 use super::limits::LEAVING_MEMORY;
 use super::limits::MAX_PAUSE;
+use crate::pace::NamedLimit;
 use crate::types::Incarnation;
 use crate::types::Millis;
 use crate::types::MonoTime;
--- a/jujubewind/src/direct/fleet/server_limits.rs
+++ b/jujubewind/src/direct/fleet/server_limits.rs
@@ -8,7 +8,7 @@
 use super::limits::LEAVING_MEMORY;
 use super::limits::TELLING_SPAN;
 use super::limits::TOLD_MEMORY;
-use super::limits::UNLIMITED_RESPONSES;
+use crate::pace::ServerLimit;
 use crate::types::Incarnation;
 use crate::types::MonoTime;
 use crate::types::RequestRate;
@@ -17,22 +17,17 @@
 #[derive(Clone, Copy, Debug)]
 struct Known {
     started: Option<Incarnation>,
-    /// `None` once the limit has ended.
-    rate: Option<RequestRate>,
-    /// When the server said so, to this entry or to a peer.
-    at: MonoTime,
+    /// As the server named it last, to this entry or to a peer.
+    limit: ServerLimit,
     /// When it said so to this entry, if it did.
     heard: Option<MonoTime>,
     /// When a peer last told it.
     told: MonoTime,
-    /// The responses in a row without a limit, to requests that were sent after `at`.
-    unlimited: u32,
 }
 
 /// The limits that are in force, and those that ended lately.
 ///
-/// Responses overtake each other, so a response without a limit ends one only if its request was
-/// sent after the limit had been named; of what peers tell, the later one holds.
+/// Of what peers tell and what responses to this entry name, the later one holds.
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimits {
     known: BTreeMap<ServerId, Known>,
@@ -49,11 +44,9 @@
         let before = self.rate(server);
         let known = Known {
             started: server.started,
-            rate: Some(rate),
-            at: now,
+            limit: ServerLimit::new(Some(rate), now),
             heard: Some(now),
             told: now,
-            unlimited: 0,
         };
         self.known.insert(server.id.clone(), known);
         before != Some(rate)
@@ -65,18 +58,11 @@
         let Some(known) = self.known.get_mut(&server.id) else {
             return false;
         };
-        let is_same = known.started == server.started && known.rate.is_some();
-        if !is_same || sent <= known.at {
-            return false;
-        }
-        known.unlimited += 1;
-        if known.unlimited < UNLIMITED_RESPONSES {
-            return false;
+        let is_ended = known.started == server.started && known.limit.record_unlimited(now, sent);
+        if is_ended {
+            known.heard = Some(now);
         }
-        known.rate = None;
-        known.at = now;
-        known.heard = Some(now);
-        true
+        is_ended
     }
 
     /// Merges what a peer was told; returns whether the limit in force changed.
@@ -88,54 +74,43 @@
         told: ToldLimit,
     ) -> bool {
         let at = now.before(told.age);
+        let newer = Known {
+            started,
+            limit: ServerLimit::new(told.rate, at),
+            heard: None,
+            told: now,
+        };
         let Some(known) = self.known.get_mut(server) else {
-            let known = Known {
-                started,
-                rate: told.rate,
-                at,
-                heard: None,
-                told: now,
-                unlimited: 0,
-            };
-            self.known.insert(server.clone(), known);
+            self.known.insert(server.clone(), newer);
             return told.rate.is_some();
         };
         let is_same = known.started == started;
-        if is_same && known.rate == told.rate {
+        if is_same && known.limit.rate == told.rate {
             known.told = now;
-            if at > known.at {
-                known.at = at;
-                known.unlimited = 0;
+            if at > known.limit.at {
+                known.limit.confirm(at);
             }
             return false;
         }
-        if known.started > started || (is_same && at < known.at) {
+        if known.started > started || (is_same && at < known.limit.at) {
             return false;
         }
-        let before = known.rate;
-        *known = Known {
-            started,
-            rate: told.rate,
-            at,
-            heard: None,
-            told: now,
-            unlimited: 0,
-        };
-        !is_same || before != told.rate
+        *known = newer;
+        true
     }
 
     /// The requests a second that a server takes from all entries together; `None` without a limit.
     #[must_use]
     pub fn rate(&self, server: &Server) -> Option<RequestRate> {
         let known = self.known.get(&server.id)?;
-        known.rate.filter(|_| server.is_up_to(known.started))
+        known.limit.rate.filter(|_| server.is_up_to(known.started))
     }
 
     /// The servers with a limit in force.
     pub fn limited(&self) -> impl Iterator<Item = &ServerId> {
         let known = self.known.iter();
         known
-            .filter(|(_, known)| known.rate.is_some())
+            .filter(|(_, known)| known.limit.rate.is_some())
             .map(|(server, _)| server)
     }
 
@@ -147,8 +122,8 @@
         let known = self.known.iter();
         known.filter_map(move |(server, known)| {
             let age = now.since(known.heard?);
-            let is_current = known.rate.is_some() || age < TELLING_SPAN;
-            let rate = known.rate;
+            let is_current = known.limit.rate.is_some() || age < TELLING_SPAN;
+            let rate = known.limit.rate;
             is_current.then_some((server, known.started, ToldLimit { rate, age }))
         })
     }
@@ -162,14 +137,14 @@
     ) -> Vec<ServerId> {
         let mut lapsed = Vec::new();
         self.known.retain(|server, known| {
-            let is_current = match (known.rate, known.heard) {
+            let is_current = match (known.limit.rate, known.heard) {
                 (Some(_), Some(heard)) => {
                     is_listed(server, known.started) || now.since(heard) < LEAVING_MEMORY
                 }
                 (Some(_), None) => now.since(known.told) < TOLD_MEMORY,
-                (None, _) => now.since(known.at) < TELLING_SPAN,
+                (None, _) => now.since(known.limit.at) < TELLING_SPAN,
             };
-            if !is_current && known.rate.is_some() {
+            if !is_current && known.limit.rate.is_some() {
                 lapsed.push(server.clone());
             }
             is_current
--- a/jujubewind/src/direct/send_paces.rs
+++ b/jujubewind/src/direct/send_paces.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use super::SendPace;
-use super::Share;
-use crate::direct::ServerId;
+use super::ServerId;
+use crate::pace::SendPace;
+use crate::pace::Share;
 use crate::types::Millis;
 use crate::types::MonoTime;
 
--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
+pub mod pace;
 pub mod prefix;
 pub mod refusal;
 pub mod retry;
--- a/jujubewind/src/limits/mod.rs
+++ b/jujubewind/src/limits/mod.rs
@@ -6,6 +6,8 @@
 mod limiter;
 mod rates;
 
+pub use bucket::Bucket;
+pub use bucket::Micros;
 pub use charge::Charge;
 pub use limiter::Limiter;
 pub use rates::Rates;
--- a/jujubewind/src/pace/limits.rs
+++ b/jujubewind/src/pace/limits.rs
@@ -1,4 +1,4 @@
-//! Parameters of the shares in a backend server's limit.
+//! Parameters of backend servers' limits and of the shares in them.
 
 use crate::types::Millis;
 use crate::types::RequestRate;
@@ -16,3 +16,6 @@
 pub const MIN_RATE: RequestRate = RequestRate::from_milli(100);
 /// The share with which an engine may keep reserved memory, as each renewal is a request.
 pub const MIN_HELPER_RATE: RequestRate = RequestRate::from_milli(2_000);
+/// The responses in a row without a limit after which a server's limit has ended: one may come from
+/// before the server named it.
+pub const UNLIMITED_RESPONSES: u32 = 2;
