Keep an agent's calls within the limit that its plain service names

Change: the emulator's service names a limit in all responses (limit_milli in /faults, header request-limit). Engines behind agents name no limits yet.

--- a/emulator/src/service/faults.rs
+++ b/emulator/src/service/faults.rs
@@ -1,6 +1,7 @@
 //! Faults that can be injected while the service runs.
 
 use jujubewind::types::Millis;
+use jujubewind::types::RequestRate;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -14,6 +15,8 @@
     pub lose_answers: bool,
     /// Responds with status 500 without executing calls.
     pub fail: bool,
+    /// Names a limit on requests in all responses, in thousandths of a request a second.
+    pub limit_milli: Option<RequestRate>,
 }
 
 /// Partial update of the faults; omitted fields stay unchanged.
@@ -23,6 +26,7 @@
     delay_ms: Option<Millis>,
     lose_answers: Option<bool>,
     fail: Option<bool>,
+    limit_milli: Option<RequestRate>,
 }
 
 impl ServiceSwitch {
@@ -31,5 +35,6 @@
         faults.delay_ms = self.delay_ms.unwrap_or(faults.delay_ms);
         faults.lose_answers = self.lose_answers.unwrap_or(faults.lose_answers);
         faults.fail = self.fail.unwrap_or(faults.fail);
+        faults.limit_milli = self.limit_milli.or(faults.limit_milli);
     }
 }
--- a/emulator/src/service/server.rs
+++ b/emulator/src/service/server.rs
@@ -8,6 +8,8 @@
 
 use hyper::Method;
 use hyper::StatusCode;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use jujubewind::wire::service::ServiceCounts;
 use jujubewind::wire::service::ServiceReply;
 use serde_json::json;
@@ -23,6 +25,9 @@
 /// Header whose value identifies a call in the counts.
 const KEY_HEADER: &str = "idempotency-key";
 
+/// Header that names the requests a second that the service takes.
+const LIMIT_HEADER: HeaderName = HeaderName::from_static("request-limit");
+
 #[derive(Debug, Default)]
 struct Server {
     executions: RefCell<HashMap<String, u64>>,
@@ -47,7 +52,11 @@
             (&Method::GET, "/counts") => Ok(self.counts()),
             (&Method::GET, "/faults") => Ok(reply(StatusCode::OK, &*self.faults.borrow())),
             (&Method::POST, "/faults") => Ok(self.update_faults(&call)),
-            (&Method::POST, _) => self.execute(&call).await,
+            (&Method::POST, _) => {
+                let mut reply = self.clone().execute(&call).await?;
+                self.name_limit(&mut reply);
+                Ok(reply)
+            }
             _ => Ok(error_reply(StatusCode::NOT_FOUND, "no such route")),
         }
     }
@@ -69,6 +78,16 @@
         }
     }
 
+    fn name_limit(&self, reply: &mut Reply) {
+        let Some(limit) = self.faults.borrow().limit_milli else {
+            return;
+        };
+        let (whole, rest) = (limit.milli() / 1_000, limit.milli() % 1_000);
+        if let Ok(value) = HeaderValue::try_from(format!("{whole}.{rest:03}")) {
+            reply.headers_mut().insert(LIMIT_HEADER, value);
+        }
+    }
+
     async fn execute(self: Rc<Self>, call: &Call) -> Result<Reply, HangUp> {
         if self.faults.borrow().fail {
             return Ok(error_reply(
--- a/emulator/tests/system/main.rs
+++ b/emulator/tests/system/main.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod groups;
 mod leaving;
+mod limits;
 mod poison;
 mod process;
 mod settings;
--- a/jujubewind/src/agent/core.rs
+++ b/jujubewind/src/agent/core.rs
@@ -14,6 +14,7 @@
 use super::attempt::Ending;
 use super::attempt::Step;
 use super::cached_blocks::CachedBlocks;
+use super::call_limit::CallLimit;
 use super::calls::Calls;
 use crate::chart::StateChart;
 use crate::refusal::Reason;
@@ -50,6 +51,7 @@
     cached: CachedBlocks,
     attempts: BTreeMap<AttemptId, Attempt>,
     calls: Calls,
+    call_limit: CallLimit,
     fenced: BTreeMap<AttemptId, MonoTime>,
     quarantine: Quarantine,
     engine_incarnation: Option<Incarnation>,
@@ -75,6 +77,7 @@
             chart: StateChart::parse(CHART)?,
             attempts: BTreeMap::new(),
             calls: Calls::default(),
+            call_limit: CallLimit::default(),
             fenced: BTreeMap::new(),
             quarantine: Quarantine::default(),
             engine_incarnation: None,
--- a/jujubewind/src/agent/core/intake.rs
+++ b/jujubewind/src/agent/core/intake.rs
@@ -12,6 +12,7 @@
 use crate::agent::Phase;
 use crate::agent::attempt::Ending;
 use crate::agent::attempt::Step;
+use crate::pace::NamedLimit;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::rpc::message::Call;
@@ -151,7 +152,7 @@
     /// Decides whether a call may be sent to the plain service; on `None` the caller must send it.
     ///
     /// The same attempt is never sent twice.
-    pub fn begin_call(&mut self, call: &Call) -> Option<Refusal> {
+    pub fn begin_call(&mut self, now: MonoTime, call: &Call) -> Option<Refusal> {
         let id = call.envelope.attempt;
         if self.leaving {
             return Some(refusal(Reason::Leaving, LEAVING_RETRY_DELAY));
@@ -165,15 +166,29 @@
         if self.open_count() >= self.settings.slots as usize {
             return Some(refusal(Reason::QueueFull, FULL_RETRY_DELAY));
         }
+        let wait = self.call_limit.wait(now);
+        if wait > Millis::ZERO {
+            return Some(refusal(Reason::QueueFull, wait));
+        }
         if self.fenced.contains_key(&id) || !self.calls.begin(id) {
             return Some(refusal(Reason::Cancelled, Millis::ZERO));
         }
+        self.call_limit.record_call(now);
         None
     }
 
-    /// Records that a call has ended.
-    pub fn end_call(&mut self, now: MonoTime, id: AttemptId) {
+    /// Records that a call that was sent at `sent` has ended, and the limit that its response names.
+    pub fn end_call(
+        &mut self,
+        now: MonoTime,
+        id: AttemptId,
+        sent: MonoTime,
+        limit: Option<NamedLimit>,
+    ) {
         self.calls.end(now, id);
+        if let Some(limit) = limit {
+            self.call_limit.record_response(now, sent, limit);
+        }
     }
 
     pub(super) fn check_quote(&self, request: &Quote) -> Option<Refusal> {
--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -194,8 +194,12 @@
                 let _ = reply.send(answer);
                 self.execute(now, commands);
             }
-            Message::Call(call, reply) => self.call(call, reply),
-            Message::CallEnded(attempt) => self.core.end_call(now, attempt),
+            Message::Call(call, reply) => self.call(now, call, reply),
+            Message::CallEnded {
+                attempt,
+                sent,
+                limit,
+            } => self.core.end_call(now, attempt, sent, limit),
             Message::Gossip(message, reply) => {
                 let _ = reply.send(self.members.receive(now, &message));
             }
--- a/jujubewind/src/agent/daemon/backend.rs
+++ b/jujubewind/src/agent/daemon/backend.rs
@@ -49,12 +49,12 @@
     }
 
     /// Forwards a call to the plain service, unless the core refuses it.
-    pub(super) fn call(&mut self, call: Call, reply: Sender<CallReply>) {
+    pub(super) fn call(&mut self, now: MonoTime, call: Call, reply: Sender<CallReply>) {
         let Client::Service(client) = &self.client else {
             let _ = reply.send(CallReply::Refused(unsupported_backend()));
             return;
         };
-        if let Some(refusal) = self.core.begin_call(&call) {
+        if let Some(refusal) = self.core.begin_call(now, &call) {
             self.metrics.count_refusal(refusal.reason);
             let _ = reply.send(CallReply::Refused(refusal));
             return;
@@ -63,8 +63,12 @@
         let messages = self.messages.clone();
         let work = async move {
             let answer = client.call(&call).await;
-            let _ = reply.send(answer);
-            let ended = Message::CallEnded(call.envelope.attempt);
+            let _ = reply.send(answer.reply);
+            let ended = Message::CallEnded {
+                attempt: call.envelope.attempt,
+                sent: now,
+                limit: answer.limit,
+            };
             let _ = messages.send_async(ended).await;
         };
         compio::runtime::spawn(work).detach();
--- a/jujubewind/src/agent/message.rs
+++ b/jujubewind/src/agent/message.rs
@@ -3,6 +3,7 @@
 use flume::Sender;
 
 use super::EngineEvent;
+use crate::pace::NamedLimit;
 use crate::rpc::message::AgentStatus;
 use crate::rpc::message::Call;
 use crate::rpc::message::CallReply;
@@ -18,6 +19,7 @@
 use crate::rpc::message::Start;
 use crate::rpc::message::StartReply;
 use crate::types::AttemptId;
+use crate::types::MonoTime;
 use crate::wire::engine::CacheEvents;
 use crate::wire::engine::SequenceList;
 
@@ -39,7 +41,14 @@
     /// An entry calls the plain service.
     Call(Call, Sender<CallReply>),
     /// The call to the plain service ended.
-    CallEnded(AttemptId),
+    CallEnded {
+        /// The call.
+        attempt: AttemptId,
+        /// When it was sent.
+        sent: MonoTime,
+        /// The limit that the response names; `None` without a response.
+        limit: Option<NamedLimit>,
+    },
     /// Another member sent gossip.
     Gossip(Box<Gossip>, Sender<Gossip>),
     /// Another member answered our gossip.
--- a/jujubewind/src/agent/mod.rs
+++ b/jujubewind/src/agent/mod.rs
@@ -3,6 +3,8 @@
 mod admin;
 mod attempt;
 mod cached_blocks;
+mod call_answer;
+mod call_limit;
 mod calls;
 mod command;
 mod core;
@@ -21,6 +23,8 @@
 
 pub use attempt::Attempt;
 pub use attempt::Phase;
+pub use call_answer::CallAnswer;
+pub use call_limit::CallLimit;
 pub use daemon::run;
 pub use event::EngineEvent;
 pub use quarantine::Quarantine;
--- a/jujubewind/src/agent/service_client.rs
+++ b/jujubewind/src/agent/service_client.rs
@@ -4,6 +4,8 @@
 
 use cyper::Client;
 
+use super::CallAnswer;
+use crate::pace::NamedLimit;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::rpc::message::Call;
@@ -12,6 +14,8 @@
 
 /// The header that carries the caller's idempotency key.
 const KEY_HEADER: &str = "idempotency-key";
+/// The header in which the service names the requests a second that it takes, a decimal number.
+const LIMIT_HEADER: &str = "request-limit";
 /// Retry delay when the service cannot be reached.
 const UNREACHABLE_RETRY_DELAY: Millis = Millis(1_000);
 
@@ -37,25 +41,27 @@
     /// Sends the call once and waits for its response for at most the remaining time.
     ///
     /// A call without remaining time is not sent, since a timeout of zero would still let it begin.
-    pub async fn call(&self, call: &Call) -> CallReply {
+    pub async fn call(&self, call: &Call) -> CallAnswer {
         if call.envelope.remaining == Millis::ZERO {
-            return CallReply::Refused(Refusal {
+            return CallAnswer::without_response(CallReply::Refused(Refusal {
                 reason: Reason::DeadlinePassed,
                 retry: Millis::ZERO,
-            });
+            }));
         }
         let wait = call.envelope.remaining.duration();
         match compio::time::timeout(wait, self.send(call)).await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(error)) if is_connect_error(&error) => CallReply::Refused(Refusal {
-                reason: Reason::BackendDown,
-                retry: UNREACHABLE_RETRY_DELAY,
-            }),
-            Ok(Err(_)) | Err(_) => CallReply::Unknown,
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) if is_connect_error(&error) => {
+                CallAnswer::without_response(CallReply::Refused(Refusal {
+                    reason: Reason::BackendDown,
+                    retry: UNREACHABLE_RETRY_DELAY,
+                }))
+            }
+            Ok(Err(_)) | Err(_) => CallAnswer::without_response(CallReply::Unknown),
         }
     }
 
-    async fn send(&self, call: &Call) -> Result<CallReply, cyper::Error> {
+    async fn send(&self, call: &Call) -> Result<CallAnswer, cyper::Error> {
         let url = format!("{}/{}", self.base, call.method);
         let mut request = self.http.post(url)?.body(call.body.clone());
         if let Some(key) = &call.key {
@@ -63,8 +69,15 @@
         }
         let response = request.send().await?;
         let status = response.status().as_u16();
+        let limit = response.headers().get(LIMIT_HEADER);
+        let limit = limit.map_or(NamedLimit::Absent, |text| {
+            let rate = text.to_str().ok().and_then(|text| text.trim().parse().ok());
+            rate.map_or(NamedLimit::Unreadable, NamedLimit::Rate)
+        });
         let body = response.bytes().await?.to_vec();
-        Ok(CallReply::Answered { status, body })
+        let reply = CallReply::Answered { status, body };
+        let limit = Some(limit);
+        Ok(CallAnswer { reply, limit })
     }
 }
 
