Let a limit lapse of which no entry has heard for a minute

Callers would see: a backend server that is well again is left out by one entry for good.

Cause: an entry without a share of a limit sends nothing to the server, so it hears of the limit's end only from peers, who tell it for 5 s. An entry that is cut off meanwhile kept the limit as long as the server was listed.

Change: a limit lapses a minute after the server named it for the last time, to whichever entry; those with a share hear of it while it lasts. After a restored list, too, an entry may use its share.

Measured: the test of a limit of which nobody has heard for a minute failed to compile against the old expiry, which kept it by construction; it passes, as does one of a limit that a peer still hears of.

--- a/jujubewind/src/direct/control/fleet_changes.rs
+++ b/jujubewind/src/direct/control/fleet_changes.rs
@@ -24,6 +24,7 @@
             FleetChange::Restored(servers) => {
                 self.roster.restore(now, servers);
                 self.note_list(now, &[]);
+                self.has_peers_listed = true;
                 self.refresh_limits(now);
             }
             FleetChange::Listed(server) => {
--- a/jujubewind/src/direct/fleet/limits.rs
+++ b/jujubewind/src/direct/fleet/limits.rs
@@ -25,5 +25,8 @@
 /// How long a removal counts after a peer has told it for the last time: past the grace period after
 /// an outage, in which this entry would keep the server, and the next check for expired ones.
 pub const TOLD_MEMORY: Millis = Millis(2_500);
+/// How long a limit holds after a server has named it for the last time, to whichever entry: those
+/// without a share send nothing there and hear nothing of its end.
+pub const LIMIT_MEMORY: Millis = Millis(60_000);
 /// How long it is remembered that a server was removed, for the same reason.
 pub const REMOVAL_MEMORY: Millis = Millis(60_000);
--- a/jujubewind/src/direct/fleet/notices.rs
+++ b/jujubewind/src/direct/fleet/notices.rs
@@ -209,7 +209,7 @@
         });
         self.paused.retain(|_, until| now < *until);
         self.strained.retain(|_, until| now < *until);
-        self.limits.expire(now, is_listed)
+        self.limits.expire(now)
     }
 
     /// Drops delistings that no longer matter; `can_read` tells whether this entry reads the list.
--- a/jujubewind/src/direct/fleet/server_limits.rs
+++ b/jujubewind/src/direct/fleet/server_limits.rs
@@ -5,7 +5,7 @@
 use super::Server;
 use super::ServerId;
 use super::ToldLimit;
-use super::limits::LEAVING_MEMORY;
+use super::limits::LIMIT_MEMORY;
 use super::limits::TELLING_SPAN;
 use super::limits::TOLD_MEMORY;
 use crate::pace::ServerLimit;
@@ -128,22 +128,17 @@
         })
     }
 
-    /// Drops what no longer matters; `is_listed` tells whether an incarnation is listed. Returns the
-    /// servers whose limit no longer holds, as no peer repeats it.
-    pub fn expire(
-        &mut self,
-        now: MonoTime,
-        is_listed: impl Fn(&ServerId, Option<Incarnation>) -> bool,
-    ) -> Vec<ServerId> {
+    /// Drops what no longer matters. Returns the servers whose limit no longer holds: none of the
+    /// entries has heard of it for long, or no peer repeats it.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<ServerId> {
         let mut lapsed = Vec::new();
         self.known.retain(|server, known| {
-            let is_current = match (known.limit.rate, known.heard) {
-                (Some(_), Some(heard)) => {
-                    is_listed(server, known.started) || now.since(heard) < LEAVING_MEMORY
-                }
-                (Some(_), None) => now.since(known.told) < TOLD_MEMORY,
-                (None, _) => now.since(known.limit.at) < TELLING_SPAN,
+            let is_told = known.heard.is_some() || now.since(known.told) < TOLD_MEMORY;
+            let memory = match known.limit.rate {
+                Some(_) => LIMIT_MEMORY,
+                None => TELLING_SPAN,
             };
+            let is_current = is_told && now.since(known.limit.at) < memory;
             if !is_current && known.limit.rate.is_some() {
                 lapsed.push(server.clone());
             }
--- a/jujubewind/tests/direct/server_limits.rs
+++ b/jujubewind/tests/direct/server_limits.rs
@@ -123,9 +123,38 @@
     let started = server(1).started;
     limits.merge(at(1_000), &server(1).id, started, told(Some(LIMIT), 0));
 
-    let early = limits.expire(at(3_400), |_, _| true);
-    let late = limits.expire(at(3_600), |_, _| true);
+    let early = limits.expire(at(3_400));
+    let late = limits.expire(at(3_600));
 
     assert_eq!((early, late), (Vec::new(), vec![server(1).id]));
     assert_eq!(limits.rate(&server(0)), Some(LIMIT));
 }
+
+#[test]
+fn a_limit_of_which_no_entry_has_heard_for_a_minute_lapses() {
+    let mut limits = named();
+    let id = server(0).id;
+    // A peer that heard of it at the same time goes on to tell so.
+    for second in 2..=60 {
+        let told = told(Some(LIMIT), (second - 1) * 1_000);
+        limits.merge(at(second * 1_000), &id, server(0).started, told);
+    }
+
+    let early = limits.expire(at(60_999));
+    let late = limits.expire(at(61_000));
+
+    assert_eq!((early, late), (Vec::new(), vec![id]));
+    assert_eq!(limits.rate(&server(0)), None);
+}
+
+#[test]
+fn a_limit_that_a_peer_still_hears_of_holds() {
+    let mut limits = named();
+    let id = server(0).id;
+    limits.merge(at(59_000), &id, server(0).started, told(Some(LIMIT), 1_000));
+
+    let lapsed = limits.expire(at(90_000));
+
+    assert_eq!(lapsed, Vec::new());
+    assert_eq!(limits.rate(&server(0)), Some(LIMIT));
+}
