Ask a third engine when one of two stalls before a stream has begun

Callers saw 504 at the end of their time: one engine sent no head, the one that was asked as well stalled after its head, and the third one was never asked.

Cause: an engine that is asked while another one is silent was waited for without a bound once its head had arrived; a stall after the head was noticed only in a stream that had begun.

Change: if it sends no event for as long as a head may take, it is kept as a silent one and one more engine is asked within the attempts and the retry budget; the first event decides.

--- a/jujubewind/src/direct/api/exchange/first_event.rs
+++ b/jujubewind/src/direct/api/exchange/first_event.rs
@@ -1,6 +1,7 @@
 //! The wait for the first event of a stream that two backend servers were asked for.
 
 use std::cell::Cell;
+use std::pin::Pin;
 
 use futures::future::Either;
 use futures::future::select;
@@ -21,7 +22,8 @@
 
 impl<D: Dialect> Exchange<D> {
     /// Sends the request to another backend server until one responds; a stream is read up to its
-    /// first events that the caller lacks after the event `seen`, which may advance meanwhile.
+    /// first events that the caller lacks after the event `seen`, which may advance meanwhile. If
+    /// that one is silent after its head, one more is asked as well.
     pub(in crate::direct::api) async fn open_begun(
         &self,
         target: &Target,
@@ -29,11 +31,33 @@
         seen: &Cell<Option<u64>>,
         retry: Retry,
     ) -> Result<UpstreamResponse> {
-        let upstream = self.open(target.clone(), last, Some(retry)).await?;
+        let mut upstream = self.open(target.clone(), last, Some(retry)).await?;
         if !is_stream(target, &upstream) {
             return Ok(upstream);
         }
-        self.begin(upstream, last, seen).await
+        let Some(timeout) = self.response_timeout(target, &upstream.grant.placement) else {
+            return self.begin(upstream, last, seen).await;
+        };
+        let beginning = upstream.begin(last.or(self.call.last), seen);
+        match compio::time::timeout(timeout.duration(), beginning).await {
+            Ok(Ok(())) => return Ok(upstream),
+            Ok(Err(what)) => {
+                self.fail_begun(upstream, what);
+                return Err(self.failure(Reason::BackendDown));
+            }
+            Err(_) => {}
+        }
+        let server = upstream.grant.placement.primary.id.clone();
+        self.log_silent(&server, timeout);
+        let Some(retry) = self.take_retry(target).await else {
+            self.log_kept(&"no retry left");
+            return self.begin(upstream, last, seen).await;
+        };
+        let silence = self.keep_silent(&server);
+        let other: Pin<Box<dyn Future<Output = Result<UpstreamResponse>> + '_>> =
+            Box::pin(self.open_begun(target, last, seen, retry));
+        let first = self.await_first_event(target, upstream, silence, other, last);
+        first.await.map_err(|_| self.failure(Reason::BackendDown))
     }
 
     /// Reads a stream that was requested after the event `last` up to its first events that the caller
--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -158,7 +158,11 @@
     }
 
     /// How long to wait for the head of a response before another backend server is asked as well.
-    fn response_timeout(&self, target: &Target, placement: &Placement) -> Option<Millis> {
+    pub(super) fn response_timeout(
+        &self,
+        target: &Target,
+        placement: &Placement,
+    ) -> Option<Millis> {
         if !target.route.repeatable() || !self.has_attempts_left(target) {
             return None;
         }
