Split the hold of a request from the shares of limits, and log an unreadable limit once

Cause: one file had the decision and the state's methods; a server that names an unreadable limit in each response was logged at each of them.

Change: the decision has a file of its own. server_limit_not_read is logged once for a server as long as it is listed. No other logic.

--- a/jujubewind/src/direct/control/limits_hold.rs
+++ b/jujubewind/src/direct/control/server_limits.rs
@@ -1,47 +1,16 @@
-//! How the limits of backend servers hold requests back.
+//! This entry's shares of the limits that backend servers have named.
 
 use super::Core;
+use super::hold::Hold;
 use crate::direct::Job;
 use crate::direct::ServerId;
-use crate::direct::plan;
 use crate::pace::Share;
-use crate::refusal::Reason;
-use crate::refusal::Refusal;
 use crate::types::Millis;
 use crate::types::MonoTime;
 
 const MILLIS_PER_SECOND: u64 = 1_000;
 const MILLI_PER_REQUEST: u64 = 1_000;
 
-/// Whether the limits of a service's servers leave room for a request.
-///
-/// This answers a load beyond the limits that all servers of a service have named: a request waits
-/// for a place that comes in its time, and is refused at once if none does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Hold {
-    /// They do not hold it back.
-    Free,
-    /// There is a place for it after this time.
-    Wait(Millis),
-    /// Only other entries have shares in the limits, with a place for a request each so often.
-    Elsewhere(Millis),
-}
-
-impl Hold {
-    /// Why the request is refused, if there is no place for it in its time.
-    pub(super) fn refusal(self, now: MonoTime, job: &Job) -> Option<Refusal> {
-        let retry = match self {
-            Self::Wait(wait) if now.after(wait) >= job.queue_deadline() => wait,
-            Self::Elsewhere(period) => period.min(plan::MAX_RETRY_DELAY),
-            Self::Free | Self::Wait(_) => return None,
-        };
-        Some(Refusal {
-            reason: Reason::QueueFull,
-            retry: retry.max(plan::MIN_RETRY_DELAY),
-        })
-    }
-}
-
 impl Core {
     /// How the limits of the servers hold a request back, after the queued ones that go before it.
     pub(super) fn hold(&self, now: MonoTime, job: &Job) -> Hold {
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -1,5 +1,6 @@
 //! The control task, which owns the scheduling state and serializes access to it.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,6 +49,8 @@
     pub(super) replies: HashMap<JobId, Sender<Verdict>>,
     /// Whether something changed that may allow queued requests to be placed.
     pub(super) dirty: bool,
+    /// Servers that named a limit which could not be read, each logged once.
+    pub(super) unread_limits: BTreeSet<ServerId>,
     /// Whether a backend server announced something that the peers have not been told.
     pub(super) has_notices: bool,
     pub(super) last_full_update: MonoTime,
@@ -82,6 +85,7 @@
         outbound,
         replies: HashMap::new(),
         dirty: false,
+        unread_limits: BTreeSet::new(),
         has_notices: false,
         last_full_update: now,
         last_expiry: now,
@@ -275,8 +279,9 @@
         self.shared.state.set_notices(self.core.notices().clone());
     }
 
-    fn forget_server(&self, server: ServerId) {
+    fn forget_server(&mut self, server: ServerId) {
         self.shared.pool.forget(&server);
+        self.unread_limits.remove(&server);
         let now = BootTime::now();
         let state = &self.shared.state;
         if self.core.lists_any(&server) {
--- a/jujubewind/src/direct/control/updates.rs
+++ b/jujubewind/src/direct/control/updates.rs
@@ -78,7 +78,7 @@
         limit: NamedLimit,
         sent: Option<MonoTime>,
     ) {
-        if limit == NamedLimit::Unreadable {
+        if limit == NamedLimit::Unreadable && self.unread_limits.insert(server.id.clone()) {
             crate::event!(warn, "server_limit_not_read", server = server.id);
         }
         if !self.core.record_limit(now, server, limit, sent) {
--- a/jujubewind/src/pace/limits.rs
+++ b/jujubewind/src/pace/limits.rs
@@ -7,9 +7,8 @@
 pub const WINDOW: Millis = Millis(4_000);
 /// The precision at which the requests of the last window are remembered.
 pub const SLOT: Millis = Millis(250);
-/// The entries that may send to a server whose limit is under one request a second. In a window a
-/// server accepts five requests beyond its limit; the rest is left for requests that were on their
-/// way as the limit was named, and for entries that see others leave or join earlier.
+/// The processes that may send to a server whose limit is under one request a second; a higher limit
+/// has as many more as whole requests a second.
 pub const MIN_HOLDERS: u64 = 3;
 /// What all entries together still send to a server that takes nothing, so that they notice when
 /// its limit ends.
