Remember the end of a limit for as long as a peer may tell of it

Callers would see: servers that are well again get few requests once more, for seconds, after an entry comes back that was cut off.

Cause: the end of a limit was forgotten after the 5 s in which it is told. An entry that missed it went on telling of the limit, and all others took that for news.

Change: the end is remembered for a minute, after which no entry tells of a limit that nobody has heard since. The gauge of limited servers counts those whose limit holds for the listed incarnation.

--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -218,7 +218,7 @@
             servers: self.roster.len(),
             peers: self.ledger.live_peers(now),
             waiting: self.queue.len(),
-            limited: self.notices.limited().count(),
+            limited: self.paces.limited(),
         }
     }
 
--- a/jujubewind/src/direct/fleet/server_limits.rs
+++ b/jujubewind/src/direct/fleet/server_limits.rs
@@ -129,17 +129,15 @@
     }
 
     /// Drops what no longer matters. Returns the servers whose limit no longer holds: none of the
-    /// entries has heard of it for long, or no peer repeats it.
+    /// entries has heard of it for long, or no peer repeats it. The end of a limit is remembered for
+    /// as long as a peer that missed it may tell of the limit.
     pub fn expire(&mut self, now: MonoTime) -> Vec<ServerId> {
         let mut lapsed = Vec::new();
         self.known.retain(|server, known| {
+            let is_ended = known.limit.rate.is_none();
             let is_told = known.heard.is_some() || now.since(known.told) < TOLD_MEMORY;
-            let memory = match known.limit.rate {
-                Some(_) => LIMIT_MEMORY,
-                None => TELLING_SPAN,
-            };
-            let is_current = is_told && now.since(known.limit.at) < memory;
-            if !is_current && known.limit.rate.is_some() {
+            let is_current = now.since(known.limit.at) < LIMIT_MEMORY && (is_told || is_ended);
+            if !is_current && !is_ended {
                 lapsed.push(server.clone());
             }
             is_current
--- a/jujubewind/tests/direct/server_limits.rs
+++ b/jujubewind/tests/direct/server_limits.rs
@@ -158,3 +158,21 @@
     assert_eq!(lapsed, Vec::new());
     assert_eq!(limits.rate(&server(0)), Some(LIMIT));
 }
+
+#[test]
+fn a_limit_that_ended_does_not_hold_again_by_a_peer_that_missed_its_end() {
+    let mut limits = named();
+    limits.record_unlimited(at(1_200), &server(0), at(1_100));
+    limits.record_unlimited(at(1_300), &server(0), at(1_100));
+    limits.expire(at(30_000));
+
+    let id = server(0).id;
+    let is_news = limits.merge(
+        at(30_000),
+        &id,
+        server(0).started,
+        told(Some(LIMIT), 29_000),
+    );
+
+    assert_eq!((is_news, limits.rate(&server(0))), (false, None));
+}
