Answer the connections that have reached an entry with agents as it stops

Callers saw resets: those that connected as the process ended, and those whose request bodies were still arriving.

Cause: once the last open request had ended the process ended, with its listener open and without a look at its connections. Entries without agents close the listener and wait for the connections; entries with agents did not.

Change: after its drain the entry closes its connections, serves the queue of its listener and waits until all have been answered, for at most the time that a body may take to arrive and the close of a listener. New requests are refused meanwhile.

--- a/emulator/tests/system/stops.rs
+++ b/emulator/tests/system/stops.rs
@@ -1,15 +1,20 @@
 //! Planned stops under load: repeated signals, callers that keep sending, and a rolling restart.
 
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use jujube_emulator::engine::core::answer::expected;
 use nix::sys::signal::Signal;
 
 use crate::answer::Answer;
+use crate::caller;
 use crate::caller::Caller;
 use crate::fleet::Fleet;
 
@@ -17,6 +22,13 @@
 const TOKENS: u64 = 300;
 /// Number of concurrent callers.
 const CALLERS: u64 = 6;
+/// Number of threads that connect anew for each request.
+const CONNECTING: usize = 4;
+/// When the bodies of slow requests end, in milliseconds: the last one after an idle entry has stopped
+/// accepting.
+const SLOW_BODIES_MILLIS: [u64; 2] = [1_000, 6_500];
+/// The time within which connections have been made.
+const SETTLING: Duration = Duration::from_millis(200);
 /// Number of threads that send continuously.
 const SENDERS: u64 = 3;
 
@@ -111,6 +123,48 @@
     assert!(fleet.wait("e1"), "the entry ends by itself");
 }
 
+/// Sends requests on new connections until none can be made; returns how many got no response.
+fn connect_until_refused(entry: SocketAddr) -> usize {
+    let mut unanswered = 0;
+    while let Ok(mut stream) = TcpStream::connect(entry) {
+        let request = b"GET /readyz HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n";
+        let is_sent = stream.write_all(request).is_ok();
+        unanswered += usize::from(!is_sent || caller::read(stream).status == 0);
+    }
+    unanswered
+}
+
+/// Sends a request whose body ends after `delay`; returns the status of its response, zero if there
+/// is none.
+fn send_slowly(entry: SocketAddr, delay: Duration) -> u16 {
+    let mut stream = TcpStream::connect(entry).expect("connects");
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: test\r\nconnection: close\r\ncontent-length: 2\r\n\r\n{";
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    thread::sleep(delay);
+    let _ = stream.write_all(b"}");
+    caller::read(stream).status
+}
+
+#[test]
+fn an_entry_that_stops_resets_no_connection() {
+    let mut fleet = fleet(&["e1"]);
+    let entry = fleet.addr("e1");
+    let connecting = [(); CONNECTING].map(|()| thread::spawn(move || connect_until_refused(entry)));
+    let slow = SLOW_BODIES_MILLIS.map(|millis| {
+        let delay = Duration::from_millis(millis);
+        thread::spawn(move || send_slowly(entry, delay))
+    });
+    thread::sleep(SETTLING);
+
+    fleet.signal("e1", Signal::SIGTERM);
+
+    assert!(fleet.wait("e1"), "the entry ends by itself");
+    let unanswered = connecting.map(|caller| caller.join().expect("the caller ends"));
+    let statuses = slow.map(|caller| caller.join().expect("the caller ends"));
+    assert_eq!(unanswered, [0; CONNECTING]);
+    assert!(statuses.iter().all(|status| *status != 0), "{statuses:?}");
+}
+
 #[test]
 fn replacing_every_process_in_turn_cuts_no_answer() {
     let mut fleet = fleet(&["e1", "e2"]);
--- a/jujubewind/src/entry/daemon.rs
+++ b/jujubewind/src/entry/daemon.rs
@@ -20,6 +20,10 @@
 use crate::settings::EntrySettings;
 use crate::timer::Clock;
 use crate::timer::TimerService;
+use crate::types::Millis;
+
+/// How often a closing server is checked for open connections.
+const CLOSE_POLL_INTERVAL: Millis = Millis(20);
 
 /// Runs an entry until the process is stopped.
 ///
@@ -46,6 +50,7 @@
         .clone()
         .map(|claims| Spending::start(claims, &timer, control.clone()));
     let dispatcher = ServiceDispatcher::new(timer.clone(), agents.clone(), control.clone(), claims);
+    let closing = http::END_LIMIT.saturating_add(settings.arrival);
     let api = Api::new(
         settings,
         timer.clock(),
@@ -54,10 +59,22 @@
         dispatcher,
         spending.clone(),
     );
-    compio::runtime::spawn(http::serve(listener, Rc::new(api), ServerHandle::new())).detach();
+    let serving = ServerHandle::new();
+    compio::runtime::spawn(http::serve(listener, Rc::new(api), serving.clone())).detach();
     let _ = ended.recv_async().await;
     if let Some(spending) = spending {
         spending.close().await;
     }
+    close(&serving, &timer, closing).await;
     Ok(())
 }
+
+/// Closes the listener and answers what has reached it, for at most `limit`.
+async fn close(serving: &ServerHandle, timer: &TimerService, limit: Millis) {
+    serving.close();
+    serving.end_accepting();
+    let started = timer.clock().now();
+    while serving.connections() > 0 && timer.clock().now().since(started) < limit {
+        timer.sleep(CLOSE_POLL_INTERVAL).await;
+    }
+}
