Let other requests run while a peer sends without a pause

Callers of that entry were refused with store_down, although it had no store to lose: the key table had expired while one call was served.

Cause: the decoder of chunked bodies reads until it has a piece of the body. The size of a chunk may have any number of leading zeros, and blanks after it; while the peer has sent more by each read, the decoder does not return and no timer, no deadline and no other request of the entry runs. A back end did so in the test, one zero at a time, until the limit on bytes before a head ended it; with a pause after the head, or as a caller without a key, nothing ended it.

Looked at and left: bodies, event streams and trailers return after each piece or have bounds; connections to the store are not covered.

--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -21,6 +21,7 @@
 use hyper::service::service_fn;
 use socket2::SockRef;
 
+use super::FairRead;
 use super::ReadLimit;
 use super::Reply;
 use super::ReplyBody;
@@ -167,7 +168,7 @@
     let connection = Builder::new()
         .header_read_timeout(idle_timer.limit().duration())
         .timer(idle_timer)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(FairRead::new(HyperStream::new_plain(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let closing = std::pin::pin!(await_end(&handle, &has_request, &socket));
     let serving = std::pin::pin!(async {
