--- a/jujubewind/tests/direct/limited_servers.rs
+++ b/jujubewind/tests/direct/limited_servers.rs
@@ -415,3 +415,18 @@
 
     assert!(matches!(verdict, Some(Verdict::Refuse(_))), "{verdict:?}");
 }
+
+#[test]
+fn an_entry_whose_first_list_comes_from_a_restored_store_uses_its_share_of_a_limit() {
+    let mut core = core_of("entry-0", 1);
+    core.apply_fleet_change(at(0), FleetChange::Restored(vec![server(0)]));
+    core.apply_fleet_change(at(0), FleetChange::PeerListed(peer(1)));
+    let limit = NamedLimit::Rate(RequestRate::from_milli(20_000));
+    core.record_limit(at(0), &server(0), limit, None);
+
+    let mut late = job(1, PROMPT_TOKENS);
+    late.arrived = at(9_000);
+    let verdict = core.admit(at(9_000), late, Fingerprint::from_number(1));
+
+    assert!(matches!(verdict, Some(Verdict::Place(_))), "{verdict:?}");
+}
