Report a starting entry that refuses all keys as not ready

After a restore from an older copy, a starting entry that learned from a peer of a newer configuration refused all keyed calls until the operator wrote it again, and reported ready for the 4.75 s for which its first read confirmed the older one. Load balancers sent callers to refusals.

Change: an entry whose table is known to be older than one that was in force is not ready.

--- a/jujubewind/src/direct/control/entry_state.rs
+++ b/jujubewind/src/direct/control/entry_state.rs
@@ -197,10 +197,12 @@
         is_fresh && !self.is_disproved.get() && self.is_settled(now)
     }
 
-    /// Whether the table is fresh enough for the process to report that it is ready.
+    /// Whether the process may report that it is ready, unless it is stopping: it has read all that
+    /// it needs, and its table is fresh enough and not an older copy.
     #[must_use]
-    pub fn is_fresh(&self, now: BootTime) -> bool {
-        self.is_confirmed(now, self.staleness_limits.get().ready)
+    pub fn is_ready(&self, now: BootTime) -> bool {
+        let is_fresh = self.is_confirmed(now, self.staleness_limits.get().ready);
+        self.is_loaded(now) && is_fresh && !self.is_disproved.get()
     }
 
     /// Whether the table was confirmed less than `limit` ago.
--- a/jujubewind/src/direct/daemon/readiness.rs
+++ b/jujubewind/src/direct/daemon/readiness.rs
@@ -22,9 +22,7 @@
 impl Handler for Readiness {
     async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Reply {
         let now = BootTime::now();
-        let fresh = self.state.is_fresh(now);
-        let ready = self.state.is_loaded(now) && fresh && !self.state.is_stopping();
-        if ready {
+        if self.state.is_ready(now) && !self.state.is_stopping() {
             http::plain(StatusCode::OK, "ready\n")
         } else {
             http::plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
--- a/jujubewind/tests/direct/entry_state.rs
+++ b/jujubewind/tests/direct/entry_state.rs
@@ -55,11 +55,8 @@
 
 #[test]
 fn keys_are_trusted_only_while_the_proof_is_young() {
-    let state = EntryState::default();
-    state.set_staleness_limits(StalenessLimits {
-        keys: Millis(4_750),
-        ready: Millis(2_500),
-    });
+    let state = trusting_state();
+    state.mark_listed();
 
     let before = state.is_trusted(boot(10));
     state.confirm(boot(1_000));
@@ -67,7 +64,8 @@
     assert!(!before);
     assert!(state.is_trusted(boot(5_700)));
     assert!(!state.is_trusted(boot(5_750)));
-    assert!(!state.is_fresh(boot(3_500)));
+    assert!(state.is_ready(boot(3_490)));
+    assert!(!state.is_ready(boot(3_500)));
 }
 
 #[test]
