Do not cancel an unknown attempt again once it has ended

An event of an attempt that an agent does not know was answered with a cancel, also the event that a cancel had been carried out. The agent and its engine then sent each other cancels and their results without end, one such pair for each attempt, and the attempt was ended as soon as the agent learned of it.

Change: the report of a cancel or of a complete output is not answered. Output and failures of unknown attempts are cancelled as before.

Result: agent::the_end_of_an_unknown_attempt_is_not_answered_with_another_ cancel failed before (Stopped was answered with Stop) and passes; the other test of that file passes before and after.

--- a/jujubewind/src/agent/core/engine_events.rs
+++ b/jujubewind/src/agent/core/engine_events.rs
@@ -22,7 +22,10 @@
         event: EngineEvent,
     ) -> Vec<Command> {
         if !self.attempts.contains_key(&id) {
-            return vec![Command::Stop(id)];
+            return match event {
+                EngineEvent::Stopped | EngineEvent::End { .. } => Vec::new(),
+                _ => vec![Command::Stop(id)],
+            };
         }
         let mut commands = match event {
             EngineEvent::Token { offset, text } => return self.handle_token(now, id, offset, text),
