Review case 1: a late copy of an order's answer reaches another caller

MIXED: a caller gets an answer that belongs to another request. An engine sends its 409 to an order a second time, in front of its answer to the next request on the connection; the entry passes it on, since a response without an attempt id is discarded only if it is a success.

Adds the stand-ins that the cases share.

--- /dev/null
+++ b/review/standins/cases.rs
@@ -0,0 +1,13 @@
+//! The cases.
+
+mod foreign_answer;
+
+use crate::Outcome;
+
+/// Plays the case with this name.
+pub fn play(case: &str, trouble: bool) -> Outcome {
+    match case {
+        "foreign_answer" => foreign_answer::play(trouble),
+        _ => Err(format!("there is no case {case}")),
+    }
+}
