Review case 2: prompts with a sound part are refused for half an hour

LOST: sound requests begin less than half as often while requests with a fatal part come. One crash for another reason, at a time of little traffic, convicts the part that all prompts share.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod foreign_answer;
+mod shared_part;
 
 use crate::Outcome;
 
@@ -8,6 +9,7 @@
 pub fn play(case: &str, trouble: bool) -> Outcome {
     match case {
         "foreign_answer" => foreign_answer::play(trouble),
+        "shared_part" => shared_part::play(trouble),
         _ => Err(format!("there is no case {case}")),
     }
 }
