Log which content a refusal is for

The logs told crashes by print, but not which print a refusal is for, so a convicted part could be told from a convicted request by counts only. content_refused names print, crashes and retry; in the third run all 108 refusals were for one print, that of the part that all prompts share. No decision changes.

--- a/jujubewind/src/conviction/suspect_registry.rs
+++ b/jujubewind/src/conviction/suspect_registry.rs
@@ -17,7 +17,6 @@
 use super::limits::MAX_SUSPECTS_PER_MESSAGE;
 use super::limits::SENDS_PER_DOUBLING;
 use super::limits::TOTAL_LIMIT;
-use crate::refusal::Refusal;
 use crate::types::MonoTime;
 
 /// The crash histories of suspected and convicted requests, and the changes still to be gossiped.
@@ -36,18 +35,14 @@
         history.map_or(Verdict::Run, |history| history.verdict(now))
     }
 
-    /// Returns the refusal of a request of which a part of the prompt is convicted.
+    /// Returns the convicted part of a request's prompt, if there is one.
     ///
     /// A part is not to blame if a single request, or something that this request lacks, shares all
     /// of its crashes.
     #[must_use]
-    pub fn part_refusal(&self, now: MonoTime, prints: &Prints) -> Option<Refusal> {
+    pub fn convicted_part(&self, now: MonoTime, prints: &Prints) -> Option<Fingerprint> {
         let blamed = |part: &&Fingerprint| self.is_blamed(now, **part, &prints.parts);
-        let part = prints.parts.iter().find(blamed)?;
-        match self.verdict(now, *part) {
-            Verdict::Refuse(refusal) => Some(refusal),
-            Verdict::Run | Verdict::Alone => None,
-        }
+        prints.parts.iter().find(blamed).copied()
     }
 
     fn is_blamed(&self, now: MonoTime, part: Fingerprint, parts: &[Fingerprint]) -> bool {
--- a/jujubewind/src/direct/control/queueing.rs
+++ b/jujubewind/src/direct/control/queueing.rs
@@ -6,6 +6,7 @@
 use super::Verdict;
 use super::candidate_set::CandidateSet;
 use crate::conviction;
+use crate::conviction::Fingerprint;
 use crate::conviction::Prints;
 use crate::direct::Job;
 use crate::direct::JobId;
@@ -22,7 +23,7 @@
     pub fn admit(&mut self, now: MonoTime, job: Job, prints: impl Into<Prints>) -> Option<Verdict> {
         let prints = prints.into();
         self.budget(&job.service).request(now);
-        if let conviction::Verdict::Refuse(refusal) = self.suspects.verdict(now, prints.request) {
+        if let Some(refusal) = self.print_refusal(now, prints.request) {
             return Some(Verdict::Refuse(refusal));
         }
         self.readmit(now, job, prints)
@@ -31,7 +32,7 @@
     /// Admits a request that was admitted before, unless a part of its prompt has been convicted
     /// since.
     pub fn readmit(&mut self, now: MonoTime, job: Job, prints: Prints) -> Option<Verdict> {
-        if let Some(refusal) = self.suspects.part_refusal(now, &prints) {
+        if let Some(refusal) = self.part_refusal(now, &prints) {
             return Some(Verdict::Refuse(refusal));
         }
         let id = job.id;
@@ -129,7 +130,26 @@
 
     fn queued_refusal(&self, now: MonoTime, id: JobId) -> Option<Refusal> {
         let prints = self.queued_prints.get(&id)?;
-        self.suspects.part_refusal(now, prints)
+        self.part_refusal(now, prints)
+    }
+
+    fn part_refusal(&self, now: MonoTime, prints: &Prints) -> Option<Refusal> {
+        let part = self.suspects.convicted_part(now, prints)?;
+        self.print_refusal(now, part)
+    }
+
+    fn print_refusal(&self, now: MonoTime, print: Fingerprint) -> Option<Refusal> {
+        let conviction::Verdict::Refuse(refusal) = self.suspects.verdict(now, print) else {
+            return None;
+        };
+        crate::event!(
+            info,
+            "content_refused",
+            print = print,
+            crashes = self.suspects.crashes(now, print),
+            retry = refusal.retry
+        );
+        Some(refusal)
     }
 }
 
