Spare a part whose crashes another one explains but for two

Cause: a part that all prompts share was spared only if something that the request lacks was at all of its crashes. The fatal part was at three of four; one crash for another reason made the shared part the only explanation, although that crash alone convicts nothing.

Ruled out: a convicted request (no two alike, no request has more than two crashes), engines that are missing (the reason is convicted).

A part is now blamed only if without the crashes that one absent suspect explains (three or more) three are left. One suspect, not several: the sessions in which a fatal part comes would explain its crashes together. At most two more crashes are needed to convict a part that happened to share three of its crashes with a session; fatal_part_is_refused_in_every_session guards that.

--- a/jujubewind/src/conviction/crash_history.rs
+++ b/jujubewind/src/conviction/crash_history.rs
@@ -78,11 +78,10 @@
         is_settled && !std::mem::replace(&mut report.cleared, true)
     }
 
-    /// Whether all crashes that count against `other` count against this one as well.
-    pub(super) fn covers(&self, now: MonoTime, other: &Self) -> bool {
-        other
-            .counted(now)
-            .all(|(id, _)| self.reports.get(id).is_some_and(|own| own.is_counted(now)))
+    /// The number of crashes that count against both.
+    pub(super) fn shared(&self, now: MonoTime, other: &Self) -> usize {
+        let is_shared = |id| other.reports.get(id).is_some_and(|one| one.is_counted(now));
+        self.counted(now).filter(|(id, _)| is_shared(*id)).count()
     }
 
     /// Clears all crashes after the request completed. Returns whether any was still counted.
--- a/jujubewind/src/conviction/suspect_registry.rs
+++ b/jujubewind/src/conviction/suspect_registry.rs
@@ -37,8 +37,8 @@
 
     /// Returns the convicted part of a request's prompt, if there is one.
     ///
-    /// A part is not to blame if a single request, or something that this request lacks, shares all
-    /// of its crashes.
+    /// A part is not to blame if something that this request lacks, or a single request, explains so
+    /// many of its crashes that the others would not convict it.
     #[must_use]
     pub fn convicted_part(&self, now: MonoTime, prints: &Prints) -> Option<Fingerprint> {
         let blamed = |part: &&Fingerprint| self.is_blamed(now, **part, &prints.parts);
@@ -49,12 +49,17 @@
         let Some(history) = self.histories.get(&part) else {
             return false;
         };
-        if history.counted(now).count() < TOTAL_LIMIT {
+        let crashes = history.counted(now).count();
+        if crashes < TOTAL_LIMIT {
             return false;
         }
+        let explains = |other: &CrashHistory| {
+            let shared = history.shared(now, other);
+            shared >= TOTAL_LIMIT && crashes - shared < TOTAL_LIMIT
+        };
         let others = self.histories.iter();
         let mut absent = others.filter(|(print, _)| !parts.contains(print));
-        !absent.any(|(_, other)| other.covers(now, history))
+        !absent.any(|(_, other)| explains(other))
     }
 
     /// Records that a backend server responds, so that it did not crash at the report with the id
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -1,6 +1,7 @@
 //! Placement, queueing and shared state of an entry that reaches backend servers without agents.
 
 mod budget;
+mod convictions;
 mod core;
 mod departures;
 mod entry_state;
--- a/jujubewind/tests/direct/poison_parts.rs
+++ b/jujubewind/tests/direct/poison_parts.rs
@@ -13,7 +13,7 @@
 use self::world::SYSTEM;
 use self::world::World;
 use self::world::id_of;
-use self::world::print;
+pub use self::world::print;
 use crate::fixture::at;
 use crate::fixture::core_of;
 use crate::fixture::job;
