Try again what is convicted, one request at a time

Cause: a conviction ended by an answer that goes on or after half an hour, and it stopped all requests that could have had such an answer.

Now one request with what is convicted runs, at one server, 1 s after the last crash for each suspected part in it (5 s for a whole request), and 20 times as long after each trial that crashes a server. The number of entries that may begin a trial doubles each 250 ms, and one that begins tells the others. A crash on trial is held against what no answer has gone on for; entries remember and tell that for half an hour.

control/conviction.rs: an_entry_that_starts_later_learns_of_a_conviction looks 14 s later, when a trial is due; it accepts that verdict as well, which only a conviction gives. The fleet there begins trials as entries do; its bound of four crashes is unchanged.

--- a/jujubewind/src/conviction/crash_history.rs
+++ b/jujubewind/src/conviction/crash_history.rs
@@ -1,5 +1,6 @@
 //! The crashes attributed to one request.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use rapidhash::v3::rapidhash_v3;
@@ -12,6 +13,7 @@
 use super::limits::LATE_RESPONSE;
 use super::limits::MAX_MARKS_PER_REQUEST;
 use super::limits::TOTAL_LIMIT;
+use super::limits::TRIAL_BACKOFF;
 use crate::refusal::Reason;
 use crate::refusal::Refusal;
 use crate::types::Millis;
@@ -22,6 +24,7 @@
 pub(super) struct CrashReport {
     alone: bool,
     cleared: bool,
+    trial: bool,
     at: MonoTime,
 }
 
@@ -29,6 +32,10 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct CrashHistory {
     reports: BTreeMap<u64, CrashReport>,
+    /// Whether an answer to it has gone on before.
+    sound: bool,
+    /// Until when a trial that has begun excludes others.
+    held: MonoTime,
 }
 
 impl CrashHistory {
@@ -38,6 +45,7 @@
         let theirs = CrashReport {
             alone: mark.alone,
             cleared: mark.cleared,
+            trial: mark.trial,
             at: MonoTime::from_micros(at),
         };
         let Some(ours) = self.reports.get_mut(&mark.crash) else {
@@ -47,20 +55,25 @@
             self.reports.insert(mark.crash, theirs);
             return true;
         };
-        let known = (ours.alone, ours.cleared);
+        let known = (ours.alone, ours.cleared, ours.trial);
         ours.alone |= theirs.alone;
         ours.cleared |= theirs.cleared;
-        known != (ours.alone, ours.cleared)
+        ours.trial |= theirs.trial;
+        if theirs.trial && theirs.at.since(ours.at) >= LATE_RESPONSE {
+            ours.at = theirs.at;
+        }
+        known != (ours.alone, ours.cleared, ours.trial)
     }
 
-    /// Makes room for a crash that counts, if necessary in place of the oldest cleared one. Returns
-    /// whether there is room.
+    /// Makes room for a crash that counts, if necessary in place of the oldest cleared one, or for one
+    /// on trial in place of the oldest other one. Returns whether there is room.
     fn make_room(&mut self, mark: &Mark) -> bool {
         if self.reports.len() < MAX_MARKS_PER_REQUEST {
             return true;
         }
-        let cleared = self.reports.iter().filter(|(_, report)| report.cleared);
-        let oldest = cleared.min_by_key(|(_, report)| report.at);
+        let may_go = |report: &CrashReport| report.cleared || (mark.trial && !report.trial);
+        let others = self.reports.iter().filter(|(_, report)| may_go(report));
+        let oldest = others.min_by_key(|(_, report)| (!report.cleared, report.at));
         let Some(id) = oldest.map(|(id, _)| *id).filter(|_| !mark.cleared) else {
             return false;
         };
@@ -78,14 +91,15 @@
         is_settled && !std::mem::replace(&mut report.cleared, true)
     }
 
-    /// The number of crashes that count against both.
-    pub(super) fn shared(&self, now: MonoTime, other: &Self) -> usize {
-        let is_shared = |id| other.reports.get(id).is_some_and(|one| one.is_counted(now));
-        self.counted(now).filter(|(id, _)| is_shared(*id)).count()
+    /// Whether this crash counts against it.
+    pub(super) fn counts(&self, now: MonoTime, crash: u64) -> bool {
+        let report = self.reports.get(&crash);
+        report.is_some_and(|report| report.is_counted(now))
     }
 
     /// Clears all crashes after the request completed. Returns whether any was still counted.
     pub(super) fn clear(&mut self) -> bool {
+        self.sound = true;
         let mut changed = false;
         for report in self.reports.values_mut() {
             changed |= !report.cleared;
@@ -94,24 +108,78 @@
         changed
     }
 
-    /// Returns how the request may run.
-    pub(super) fn verdict(&self, now: MonoTime) -> Verdict {
-        let counted = || self.counted(now).map(|(_, report)| report);
-        let alone = counted().filter(|report| report.alone).count();
-        let total = counted().count();
-        if alone < ALONE_LIMIT && total < TOTAL_LIMIT {
-            return if total == 0 {
+    /// Returns how the request may run, if a trial of it is due at `due`.
+    pub(super) fn verdict(&self, now: MonoTime, due: MonoTime) -> Verdict {
+        if !self.is_convicted(now) {
+            return if self.counted(now).next().is_none() {
                 Verdict::Run
             } else {
                 Verdict::Alone
             };
         }
-        let oldest = counted().map(|report| report.at).min();
+        if due <= now {
+            return Verdict::Trial;
+        }
+        Verdict::Refuse(self.refusal(now, due))
+    }
+
+    /// Whether the crashes that count are enough to refuse the request.
+    pub(super) fn is_convicted(&self, now: MonoTime) -> bool {
+        let counted = || self.counted(now).map(|(_, report)| report);
+        let alone = counted().filter(|report| report.alone).count();
+        alone >= ALONE_LIMIT || counted().count() >= TOTAL_LIMIT
+    }
+
+    /// The refusal until a trial is due at `due` or the conviction expires.
+    pub(super) fn refusal(&self, now: MonoTime, due: MonoTime) -> Refusal {
+        let oldest = self.counted(now).map(|(_, report)| report.at).min();
         let end = oldest.map_or(now, |at| at.after(CRASH_TTL));
-        Verdict::Refuse(Refusal {
+        Refusal {
             reason: Reason::Convicted,
-            retry: end.since(now),
-        })
+            retry: now.until(end.min(due)),
+        }
+    }
+
+    /// When the next trial is due, if the first one is `pause` after the last crash.
+    pub(super) fn trial_due(&self, now: MonoTime, pause: Millis) -> MonoTime {
+        let last = self.counted(now).map(|(_, report)| report.at).max();
+        let failed = u32::try_from(self.failed_trials(now)).unwrap_or(u32::MAX);
+        let factor = TRIAL_BACKOFF.saturating_pow(failed);
+        let pause = Millis(pause.get().saturating_mul(factor));
+        last.unwrap_or(now).after(pause).max(self.held)
+    }
+
+    /// The number of trials that ended with a crash.
+    pub(super) fn failed_trials(&self, now: MonoTime) -> usize {
+        let counted = self.counted(now);
+        counted.filter(|(_, report)| report.trial).count()
+    }
+
+    /// How little of a crash is to be blamed on it rather than on something beside it.
+    pub(super) fn innocence(&self, now: MonoTime) -> (bool, Reverse<usize>) {
+        (self.sound, Reverse(self.counted(now).count()))
+    }
+
+    /// Whether an answer to it has gone on before.
+    pub(super) fn is_sound(&self) -> bool {
+        self.sound
+    }
+
+    /// Records that an answer to it has gone on before. Returns whether that is news.
+    pub(super) fn mark_sound(&mut self) -> bool {
+        !std::mem::replace(&mut self.sound, true)
+    }
+
+    /// Excludes other trials until then. Returns whether anything changed.
+    pub(super) fn hold(&mut self, until: MonoTime) -> bool {
+        let is_later = until > self.held;
+        self.held = self.held.max(until);
+        is_later
+    }
+
+    /// How much longer a trial excludes others.
+    pub(super) fn held(&self, now: MonoTime) -> Millis {
+        self.held.since(now)
     }
 
     /// Returns the crashes that count against the request, by id.
@@ -142,7 +210,8 @@
         let mut bytes = fingerprint.to_string().into_bytes();
         for (crash, report) in &self.reports {
             bytes.extend(crash.to_le_bytes());
-            bytes.extend([u8::from(report.alone), u8::from(report.cleared)]);
+            let flags = [report.alone, report.cleared, report.trial];
+            bytes.extend(flags.map(u8::from));
         }
         rapidhash_v3(&bytes)
     }
@@ -153,6 +222,7 @@
             crash: *crash,
             alone: report.alone,
             cleared: report.cleared,
+            trial: report.trial,
             age: now.since(report.at),
         });
         marks.collect()
@@ -167,11 +237,12 @@
 
 impl Mark {
     /// Creates the mark of a crash detected just now.
-    pub(super) fn fresh(crash: u64, alone: bool) -> Self {
+    pub(super) fn fresh(crash: u64, alone: bool, trial: bool) -> Self {
         Self {
             crash,
             alone,
             cleared: false,
+            trial,
             age: Millis::ZERO,
         }
     }
--- a/jujubewind/src/conviction/limits.rs
+++ b/jujubewind/src/conviction/limits.rs
@@ -8,6 +8,16 @@
 pub const TOTAL_LIMIT: usize = 3;
 /// How long a crash is counted; a conviction ends when its crashes expire.
 pub const CRASH_TTL: Millis = Millis(1_800_000);
+/// How long after its last crash a convicted part of a prompt is tried again, for each suspected part
+/// of the request.
+pub const PART_TRIAL_PAUSE: Millis = Millis(1_000);
+/// How long after its last crash a convicted request is tried again. A wrong conviction of one request
+/// costs less than that of a part, which many requests share.
+pub const REQUEST_TRIAL_PAUSE: Millis = Millis(5_000);
+/// By what each crash on trial lengthens the pause: no more than three trials fit into [`CRASH_TTL`].
+pub const TRIAL_BACKOFF: u64 = 20;
+/// The time in which the number of entries that may begin a trial doubles.
+pub const TRIAL_STEP: Millis = Millis(250);
 /// Maximum number of crash histories that one entry keeps; the oldest is evicted first.
 pub const MAX_HISTORIES: usize = 512;
 /// Maximum number of crashes kept per request or part: enough to compare what shares them.
--- a/jujubewind/src/conviction/mark.rs
+++ b/jujubewind/src/conviction/mark.rs
@@ -11,6 +11,8 @@
         pub alone: bool,
         /// Whether the request completed afterwards, so that the crash no longer counts.
         pub cleared: bool,
+        /// Whether the request was a trial of what had been convicted.
+        pub trial: bool,
         /// The time since the crash was reported.
         pub age: Millis,
     }
--- a/jujubewind/src/conviction/mod.rs
+++ b/jujubewind/src/conviction/mod.rs
@@ -8,7 +8,12 @@
 //! Without agents, the parts of a prompt that requests share are suspected as well: each part of a
 //! request whose answer was only beginning. A part is convicted if nothing else that the crashed
 //! requests share explains the same crashes, and no answer on it goes on.
+//!
+//! What is convicted is tried again: one request at a time may run, through whichever entry, after a
+//! pause that grows with each trial that crashes a server. A trial whose answer goes on ends the
+//! conviction at all entries.
 
+mod admission;
 mod crash;
 mod crash_history;
 mod fingerprint;
@@ -18,8 +23,10 @@
 mod sound_parts;
 mod suspect;
 mod suspect_registry;
+mod turns;
 mod verdict;
 
+pub use admission::Admission;
 pub use crash::Crash;
 pub use fingerprint::Fingerprint;
 pub use mark::Mark;
--- a/jujubewind/src/conviction/sound_parts.rs
+++ b/jujubewind/src/conviction/sound_parts.rs
@@ -1,8 +1,10 @@
 //! Parts of prompts that cannot be the cause of a crash.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use super::Fingerprint;
+use super::limits::CRASH_TTL;
 use super::limits::MAX_SOUND_PARTS;
 use super::limits::SOUND_SPAN;
 use crate::types::MonoTime;
@@ -12,13 +14,18 @@
 #[derive(Clone, Debug, Default)]
 pub struct SoundParts {
     last: BTreeMap<Fingerprint, MonoTime>,
+    order: BTreeSet<(MonoTime, Fingerprint)>,
 }
 
 impl SoundParts {
     /// Records that an answer on a part went on.
     pub fn record(&mut self, now: MonoTime, part: Fingerprint) {
-        if self.last.len() < MAX_SOUND_PARTS || self.last.contains_key(&part) {
-            self.last.insert(part, now);
+        if let Some(last) = self.last.insert(part, now) {
+            self.order.remove(&(last, part));
+        }
+        self.order.insert((now, part));
+        if self.last.len() > MAX_SOUND_PARTS {
+            self.drop_oldest();
         }
     }
 
@@ -29,8 +36,23 @@
         last.is_some_and(|last| now.since(*last) < SOUND_SPAN)
     }
 
-    /// Drops parts on which no answer went on lately.
+    /// Whether an answer on a part has gone on before. The part may have turned fatal since.
+    #[must_use]
+    pub fn knows(&self, part: Fingerprint) -> bool {
+        self.last.contains_key(&part)
+    }
+
+    /// Drops parts on which no answer went on for as long as a crash counts.
     pub fn expire(&mut self, now: MonoTime) {
-        self.last.retain(|_, last| now.since(*last) < SOUND_SPAN);
+        let is_old = |last: &MonoTime| now.since(*last) >= CRASH_TTL;
+        while self.order.first().is_some_and(|(last, _)| is_old(last)) {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if let Some((_, part)) = self.order.pop_first() {
+            self.last.remove(&part);
+        }
     }
 }
--- a/jujubewind/src/conviction/suspect_registry.rs
+++ b/jujubewind/src/conviction/suspect_registry.rs
@@ -1,5 +1,7 @@
 //! The suspected requests known to one entry.
 
+mod trials;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
@@ -11,13 +13,14 @@
 use super::Mark;
 use super::Prints;
 use super::Suspect;
-use super::Verdict;
 use super::crash_history::CrashHistory;
 use super::limits::MAX_HISTORIES;
 use super::limits::MAX_SUSPECTS_PER_MESSAGE;
 use super::limits::SENDS_PER_DOUBLING;
 use super::limits::TOTAL_LIMIT;
+use super::turns::Turns;
 use crate::types::MonoTime;
+use crate::types::NodeId;
 
 /// The crash histories of suspected and convicted requests, and the changes still to be gossiped.
 #[derive(Clone, Debug, Default)]
@@ -25,41 +28,58 @@
     histories: BTreeMap<Fingerprint, CrashHistory>,
     remaining_sends: BTreeMap<Fingerprint, u32>,
     urgent: BTreeSet<Fingerprint>,
+    turns: Turns,
+    /// What this entry has on trial.
+    trials: BTreeSet<Fingerprint>,
 }
 
 impl SuspectRegistry {
-    /// Returns how the request may run.
+    /// Creates the registry of an entry that knows no other.
     #[must_use]
-    pub fn verdict(&self, now: MonoTime, fingerprint: Fingerprint) -> Verdict {
-        let history = self.histories.get(&fingerprint);
-        history.map_or(Verdict::Run, |history| history.verdict(now))
+    pub fn of(node: &NodeId) -> Self {
+        Self {
+            turns: Turns::of(node),
+            ..Self::default()
+        }
     }
 
-    /// Returns the convicted part of a request's prompt, if there is one.
+    /// Sets the number of entries that share what they suspect.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.turns.set_entries(entries);
+    }
+
+    /// Returns the convicted parts of a request's prompt.
     ///
-    /// A part is not to blame if something that this request lacks, or a single request, explains so
-    /// many of its crashes that the others would not convict it.
-    #[must_use]
-    pub fn convicted_part(&self, now: MonoTime, prints: &Prints) -> Option<Fingerprint> {
+    /// Crashes that something else explains, which this request lacks, count against no part: all
+    /// those of what failed a trial, and of one other suspect if so few are left without them that
+    /// they convict nothing.
+    fn convicted_parts(&self, now: MonoTime, prints: &Prints) -> Vec<Fingerprint> {
         let blamed = |part: &&Fingerprint| self.is_blamed(now, **part, &prints.parts);
-        prints.parts.iter().find(blamed).copied()
+        prints.parts.iter().filter(blamed).copied().collect()
     }
 
     fn is_blamed(&self, now: MonoTime, part: Fingerprint, parts: &[Fingerprint]) -> bool {
         let Some(history) = self.histories.get(&part) else {
             return false;
         };
-        let crashes = history.counted(now).count();
-        if crashes < TOTAL_LIMIT {
+        let mut crashes: Vec<u64> = history.counted(now).map(|(id, _)| *id).collect();
+        if crashes.len() < TOTAL_LIMIT {
             return false;
         }
-        let explains = |other: &CrashHistory| {
-            let shared = history.shared(now, other);
-            shared >= TOTAL_LIMIT && crashes - shared < TOTAL_LIMIT
-        };
         let others = self.histories.iter();
-        let mut absent = others.filter(|(print, _)| !parts.contains(print));
-        !absent.any(|(_, other)| explains(other))
+        let absent = others.filter(|(print, _)| !parts.contains(print));
+        let absent: Vec<&CrashHistory> = absent.map(|(_, other)| other).collect();
+        // What is sound may have stood beside a fatal part at some of its crashes.
+        let is_proven = |other: &&&CrashHistory| other.failed_trials(now) > 0 && !other.is_sound();
+        for proven in absent.iter().filter(is_proven) {
+            crashes.retain(|id| !proven.counts(now, *id));
+        }
+        let explains = |other: &&CrashHistory| {
+            let shared = crashes.iter().filter(|id| other.counts(now, **id)).count();
+            let left = crashes.len() - shared;
+            left == 0 || (shared >= TOTAL_LIMIT && left < TOTAL_LIMIT && !other.is_sound())
+        };
+        crashes.len() >= TOTAL_LIMIT && !absent.iter().any(explains)
     }
 
     /// Records that a backend server responds, so that it did not crash at the report with the id
@@ -87,11 +107,22 @@
         crash: &Crash,
         alone: bool,
     ) {
-        self.merge_mark(now, fingerprint, &Mark::fresh(crash.id(), alone));
+        let trial = self.trials.remove(&fingerprint);
+        let mark = Mark::fresh(crash.id(), alone, trial);
+        self.merge_mark(now, fingerprint, &mark);
+    }
+
+    /// Records that an answer to something suspected went on before it crashed a server.
+    pub fn mark_sound(&mut self, fingerprint: Fingerprint) {
+        let history = self.histories.get_mut(&fingerprint);
+        if history.is_some_and(CrashHistory::mark_sound) {
+            self.urgent.insert(fingerprint);
+        }
     }
 
     /// Records that the request completed, which clears its crashes.
     pub fn record_completion(&mut self, fingerprint: Fingerprint) {
+        self.trials.remove(&fingerprint);
         if self
             .histories
             .get_mut(&fingerprint)
@@ -107,6 +138,12 @@
             for mark in &suspect.marks {
                 self.merge_mark(now, suspect.print, mark);
             }
+            if let Some(history) = self.histories.get_mut(&suspect.print) {
+                history.hold(now.after(suspect.held));
+                if suspect.sound {
+                    history.mark_sound();
+                }
+            }
         }
     }
 
@@ -116,6 +153,8 @@
             history.expire(now);
         }
         self.histories.retain(|_, history| !history.is_empty());
+        let histories = &self.histories;
+        self.trials.retain(|print| histories.contains_key(print));
     }
 
     /// Returns the number of suspected and convicted requests.
@@ -201,10 +240,12 @@
         fingerprints: impl IntoIterator<Item = Fingerprint>,
     ) -> Vec<Suspect> {
         let suspects = fingerprints.into_iter().filter_map(|fingerprint| {
-            let marks = self.histories.get(&fingerprint)?.marks(now);
+            let history = self.histories.get(&fingerprint)?;
             Some(Suspect {
                 print: fingerprint,
-                marks,
+                marks: history.marks(now),
+                sound: history.is_sound(),
+                held: history.held(now),
             })
         });
         suspects.collect()
--- a/jujubewind/src/conviction/verdict.rs
+++ b/jujubewind/src/conviction/verdict.rs
@@ -9,7 +9,9 @@
         Run,
         /// It is a suspect: it runs alone on one backend server.
         Alone,
-        /// It is convicted and refused.
+        /// It is convicted, and a trial is due: it runs alone to show whether it still crashes servers.
+        Trial,
+        /// It is convicted and refused until the next trial.
         Refuse(Refusal),
     }
 }
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -6,6 +6,7 @@
 
 use super::Counts;
 use super::Outcome;
+use super::content::Content;
 use crate::conviction::Prints;
 use crate::conviction::SoundParts;
 use crate::conviction::SuspectRegistry;
@@ -57,7 +58,7 @@
     /// Open requests whose answer went on past its beginning.
     pub(super) progressed: BTreeSet<JobId>,
     /// What identifies the content of the queued requests.
-    pub(super) queued_prints: BTreeMap<JobId, Prints>,
+    pub(super) queued_content: BTreeMap<JobId, Content>,
     pub(super) peers: BTreeSet<NodeId>,
     /// Whether the list of the other entries has been read.
     pub(super) has_peers_listed: bool,
@@ -73,6 +74,7 @@
     /// Creates the state of a process that started at `started`.
     #[must_use]
     pub fn new(settings: CoreSettings, started: MonoTime) -> Self {
+        let suspects = SuspectRegistry::of(&settings.node);
         Self {
             settings,
             started,
@@ -84,10 +86,10 @@
             ledger: Ledger::default(),
             queue: Queue::default(),
             budgets: BTreeMap::new(),
-            suspects: SuspectRegistry::default(),
+            suspects,
             sound_parts: SoundParts::default(),
             progressed: BTreeSet::new(),
-            queued_prints: BTreeMap::new(),
+            queued_content: BTreeMap::new(),
             peers: BTreeSet::new(),
             has_peers_listed: false,
             paces: SendPaces::default(),
@@ -122,7 +124,7 @@
         match outcome {
             Outcome::Served => {
                 health.record_success();
-                self.suspects.record_completion(prints.request);
+                self.clear(now, prints.request);
                 self.record_sound_parts(now, &prints);
             }
             Outcome::Ended => health.record_success(),
@@ -182,6 +184,7 @@
 
     /// Drops expired suspects, rows of load and servers; returns the dropped servers.
     pub fn expire(&mut self, now: MonoTime) -> Vec<ServerId> {
+        self.suspects.set_entries(self.entry_count(now));
         self.suspects.expire(now);
         self.sound_parts.expire(now);
         self.ledger.expire(now);
--- a/jujubewind/src/direct/control/crashes.rs
+++ b/jujubewind/src/direct/control/crashes.rs
@@ -20,7 +20,16 @@
     pub(super) fn record_sound_parts(&mut self, now: MonoTime, prints: &Prints) {
         for part in prints.parts.iter() {
             self.sound_parts.record(now, *part);
-            self.suspects.record_completion(*part);
+            self.clear(now, *part);
+        }
+    }
+
+    /// Clears a request or a part of crashes, since an answer to it went on.
+    pub(super) fn clear(&mut self, now: MonoTime, print: Fingerprint) {
+        let crashes = self.suspects.crashes(now, print);
+        self.suspects.record_completion(print);
+        if crashes >= TOTAL_LIMIT {
+            crate::event!(info, "conviction_lifted", print = print, crashes = crashes);
         }
     }
 
@@ -42,6 +51,9 @@
                 continue;
             }
             self.suspects.record_crash(now, print, &crash, false);
+            if is_part && self.sound_parts.knows(print) {
+                self.suspects.mark_sound(print);
+            }
             crate::event!(
                 info,
                 "crash_recorded",
@@ -77,10 +89,20 @@
         self.suspects.merge(now, suspects);
         for print in prints() {
             if self.sound_parts.include(now, print) {
-                self.suspects.record_completion(print);
+                self.clear(now, print);
+                continue;
+            }
+            if self.sound_parts.knows(print) {
+                self.suspects.mark_sound(print);
             }
-            if is_convicted(self, &print) && !known.contains(&print) {
-                crate::event!(warn, "content_convicted", print = print, peer = peer);
+            match (known.contains(&print), is_convicted(self, &print)) {
+                (false, true) => {
+                    crate::event!(warn, "content_convicted", print = print, peer = peer);
+                }
+                (true, false) => {
+                    crate::event!(info, "conviction_lifted", print = print, peer = peer);
+                }
+                _ => {}
             }
         }
     }
--- a/jujubewind/src/direct/control/mod.rs
+++ b/jujubewind/src/direct/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod availability;
 mod candidate_set;
+mod content;
 mod core;
 mod counts;
 mod crashes;
--- a/jujubewind/src/direct/control/queueing.rs
+++ b/jujubewind/src/direct/control/queueing.rs
@@ -5,8 +5,7 @@
 use super::Core;
 use super::Verdict;
 use super::candidate_set::CandidateSet;
-use crate::conviction;
-use crate::conviction::Fingerprint;
+use super::content::Content;
 use crate::conviction::Prints;
 use crate::direct::Job;
 use crate::direct::JobId;
@@ -21,24 +20,34 @@
     /// Admits a new request: counts it towards the retry budget, refuses it if its content is
     /// convicted of crashing servers, and otherwise places or queues it.
     pub fn admit(&mut self, now: MonoTime, job: Job, prints: impl Into<Prints>) -> Option<Verdict> {
-        let prints = prints.into();
         self.budget(&job.service).request(now);
-        if let Some(refusal) = self.print_refusal(now, prints.request) {
-            return Some(Verdict::Refuse(refusal));
-        }
-        self.readmit(now, job, prints)
+        let content = Content {
+            prints: prints.into(),
+            is_retry: false,
+        };
+        self.admit_content(now, job, content)
     }
 
     /// Admits a request that was admitted before, unless a part of its prompt has been convicted
-    /// since.
+    /// since or it was a trial.
     pub fn readmit(&mut self, now: MonoTime, job: Job, prints: Prints) -> Option<Verdict> {
-        if let Some(refusal) = self.part_refusal(now, &prints) {
-            return Some(Verdict::Refuse(refusal));
-        }
+        let content = Content {
+            prints,
+            is_retry: true,
+        };
+        self.admit_content(now, job, content)
+    }
+
+    fn admit_content(&mut self, now: MonoTime, job: Job, content: Content) -> Option<Verdict> {
+        let trial = match self.check_content(now, &content) {
+            Ok(trial) => trial,
+            Err(refusal) => return Some(Verdict::Refuse(refusal)),
+        };
         let id = job.id;
         let verdict = self.place_or_queue(now, job);
-        if verdict.is_none() {
-            self.queued_prints.insert(id, prints);
+        match &verdict {
+            None => drop(self.queued_content.insert(id, content)),
+            Some(verdict) => self.begin_trial(now, &content.prints, &trial, verdict),
         }
         verdict
     }
@@ -94,8 +103,10 @@
             let set = sets
                 .entry(job.service.clone())
                 .or_insert_with(|| self.candidates(now, &job.service));
-            let verdict = if let Some(refusal) = self.queued_refusal(now, job.id) {
-                Verdict::Refuse(refusal)
+            let content = self.queued_content.get(&job.id);
+            let trial = content.map_or(Ok(Vec::new()), |one| self.check_content(now, one));
+            let verdict = if let Err(refusal) = &trial {
+                Verdict::Refuse(refusal.clone())
             } else if let Some(refusal) = self.unavailable(now, &job.service) {
                 Verdict::Refuse(refusal)
             } else if let Some(placement) = self.place(now, set, &job) {
@@ -105,7 +116,9 @@
             } else {
                 continue;
             };
-            self.leave_queue(job.id);
+            if let Some(content) = self.leave_queue(job.id) {
+                self.begin_trial(now, &content.prints, &trial.unwrap_or_default(), &verdict);
+            }
             verdicts.push((job.id, verdict));
         }
         verdicts
@@ -123,33 +136,9 @@
         waiting.into_iter().map(refuse).collect()
     }
 
-    fn leave_queue(&mut self, id: JobId) {
+    fn leave_queue(&mut self, id: JobId) -> Option<Content> {
         self.queue.remove(id);
-        self.queued_prints.remove(&id);
-    }
-
-    fn queued_refusal(&self, now: MonoTime, id: JobId) -> Option<Refusal> {
-        let prints = self.queued_prints.get(&id)?;
-        self.part_refusal(now, prints)
-    }
-
-    fn part_refusal(&self, now: MonoTime, prints: &Prints) -> Option<Refusal> {
-        let part = self.suspects.convicted_part(now, prints)?;
-        self.print_refusal(now, part)
-    }
-
-    fn print_refusal(&self, now: MonoTime, print: Fingerprint) -> Option<Refusal> {
-        let conviction::Verdict::Refuse(refusal) = self.suspects.verdict(now, print) else {
-            return None;
-        };
-        crate::event!(
-            info,
-            "content_refused",
-            print = print,
-            crashes = self.suspects.crashes(now, print),
-            retry = refusal.retry
-        );
-        Some(refusal)
+        self.queued_content.remove(&id)
     }
 }
 
--- a/jujubewind/src/entry/control/placement.rs
+++ b/jujubewind/src/entry/control/placement.rs
@@ -3,7 +3,9 @@
 use super::Choice;
 use super::state::State;
 use crate::claims::Holder;
+use crate::conviction::Fingerprint;
 use crate::conviction::Verdict;
+use crate::conviction::limits::REQUEST_TRIAL_PAUSE;
 use crate::entry::Job;
 use crate::entry::request::Helpers;
 use crate::entry::request::Target;
@@ -18,6 +20,7 @@
 use crate::types::DomainId;
 use crate::types::Millis;
 use crate::types::ModelId;
+use crate::types::MonoTime;
 use crate::types::NodeId;
 use crate::types::Tokens;
 
@@ -38,6 +41,10 @@
         let alone = match self.members.suspects().verdict(now, job.fingerprint) {
             Verdict::Run => false,
             Verdict::Alone => true,
+            Verdict::Trial => {
+                self.begin_trial(now, job.fingerprint);
+                true
+            }
             Verdict::Refuse(refusal) => return Err(refusal),
         };
         if alone && parts == 1 {
@@ -54,6 +61,23 @@
         Ok(nodes.iter().filter_map(|node| self.target(node)).collect())
     }
 
+    fn begin_trial(&mut self, now: MonoTime, fingerprint: Fingerprint) {
+        let suspects = self.members.suspects_mut();
+        let failed = suspects.begin_trial(
+            now,
+            &fingerprint.into(),
+            &[fingerprint],
+            REQUEST_TRIAL_PAUSE,
+        );
+        crate::event!(
+            info,
+            "conviction_tried",
+            print = fingerprint,
+            failed = failed
+        );
+        self.push_suspects(now);
+    }
+
     /// The agents that run this model's suspect requests. All entries choose the same few, so that
     /// a crash leaves the other agents unaffected.
     fn quarantine_targets(&self, job: &Job, excluded: &[NodeId]) -> Result<Vec<Target>, Refusal> {
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -222,7 +222,7 @@
     }
 
     /// Sends changes of suspect requests to peers at once.
-    fn push_suspects(&mut self, now: MonoTime) {
+    pub(super) fn push_suspects(&mut self, now: MonoTime) {
         let messages = self.members.take_urgent(now);
         self.send(messages);
     }
--- a/jujubewind/src/membership/local.rs
+++ b/jujubewind/src/membership/local.rs
@@ -30,10 +30,11 @@
     pub(super) fn new(me: Member) -> Self {
         let mut table = Table::new(me.role);
         table.merge(MonoTime::ZERO, &me);
+        let suspects = SuspectRegistry::of(&me.node);
         Self {
             me,
             table,
-            suspects: SuspectRegistry::default(),
+            suspects,
             revision: Revision::ZERO,
             superseded: false,
         }
--- a/jujubewind/src/membership/membership_state.rs
+++ b/jujubewind/src/membership/membership_state.rs
@@ -110,6 +110,8 @@
     pub fn tick(&mut self, now: MonoTime) -> Vec<Outgoing> {
         self.handle_pause(now);
         self.local.table.remove_expired(now, &self.local.me.domain);
+        let entries = self.local.table.view.entries().count();
+        self.local.suspects.set_entries(entries.max(1));
         self.local.suspects.expire(now);
         let Local { me, table, .. } = &self.local;
         let unknown = self.bootstrap.tick(&table.view, me);
--- a/jujubewind/tests/control/conviction.rs
+++ b/jujubewind/tests/control/conviction.rs
@@ -5,6 +5,7 @@
 use jujubewind::conviction::SuspectRegistry;
 use jujubewind::conviction::Verdict;
 use jujubewind::conviction::limits::CRASH_TTL;
+use jujubewind::conviction::limits::REQUEST_TRIAL_PAUSE;
 use jujubewind::refusal::Reason;
 use jujubewind::types::Incarnation;
 use jujubewind::types::Millis;
@@ -38,6 +39,10 @@
     matches!(verdict, Verdict::Refuse(refusal) if refusal.reason == Reason::Convicted)
 }
 
+fn is_convicted(verdict: &Verdict) -> bool {
+    is_refused(verdict) || *verdict == Verdict::Trial
+}
+
 #[test]
 fn a_crash_makes_a_suspect_that_runs_alone() {
     let mut registry = SuspectRegistry::default();
@@ -175,10 +180,20 @@
             assert_eq!(fingerprint, POISON, "a harmless request was convicted");
             return true;
         }
-        let alone = verdict == Verdict::Alone;
+        let alone = verdict != Verdict::Run;
         let Some(server) = self.choose(alone) else {
             return false;
         };
+        if verdict == Verdict::Trial {
+            let registry = self.fleet.processes[entry].suspects_mut();
+            registry.begin_trial(
+                now,
+                &fingerprint.into(),
+                &[fingerprint],
+                REQUEST_TRIAL_PAUSE,
+            );
+            self.fleet.send_urgent(entry);
+        }
         let duration = if fingerprint == POISON {
             300
         } else {
@@ -304,6 +319,6 @@
     fleet.run(20);
 
     let now = fleet.now.after(Millis::ZERO);
-    let unaware = fleet.entries_without(|m| is_refused(&m.suspects().verdict(now, POISON)));
+    let unaware = fleet.entries_without(|m| is_convicted(&m.suspects().verdict(now, POISON)));
     assert!(unaware.is_empty(), "{unaware:?}");
 }
--- a/jujubewind/tests/direct/convictions.rs
+++ b/jujubewind/tests/direct/convictions.rs
@@ -2,6 +2,7 @@
 
 use jujubewind::conviction::Prints;
 use jujubewind::direct::Core;
+use jujubewind::direct::FleetChange;
 use jujubewind::direct::JobId;
 use jujubewind::direct::Outcome;
 use jujubewind::direct::Verdict;
@@ -12,12 +13,19 @@
 use crate::fixture::job;
 use crate::fixture::server;
 use crate::poison_parts::print;
+use crate::poison_parts::restarted;
 
 const SERVERS: usize = 15;
 /// A part that all prompts share, a fatal one, and the first of those that belong to sessions.
 const SHARED: u128 = 1;
 const FATAL: u128 = 2;
 const SESSIONS: u128 = 100;
+/// In which the rules expect half of the sound requests to be served again after the last crash.
+const SETTLING_MILLIS: u64 = 6_000;
+/// In which a request that was convicted wrongly is served again.
+const RECOVERY_MILLIS: u64 = 12_000;
+const GAP_MILLIS: u64 = 400;
+const ANSWER_MILLIS: u64 = 300;
 
 /// The fingerprints of the request `id` with these shared parts.
 fn prints(id: u64, parts: &[u128]) -> Prints {
@@ -68,3 +76,82 @@
 
     assert!(is_refused(&mut core, 30, &[FATAL, SESSIONS + 2]));
 }
+
+/// Sends sound requests with these fingerprints, each served unless it is refused. Returns the times
+/// of those that were refused.
+fn refused_until(core: &mut Core, end: u64, prints: impl Fn(u64) -> Prints) -> Vec<u64> {
+    let mut refused = Vec::new();
+    for millis in (1_000..end).step_by(usize::try_from(GAP_MILLIS).expect("short")) {
+        let prints = prints(millis);
+        let verdict = core.admit(at(millis), job(millis, 1_000), prints.clone());
+        let Some(Verdict::Place(placement)) = verdict else {
+            refused.push(millis);
+            continue;
+        };
+        let server = placement.primary.id.clone();
+        let end = at(millis + ANSWER_MILLIS);
+        core.finish(end, JobId(millis), &server, prints, Outcome::Served);
+    }
+    refused
+}
+
+#[test]
+fn part_that_was_convicted_by_crashes_for_other_reasons_is_served_again() {
+    let mut core = core_of("entry-1", SERVERS);
+    for (number, millis) in (10..15).enumerate() {
+        crash(&mut core, millis, number, &[SHARED]);
+    }
+
+    let refused = refused_until(&mut core, 20_000, |id| prints(id, &[SHARED]));
+
+    assert!(!refused.is_empty());
+    assert!(
+        refused.iter().all(|at| *at < SETTLING_MILLIS),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn request_that_was_convicted_by_crashes_for_other_reasons_is_served_again() {
+    let mut core = core_of("entry-1", SERVERS);
+    let same = |_| prints(7, &[]);
+    for number in 0..3 {
+        let name = server(number).id;
+        core.finish(at(10), JobId(1), &name, same(0), Outcome::Broken);
+    }
+
+    let refused = refused_until(&mut core, 20_000, same);
+
+    assert!(!refused.is_empty());
+    assert!(
+        refused.iter().all(|at| *at < RECOVERY_MILLIS),
+        "{refused:?}"
+    );
+}
+
+/// Each one that is sent ends its server; the one on trial is not repeated at another.
+#[test]
+fn fatal_request_is_tried_less_and_less_often() {
+    let mut core = core_of("entry-1", SERVERS);
+    let fatal = prints(7, &[FATAL]);
+    let mut sent = Vec::new();
+    let mut retry = None;
+
+    for millis in (0..300_000).step_by(100) {
+        for number in 0..SERVERS {
+            let next = restarted(number, 1 + millis);
+            core.apply_fleet_change(at(millis), FleetChange::Listed(next));
+        }
+        let verdict = core.admit(at(millis), job(millis, 1_000), fatal.clone());
+        if let Some(Verdict::Place(placement)) = verdict {
+            sent.push(millis);
+            let server = placement.primary.id.clone();
+            let outcome = Outcome::Broken;
+            core.finish(at(millis), JobId(millis), &server, fatal.clone(), outcome);
+            retry = core.readmit(at(millis), job(millis, 1_000), fatal.clone());
+        }
+    }
+
+    assert!(matches!(retry, Some(Verdict::Refuse(_))), "{retry:?}");
+    assert!(sent.len() <= 3 + 3, "{sent:?}");
+}
--- a/jujubewind/tests/direct/poison_parts.rs
+++ b/jujubewind/tests/direct/poison_parts.rs
@@ -8,12 +8,14 @@
 use jujubewind::direct::Outcome;
 use jujubewind::direct::Verdict;
 
+use self::world::Plan;
 use self::world::SERVERS;
 use self::world::SESSIONS;
 use self::world::SYSTEM;
 use self::world::World;
 use self::world::id_of;
 pub use self::world::print;
+pub use self::world::restarted;
 use crate::fixture::at;
 use crate::fixture::core_of;
 use crate::fixture::job;
@@ -25,9 +27,9 @@
 #[test]
 fn part_that_ends_engines_is_refused_by_all_entries() {
     for seed in 0..SEEDS {
-        let mut world = World::new(seed);
+        let mut world = World::new(seed, Plan::default());
 
-        world.run(0.0);
+        world.run();
 
         let late = world.sent_late();
         assert!(late <= MAX_SENT, "seed {seed}: {late} sent late");
@@ -37,9 +39,9 @@
 #[test]
 fn prompts_that_share_other_parts_with_a_fatal_one_are_served() {
     for seed in 0..SEEDS {
-        let mut world = World::new(seed);
+        let mut world = World::new(seed, Plan::default());
 
-        world.run(0.0);
+        world.run();
 
         let refused = world.sound_refused();
         assert!(refused < 500, "seed {seed}: {refused} in 1,000 refused");
@@ -50,9 +52,13 @@
 #[test]
 fn fatal_part_is_found_beside_crashes_for_other_reasons() {
     for seed in 0..SEEDS {
-        let mut world = World::new(seed);
+        let plan = Plan {
+            other_crashes: 0.005,
+            ..Plan::default()
+        };
+        let mut world = World::new(seed, plan);
 
-        world.run(0.005);
+        world.run();
 
         let (late, refused) = (world.sent_late(), world.sound_refused());
         assert!(late <= MAX_SENT, "seed {seed}: {late} sent late");
@@ -60,6 +66,43 @@
     }
 }
 
+/// Few sound prompts after a quiet spell show little, and each entry that tries what is convicted may end
+/// an engine.
+#[test]
+fn both_bounds_hold_with_little_traffic() {
+    for (entries, seeds) in [(1, 20), (4, 20), (30, 1)] {
+        (0..seeds).for_each(|seed| check_bounds(entries, seed));
+    }
+}
+
+#[test]
+#[ignore = "takes minutes in a debug build"]
+fn both_bounds_hold_with_little_traffic_at_410_entries() {
+    (0..2).for_each(|seed| check_bounds(410, seed));
+}
+
+/// Plays one fatal part or two after a quiet spell, with and without crashes for other reasons.
+fn check_bounds(entries: usize, seed: u64) {
+    let plan = Plan {
+        entries,
+        run_millis: 50_000,
+        sound: 0.02,
+        fatal: 0.02,
+        fatal_parts: 1 + u128::from(seed % 2),
+        start_millis: 16_000,
+        quiet_millis: 6_000,
+        other_crashes: if seed % 4 < 2 { 0.0 } else { 0.001 },
+    };
+    let mut world = World::new(seed, plan);
+
+    world.run();
+
+    let (late, refused) = (world.sent_late(), world.sound_refused_late());
+    let place = format!("{entries} entries, seed {seed}");
+    assert!(late <= MAX_SENT, "{place}: {late} sent late");
+    assert!(refused < 500, "{place}: {refused} in 1,000 refused");
+}
+
 /// Servers that reset connections now and then answer other requests all the while.
 #[test]
 fn resets_by_servers_that_go_on_responding_convict_nothing() {
--- a/jujubewind/tests/direct/poison_parts/world.rs
+++ b/jujubewind/tests/direct/poison_parts/world.rs
@@ -10,6 +10,7 @@
 use jujubewind::direct::Job;
 use jujubewind::direct::JobId;
 use jujubewind::direct::Outcome;
+use jujubewind::direct::Peer;
 use jujubewind::direct::Server;
 use jujubewind::direct::ServerId;
 use jujubewind::direct::Stamp;
@@ -26,16 +27,16 @@
 use crate::fixture::job;
 use crate::fixture::server;
 
-const ENTRIES: usize = 5;
+/// To how many peers an entry tells its load.
+const LOAD_FANOUT: usize = 4;
 pub const SERVERS: usize = 15;
 const TICK_MILLIS: u64 = 10;
 const FULL_UPDATE_MILLIS: u64 = 500;
-const RUN_MILLIS: u64 = 20_000;
-/// When the first request with the fatal part comes.
-const START_MILLIS: u64 = 4_000;
 /// Crashes after which, and the stable window later, hardly any request with the part may be sent.
 const CRASHES: usize = 5;
 const STABLE_WINDOW_MILLIS: u64 = 3_000;
+/// How long after these crashes half of the sound requests are served again.
+const SETTLING_MILLIS: u64 = 2 * STABLE_WINDOW_MILLIS;
 const DOWN_MILLIS: u64 = 3_000;
 /// From the first token of a fatal answer to the crash.
 const FATAL_MILLIS: u64 = 50;
@@ -45,7 +46,40 @@
 pub const SYSTEM: u128 = 1;
 const CALLERS: u128 = 10;
 pub const SESSIONS: u128 = 1_000;
-const FATAL: u128 = 9_999;
+const FATAL: u128 = 9_990;
+
+/// What a fleet has to serve.
+#[derive(Clone)]
+pub struct Plan {
+    pub entries: usize,
+    pub run_millis: u64,
+    /// The chance of a sound request and of one with a fatal part in each tick.
+    pub sound: f64,
+    pub fatal: f64,
+    /// The number of fatal parts.
+    pub fatal_parts: u128,
+    /// When the first request with a fatal part comes.
+    pub start_millis: u64,
+    /// How long before that no requests come.
+    pub quiet_millis: u64,
+    /// The chance of a crash for another reason in each tick.
+    pub other_crashes: f64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            entries: 5,
+            run_millis: 20_000,
+            sound: 0.4,
+            fatal: 0.05,
+            fatal_parts: 1,
+            start_millis: 4_000,
+            quiet_millis: 0,
+            other_crashes: 0.0,
+        }
+    }
+}
 
 struct Stream {
     entry: usize,
@@ -56,6 +90,7 @@
 
 /// The state of the fleet, and what happened to requests with the fatal part and beside them.
 pub struct World {
+    plan: Plan,
     rng: StdRng,
     cores: Vec<Core>,
     streams: BTreeMap<u64, Stream>,
@@ -64,9 +99,9 @@
     lives: Vec<u64>,
     next: u64,
     number: u64,
-    /// When requests with the fatal part were sent, and ended an engine.
-    fatal_sent: Vec<u64>,
-    fatal_crashes: Vec<u64>,
+    /// When requests with a fatal part were sent, and ended an engine.
+    fatal_sent: Vec<(u128, u64)>,
+    fatal_crashes: Vec<(u128, u64)>,
     /// Sound requests of the same caller: when they came, and whether they were refused as convicted.
     sound: Vec<(u64, bool)>,
 }
@@ -75,7 +110,7 @@
     Fingerprint::from_number(number)
 }
 
-fn restarted(number: usize, life: u64) -> Server {
+pub fn restarted(number: usize, life: u64) -> Server {
     Server {
         started: Some(Incarnation(life)),
         ..server(number)
@@ -83,11 +118,22 @@
 }
 
 impl World {
-    pub fn new(seed: u64) -> Self {
-        let entries = (0..ENTRIES).map(|number| core_of(&format!("entry-{number}"), SERVERS));
+    pub fn new(seed: u64, plan: Plan) -> Self {
+        let entries = 0..plan.entries;
+        let mut cores: Vec<Core> = entries
+            .map(|number| core_of(&format!("entry-{number}"), SERVERS))
+            .collect();
+        let peers: Vec<Peer> = (0..plan.entries).map(peer).collect();
+        for (number, core) in cores.iter_mut().enumerate() {
+            let mut peers = peers.clone();
+            peers.remove(number);
+            core.apply_fleet_change(at(0), FleetChange::Peers(peers));
+            core.expire(at(0));
+        }
         Self {
+            plan,
             rng: StdRng::seed_from_u64(seed),
-            cores: entries.collect(),
+            cores,
             streams: BTreeMap::new(),
             down: BTreeMap::new(),
             lives: vec![1; SERVERS],
@@ -99,17 +145,20 @@
         }
     }
 
-    /// Runs with sound prompts, fatal ones from `START_MILLIS` on, and other crashes with this chance
-    /// a tick.
-    pub fn run(&mut self, other_crashes: f64) {
-        for now in (0..RUN_MILLIS).step_by(usize::try_from(TICK_MILLIS).expect("short")) {
-            if self.rng.random_bool(0.4) {
+    /// Runs with sound prompts, fatal ones from their start on, and other crashes.
+    pub fn run(&mut self) {
+        let plan = self.plan.clone();
+        for now in (0..plan.run_millis).step_by(usize::try_from(TICK_MILLIS).expect("short")) {
+            let quiet = plan.start_millis - plan.quiet_millis..plan.start_millis;
+            let is_quiet = quiet.contains(&now);
+            if !is_quiet && self.rng.random_bool(plan.sound) {
                 self.send_sound(now);
             }
-            if now >= START_MILLIS && self.rng.random_bool(0.05) {
-                self.send(now, &[SYSTEM, CALLERS, FATAL]);
+            if now >= plan.start_millis && self.rng.random_bool(plan.fatal) {
+                let fatal = FATAL + self.rng.random_range(0..plan.fatal_parts);
+                self.send(now, &[SYSTEM, CALLERS, fatal]);
             }
-            if self.rng.random_bool(other_crashes) {
+            if self.rng.random_bool(plan.other_crashes) {
                 let first = self.rng.random_range(0..SERVERS);
                 let count = self.rng.random_range(1..=4);
                 (first..first + count).for_each(|number| self.crash(now, number % SERVERS));
@@ -132,7 +181,7 @@
     fn send(&mut self, now: u64, parts: &[u128]) -> Option<Reason> {
         let id = self.next;
         self.next += 1;
-        let entry = self.rng.random_range(0..ENTRIES);
+        let entry = self.rng.random_range(0..self.plan.entries);
         let prints = Prints {
             request: print(1_000_000 + u128::from(id)),
             parts: parts.iter().copied().map(print).collect(),
@@ -144,8 +193,8 @@
         };
         match self.cores[entry].admit(at(now), job, prints.clone()) {
             Some(Verdict::Place(placement)) => {
-                if parts.contains(&FATAL) {
-                    self.fatal_sent.push(now);
+                if let Some(fatal) = parts.iter().find(|part| **part >= FATAL) {
+                    self.fatal_sent.push((*fatal, now));
                 }
                 let name = placement.primary.id.to_string();
                 let server = name[1..].parse().expect("a number");
@@ -188,10 +237,13 @@
                 continue;
             };
             let age = now.saturating_sub(stream.begins);
-            let is_fatal = stream.prints.parts.contains(&print(FATAL));
+            let mut fatal = FATAL..FATAL + self.plan.fatal_parts;
+            let fatal = fatal.find(|part| stream.prints.parts.contains(&print(*part)));
             let (server, entry) = (stream.server, stream.entry);
-            if is_fatal && now >= stream.begins + FATAL_MILLIS {
-                self.fatal_crashes.push(now);
+            if let Some(part) = fatal
+                && now >= stream.begins + FATAL_MILLIS
+            {
+                self.fatal_crashes.push((part, now));
                 self.crash(now, server);
             } else if age >= ANSWER_MILLIS {
                 let stream = self.streams.remove(&id).expect("it is open");
@@ -227,8 +279,14 @@
     /// Each entry tells the others what changed; some datagrams are lost.
     fn exchange(&mut self, now: u64) {
         let all = now.is_multiple_of(FULL_UPDATE_MILLIS);
-        for entry in 0..ENTRIES {
+        let entries = self.plan.entries;
+        for entry in 0..entries {
             let (rows, suspects) = self.cores[entry].take_updates(at(now), all);
+            let told = if suspects.is_empty() {
+                LOAD_FANOUT
+            } else {
+                entries
+            };
             self.number += 1;
             let digest = Digest {
                 node: format!("entry-{entry}").parse().expect("a name"),
@@ -241,7 +299,7 @@
                 notices: Vec::new(),
                 newest: Revision(1),
             };
-            for other in (0..ENTRIES).filter(|other| *other != entry) {
+            for other in (1..entries).take(told).map(|next| (entry + next) % entries) {
                 if self.rng.random_bool(0.95) {
                     self.cores[other].merge(at(now), digest.clone());
                 }
@@ -256,21 +314,51 @@
 
     /// Requests with the fatal part that were sent later than the stable window after five crashes.
     pub fn sent_late(&self) -> usize {
-        let Some(fifth) = self.fatal_crashes.get(CRASHES - 1) else {
+        let parts = FATAL..FATAL + self.plan.fatal_parts;
+        parts
+            .map(|part| self.part_sent_late(part))
+            .max()
+            .unwrap_or(0)
+    }
+
+    fn part_sent_late(&self, part: u128) -> usize {
+        let mut crashes = self.fatal_crashes.iter().filter(|(one, _)| *one == part);
+        let Some((_, fifth)) = crashes.nth(CRASHES - 1) else {
             return 0;
         };
-        let late = |at: &&u64| **at > fifth + STABLE_WINDOW_MILLIS;
+        let late = |sent: &&(u128, u64)| sent.0 == part && sent.1 > fifth + STABLE_WINDOW_MILLIS;
         self.fatal_sent.iter().filter(late).count()
     }
 
+    /// The share of the caller's sound requests that are refused as convicted some time after the
+    /// fifth crash, or the last one, in thousandths.
+    pub fn sound_refused_late(&self) -> usize {
+        let last = self.fatal_crashes.len().min(CRASHES).checked_sub(1);
+        let last = last.map(|index| self.fatal_crashes[index].1);
+        let settled = last.map_or(0, |at| at + SETTLING_MILLIS);
+        self.refused_since(settled)
+    }
+
     /// The share of the caller's sound requests that are refused as convicted, in thousandths.
     pub fn sound_refused(&self) -> usize {
-        let since = self.sound.iter().filter(|(at, _)| *at >= START_MILLIS);
+        self.refused_since(self.plan.start_millis)
+    }
+
+    fn refused_since(&self, start: u64) -> usize {
+        let since = self.sound.iter().filter(|(at, _)| *at >= start);
         let refused = since.clone().filter(|(_, refused)| *refused).count();
         refused * 1_000 / since.count().max(1)
     }
 }
 
+fn peer(number: usize) -> Peer {
+    Peer {
+        node: format!("entry-{number}").parse().expect("a name"),
+        addr: ([127, 0, 0, 1], 7_000).into(),
+        domain: None,
+    }
+}
+
 pub fn id_of(number: usize) -> ServerId {
     server(number).id
 }
