Bound the sum of responses that are held until they are whole

A back end that sends a body without end, or many of them, filled the memory of the entry that had called it, which is killed beyond limits.memory_mb; the requests of its other callers end with it.

Cause: MAX_RESPONSE_BYTES (8 MB) bounds each held body, nothing their sum, and the buffers grow to twice their size. The settings' memory_mb was not read.

Held bodies now share a quarter of memory_mb, by the capacity of their buffers and until their last byte is sent. While they exceed that, a body larger than an equal share of it ends its attempt; small ones go on. The sum can pass the limit only by what each body grows in one read.

--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -142,7 +142,8 @@
         };
         match response {
             Ok(response) => {
-                let upstream = UpstreamResponse::new(response, grant, connection);
+                let upstream =
+                    UpstreamResponse::new(response, grant, connection, self.gateway.bodies.clone());
                 self.check_response(target, upstream)
             }
             Err(SendFault::Unsent(cause)) => {
--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use hyper::Request;
 use hyper::body::Bytes;
@@ -10,6 +11,7 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 
+use super::body_budget::BodyBudget;
 use super::exchange::Exchange;
 use super::limits::STARTUP_POLL_INTERVAL;
 use super::limits::STARTUP_RETRY_AFTER;
@@ -34,6 +36,7 @@
 use crate::metrics::DirectMetrics;
 use crate::refusal::Reason;
 use crate::timer::Clock;
+use crate::types;
 use crate::types::Millis;
 use crate::types::MonoTime;
 use crate::types::Revision;
@@ -46,6 +49,8 @@
     pub retry: Millis,
     /// Time limits of memory that is reserved for prompts on several engines.
     pub reservations: ReservationLimits,
+    /// What the responses that are held until they are whole may take together.
+    pub bodies: types::Bytes,
 }
 
 /// The state that all requests share.
@@ -58,6 +63,7 @@
     pub(super) clock: Clock,
     pub(super) settings: GatewaySettings,
     pub(super) metrics: Rc<DirectMetrics>,
+    pub(super) bodies: Arc<BodyBudget>,
     sampler: RefusalSampler,
     refusing: Cell<bool>,
     open: Cell<usize>,
@@ -90,6 +96,7 @@
         clock: Clock,
         settings: GatewaySettings,
     ) -> Self {
+        let limit = usize::try_from(settings.bodies.get()).unwrap_or(usize::MAX);
         Self {
             dialect,
             control,
@@ -97,6 +104,7 @@
             pool: shared.pool,
             metrics: shared.metrics,
             clock,
+            bodies: BodyBudget::new(limit),
             settings,
             sampler: RefusalSampler::default(),
             refusing: Cell::new(false),
--- a/jujubewind/src/direct/api/relay.rs
+++ b/jujubewind/src/direct/api/relay.rs
@@ -48,6 +48,8 @@
 pub(super) const MEMORY_LOST: &str = "memory_lost";
 /// The backend server sends bytes that are no events.
 pub(super) const MALFORMED: &str = "malformed";
+/// The response takes more than its share of the memory for held responses.
+pub(super) const OVERSIZED: &str = "oversized";
 /// The connection broke.
 pub(super) const BROKEN: &str = "broken";
 /// The response ended in the middle of an event.
@@ -262,7 +264,7 @@
 /// What the end of an attempt for the cause `what` says about the backend server.
 pub(super) fn outcome_of(what: &str) -> Outcome {
     match what {
-        DEADLINE | MEMORY_LOST => Outcome::Abandoned,
+        DEADLINE | MEMORY_LOST | OVERSIZED => Outcome::Abandoned,
         SILENT => Outcome::Silent,
         MALFORMED => Outcome::Malformed,
         _ => Outcome::Broken,
--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -1,12 +1,15 @@
 //! A response whose head has arrived.
 
 use std::cell::Cell;
+use std::sync::Arc;
 
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 
+use super::body_budget::BodyBudget;
+use super::body_budget::HeldBody;
 use super::events::EventSplitter;
 use super::events::Events;
 use super::events::MAX_EVENT_BYTES;
@@ -15,6 +18,7 @@
 use super::relay::BROKEN;
 use super::relay::MALFORMED;
 use super::relay::MEMORY_LOST;
+use super::relay::OVERSIZED;
 use super::relay::REPEATED;
 use super::relay::TORN;
 use crate::direct::Connection;
@@ -39,8 +43,9 @@
     comments: Vec<u8>,
     /// Buffers a partial event.
     pub events: EventSplitter,
+    budget: Arc<BodyBudget>,
     /// What was read of a response that is no stream.
-    body: Vec<u8>,
+    body: Option<HeldBody>,
     is_whole: bool,
     /// Whether something came in place of the numbered events of a stream that is taken over.
     has_unnumbered: bool,
@@ -48,7 +53,12 @@
 
 impl UpstreamResponse {
     /// Wraps a response of which nothing but the head was read.
-    pub fn new(response: Response<Incoming>, grant: Grant, connection: Connection) -> Self {
+    pub fn new(
+        response: Response<Incoming>,
+        grant: Grant,
+        connection: Connection,
+        budget: Arc<BodyBudget>,
+    ) -> Self {
         Self {
             response,
             grant,
@@ -56,7 +66,8 @@
             first: None,
             comments: Vec::new(),
             events: EventSplitter::default(),
-            body: Vec::new(),
+            budget,
+            body: None,
             is_whole: false,
             has_unnumbered: false,
         }
@@ -70,10 +81,14 @@
                 self.is_whole = true;
                 break;
             };
-            if let Ok(bytes) = frame.map_err(|_| CUT)?.into_data() {
-                self.body.extend_from_slice(&bytes);
+            let Ok(bytes) = frame.map_err(|_| CUT)?.into_data() else {
+                continue;
+            };
+            let body = self.body.get_or_insert_with(|| self.budget.begin());
+            if !body.push(&bytes) {
+                return Err(OVERSIZED);
             }
-            if self.body.len() > MAX_RESPONSE_BYTES {
+            if body.len() > MAX_RESPONSE_BYTES {
                 return Err(MALFORMED);
             }
         }
@@ -82,7 +97,7 @@
 
     /// Takes what was read of a response that is no stream.
     pub fn take_body(&mut self) -> Bytes {
-        Bytes::from(std::mem::take(&mut self.body))
+        self.body.take().map(HeldBody::finish).unwrap_or_default()
     }
 
     /// Reads a stream that starts after the event `last` up to its first events that the caller lacks,
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -1,5 +1,6 @@
 //! Placement, queueing and shared state of an entry that reaches backend servers without agents.
 
+mod body_budget;
 mod budget;
 mod convictions;
 mod core;
