Answer requests that outlast the grace period

Callers whose requests were open when a stopping process reached the end of its grace period got no answer: the process exited and their connections closed.

Cause: the stop waits for open requests until the grace period is over and then leaves them. 0.3 s before that, requests without a response are now answered: refused as not run if nothing was sent, else 502 with outcome_unknown. Streams that have begun are truncated as before.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -12,8 +12,11 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::pin::pin;
 use std::rc::Rc;
 
+use futures::future::Either;
+use futures::future::select;
 use hyper::body::Bytes;
 use hyper::http::request::Parts;
 
@@ -140,9 +143,11 @@
         let target = target.map_err(|failure| self.end_failed(failure))?;
         let left = self.left(&target);
         let serving = self.clone().serve(target);
-        match compio::time::timeout(left.duration(), serving).await {
-            Ok(outcome) => outcome.map_err(|failure| self.end_failed(failure)),
-            Err(_) => Err(self.end_failed(self.timed_out())),
+        let serving = pin!(compio::time::timeout(left.duration(), serving));
+        match select(serving, pin!(self.gateway.ended())).await {
+            Either::Left((Ok(outcome), _)) => outcome.map_err(|failure| self.end_failed(failure)),
+            Either::Left((Err(_), _)) => Err(self.end_failed(self.timed_out())),
+            Either::Right(_) => Err(self.end_failed(self.cut_off())),
         }
     }
 
@@ -257,6 +262,14 @@
         self.runs.get()
     }
 
+    /// The end of a request that outlasts the process.
+    fn cut_off(&self) -> Failure {
+        if self.runs.get() == 0 {
+            return Failure::not_run(Reason::Stopping, self.gateway.settings.retry);
+        }
+        Failure::in_doubt(Reason::OutcomeUnknown)
+    }
+
     fn timed_out(&self) -> Failure {
         if self.runs.get() == 0 {
             return Failure::not_run(Reason::NoTime, SERVER_RETRY_AFTER);
--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -1,9 +1,13 @@
 //! The HTTP handler for callers' requests.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
+use futures::FutureExt;
+use futures::channel::oneshot;
+use futures::future::Shared;
 use hyper::Request;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
@@ -28,7 +32,7 @@
 use crate::direct::ReservationLimits;
 use crate::direct::Server;
 use crate::direct::ServerId;
-use crate::direct::Shared;
+use crate::direct::Shared as SharedState;
 use crate::entry::Failure;
 use crate::http;
 use crate::http::Handler;
@@ -66,6 +70,9 @@
     pub(super) bodies: Arc<BodyBudget>,
     sampler: RefusalSampler,
     refusing: Cell<bool>,
+    /// Ends the open requests when it is dropped.
+    end: RefCell<Option<oneshot::Sender<()>>>,
+    ended: Shared<oneshot::Receiver<()>>,
     open: Cell<usize>,
 }
 
@@ -92,10 +99,11 @@
     pub fn new(
         dialect: D,
         control: Control,
-        shared: Shared,
+        shared: SharedState,
         clock: Clock,
         settings: GatewaySettings,
     ) -> Self {
+        let (end, ended) = oneshot::channel();
         let limit = usize::try_from(settings.bodies.get()).unwrap_or(usize::MAX);
         Self {
             dialect,
@@ -108,6 +116,8 @@
             settings,
             sampler: RefusalSampler::default(),
             refusing: Cell::new(false),
+            end: RefCell::new(Some(end)),
+            ended: ended.shared(),
             open: Cell::new(0),
         }
     }
@@ -117,6 +127,16 @@
         self.refusing.set(true);
     }
 
+    /// Answers the open requests whose response has not begun, as the process is about to exit.
+    pub fn end(&self) {
+        drop(self.end.take());
+    }
+
+    /// Completes once open requests are to be ended.
+    pub(super) async fn ended(&self) {
+        let _ = self.ended.clone().await;
+    }
+
     /// The number of open requests.
     #[must_use]
     pub fn open(&self) -> usize {
--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -36,6 +36,9 @@
 
 /// How often a shutdown checks for open requests.
 const STOP_POLL_INTERVAL: Millis = Millis(50);
+/// How long before the end of the grace period open requests are answered, so that their callers get
+/// the answer.
+const ANSWER_MARGIN: Millis = Millis(300);
 
 /// Settings of an entry.
 #[derive(Clone, Debug)]
@@ -157,7 +160,8 @@
     }
 
     /// Waits for a stop signal, then accepts requests for `accept` more and serves open requests
-    /// until all have ended or `grace` is over. The listener closes in time for its last callers to be
+    /// until all have ended or `grace` is over, shortly before which those without a response are
+    /// answered that they may have run. The listener closes in time for its last callers to be
     /// answered within `grace`.
     async fn until_stopped<D: Dialect>(self, settings: Settings, gateway: Rc<Gateway<D>>) {
         let _guard = StopSignalGuard::new().await;
@@ -183,6 +187,9 @@
             if elapsed >= listen_limit {
                 self.serving.end_accepting();
             }
+            if elapsed >= settings.grace.saturating_sub(ANSWER_MARGIN) {
+                gateway.end();
+            }
             let is_drained = elapsed >= settings.accept && gateway.open() == 0;
             if is_drained || elapsed >= settings.grace {
                 break;
