Forward only responses that name their request

A status of 101 or 600 and beyond was forwarded as an answer (000 and 099 were already refused by the HTTP library). Change: a response is forwarded only if it names the request and its status is 200 to 599; orders have connections of their own.

--- a/jujubewind/src/direct/api/engine_reservation.rs
+++ b/jujubewind/src/direct/api/engine_reservation.rs
@@ -21,6 +21,7 @@
 use crate::direct::Message;
 use crate::direct::Order;
 use crate::direct::OrderReply;
+use crate::direct::Purpose;
 use crate::direct::Reservation;
 use crate::direct::SendFault;
 use crate::direct::Server;
@@ -134,7 +135,8 @@
             return OrderReply::Refused;
         };
         request.headers_mut().insert(HOST, host);
-        let Ok(mut connection) = self.gateway.pool.connect(&self.server, false).await else {
+        let pool = &self.gateway.pool;
+        let Ok(mut connection) = pool.connect(&self.server, Purpose::Order).await else {
             return OrderReply::Refused;
         };
         let server = self.server.id.clone();
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -20,6 +20,7 @@
 use crate::direct::Grant;
 use crate::direct::Message;
 use crate::direct::Outcome;
+use crate::direct::Purpose;
 use crate::direct::Retry;
 use crate::direct::Server;
 use crate::entry::Failure;
@@ -104,9 +105,13 @@
     }
 
     async fn connect(&self, target: &Target, grant: Grant) -> AttemptResult<(Grant, Connection)> {
-        let once = !target.route.repeatable();
+        let purpose = if target.route.repeatable() {
+            Purpose::Request
+        } else {
+            Purpose::SingleRun
+        };
         let primary = &grant.placement.primary;
-        match self.gateway.pool.connect(primary, once).await {
+        match self.gateway.pool.connect(primary, purpose).await {
             Ok(connection) => Ok((grant, connection)),
             Err(fault) => {
                 self.fail_attempt(grant, "unreachable", fault, Outcome::Unreachable);
@@ -174,8 +179,8 @@
             self.end_refused(upstream.grant, head.culprit.as_deref(), status);
             return Err(AttemptError::NotRun(Reason::QueueFull));
         }
-        // Without its id, a late copy of another response could pass for a success.
-        let is_valid = !status.is_success() || (head.sealed && head.id.is_some());
+        // A response that does not name the request may be a late copy of another one.
+        let is_valid = is_own && is_final(status) && (head.sealed || !status.is_success());
         if !is_valid || claims_not_run(status) {
             return Err(self.fail_attempt(upstream.grant, "faulty", status, Outcome::Faulty));
         }
@@ -259,6 +264,11 @@
     }
 }
 
+/// Whether this is a status that ends an exchange in HTTP.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Whether callers take this status as a statement that the request has not run. It is forwarded
 /// only if the server itself says so.
 fn claims_not_run(status: StatusCode) -> bool {
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -129,4 +129,5 @@
 pub use table::Target;
 pub use upstream::Connection;
 pub use upstream::Pool;
+pub use upstream::Purpose;
 pub use upstream::SendFault;
--- a/jujubewind/src/direct/upstream/connection.rs
+++ b/jujubewind/src/direct/upstream/connection.rs
@@ -10,6 +10,7 @@
 use hyper::header::HeaderMap;
 
 use super::Pool;
+use super::Purpose;
 use super::SendFault;
 use super::limits::DEFAULT_IDLE_TIMEOUT;
 use super::limits::IDLE_MARGIN;
@@ -27,15 +28,22 @@
     sender: Sender,
     server: Rc<Server>,
     pool: Rc<Pool>,
+    purpose: Purpose,
     idle_timeout: Millis,
 }
 
 impl Connection {
-    pub(super) const fn new(sender: Sender, server: Rc<Server>, pool: Rc<Pool>) -> Self {
+    pub(super) const fn new(
+        sender: Sender,
+        server: Rc<Server>,
+        pool: Rc<Pool>,
+        purpose: Purpose,
+    ) -> Self {
         Self {
             sender,
             server,
             pool,
+            purpose,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         }
     }
@@ -72,7 +80,7 @@
     /// Returns the connection to the pool; the response must have been read to its end.
     pub fn give_back(self) {
         let pool = self.pool.clone();
-        pool.put(self.server, self.sender, self.idle_timeout);
+        pool.put(self.server, self.sender, self.purpose, self.idle_timeout);
     }
 }
 
--- a/jujubewind/src/direct/upstream/mod.rs
+++ b/jujubewind/src/direct/upstream/mod.rs
@@ -6,8 +6,10 @@
 mod head_limit;
 mod limits;
 mod pool;
+mod purpose;
 mod send_fault;
 
 pub use connection::Connection;
 pub use pool::Pool;
+pub use purpose::Purpose;
 pub use send_fault::SendFault;
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1::SendRequest;
 
 use super::Connection;
+use super::Purpose;
 use super::SendFault;
 use super::ack_limit::AckLimit;
 use super::ack_timeout::AckTimeout;
@@ -47,6 +48,7 @@
 struct Idle {
     sender: Sender,
     server: Rc<Server>,
+    purpose: Purpose,
     since: MonoTime,
     timeout: Millis,
 }
@@ -74,20 +76,19 @@
         })
     }
 
-    /// Returns an idle connection to this incarnation of `server` or opens a new one.
-    ///
-    /// A request that may run only `once` gets a connection that was used recently, or a new one:
-    /// an older one may break while the request is sent, which would leave its outcome unknown.
+    /// Returns an idle connection to this incarnation of `server` that had the same purpose, or opens
+    /// a new one.
     ///
     /// # Errors
     /// No connection could be opened.
     pub async fn connect(
         self: &Rc<Self>,
         server: &Rc<Server>,
-        once: bool,
+        purpose: Purpose,
     ) -> Result<Connection, SendFault> {
-        if let Some(sender) = self.take(server, once) {
-            return Ok(Connection::new(sender, server.clone(), self.clone()));
+        let new = |sender| Connection::new(sender, server.clone(), self.clone(), purpose);
+        if let Some(sender) = self.take(server, purpose) {
+            return Ok(new(sender));
         }
         let opening = open(server);
         let sender = match compio::time::timeout(CONNECT_TIMEOUT.duration(), opening).await {
@@ -99,7 +100,7 @@
                 )));
             }
         };
-        Ok(Connection::new(sender, server.clone(), self.clone()))
+        Ok(new(sender))
     }
 
     /// Drops the idle connections to a server.
@@ -107,7 +108,13 @@
         self.idle.borrow_mut().remove(server);
     }
 
-    pub(super) fn put(&self, server: Rc<Server>, sender: Sender, timeout: Millis) {
+    pub(super) fn put(
+        &self,
+        server: Rc<Server>,
+        sender: Sender,
+        purpose: Purpose,
+        timeout: Millis,
+    ) {
         if sender.requests.is_closed() || timeout == Millis::ZERO {
             return;
         }
@@ -117,6 +124,7 @@
         stack.push(Idle {
             sender,
             server,
+            purpose,
             since,
             timeout,
         });
@@ -125,17 +133,23 @@
         }
     }
 
-    fn take(&self, server: &Server, once: bool) -> Option<Sender> {
+    fn take(&self, server: &Server, purpose: Purpose) -> Option<Sender> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let stack = idle.get_mut(&server.id)?;
         let is_usable =
             |idle: &Idle| now.since(idle.since) < idle.timeout && !idle.sender.requests.is_closed();
         stack.retain(|idle| idle.leads_to(server) && is_usable(idle));
-        let is_recent = |idle: &Idle| !once || now.since(idle.since) < MAX_ONCE_IDLE;
+        let serves = |idle: &Idle| match purpose {
+            Purpose::Order => idle.purpose == Purpose::Order,
+            Purpose::Request => idle.purpose != Purpose::Order,
+            Purpose::SingleRun => {
+                idle.purpose != Purpose::Order && now.since(idle.since) < MAX_ONCE_IDLE
+            }
+        };
         let index = stack
             .iter()
-            .rposition(|idle| idle.sender.requests.is_ready() && is_recent(idle))?;
+            .rposition(|idle| idle.sender.requests.is_ready() && serves(idle))?;
         Some(stack.remove(index).sender)
     }
 }
