Evacuate failure domains and keep requests in their regions

Change: the follower reads and passes on evacuations; placement leaves evacuated domains out, and so does the last check before a send, with the domains that the route and the organisation leave.

--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -17,9 +17,11 @@
 use super::sent_request::SentRequest;
 use crate::direct::Connection;
 use crate::direct::Dialect;
+use crate::direct::Domains;
 use crate::direct::Grant;
 use crate::direct::Message;
 use crate::direct::Outcome;
+use crate::direct::Placement;
 use crate::direct::Purpose;
 use crate::direct::Retry;
 use crate::direct::Server;
@@ -54,19 +56,13 @@
             Err(error) => return Ok(Err(error)),
         };
         // Since the request was placed its key may have been revoked, its route may no longer allow a
-        // second run, and the server may have asked for no requests.
+        // second run, and a server may have asked for no requests or its domain been evacuated.
         let target = self.resolve()?;
         if self.runs() > 0 && !target.route.repeatable() {
             connection.give_back();
             return Err(Failure::in_doubt(Reason::OutcomeUnknown));
         }
-        let server = &grant.placement.primary;
-        if !self
-            .gateway
-            .state
-            .notices()
-            .allow(self.gateway.clock.now(), server)
-        {
+        if !self.may_send(&target, &grant.placement) {
             let cause = "the backend server takes no requests now";
             self.fail_attempt(grant, "unsent", cause, Outcome::Refused);
             connection.give_back();
@@ -77,6 +73,20 @@
         Ok(self.await_response(&target, sent, last).await)
     }
 
+    /// Whether all servers of a placement still take the request.
+    fn may_send(&self, target: &Target, placement: &Placement) -> bool {
+        let notices = self.gateway.state.notices();
+        let domains = self.domains(target);
+        let is_permitted = |server: &Server| {
+            let permits = |domains: &Domains| domains.contains(&server.domain);
+            !notices.is_evacuated(server) && domains.as_ref().is_none_or(permits)
+        };
+        let mut helpers = placement.helpers.iter();
+        notices.allow(self.gateway.clock.now(), &placement.primary)
+            && is_permitted(&placement.primary)
+            && helpers.all(|helper| is_permitted(&helper.server))
+    }
+
     /// Reserves memory at the helpers that keep a part of the prompt.
     async fn reserve_memory(
         &self,
--- a/jujubewind/src/direct/api/exchange/demand.rs
+++ b/jujubewind/src/direct/api/exchange/demand.rs
@@ -1,5 +1,7 @@
 //! Builds what a request needs: its target, its job and the request to the backend server.
 
+use std::rc::Rc;
+
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -16,6 +18,7 @@
 use super::Result;
 use crate::direct::BootTime;
 use crate::direct::Dialect;
+use crate::direct::Domains;
 use crate::direct::ForwardHeaders;
 use crate::direct::Grant;
 use crate::direct::Helper;
@@ -23,6 +26,7 @@
 use crate::entry::Failure;
 use crate::refusal::Reason;
 use crate::types::Millis;
+use crate::types::RegionId;
 use crate::types::Tokens;
 
 impl<D: Dialect> Exchange<D> {
@@ -99,11 +103,27 @@
             },
             deadline: now.after(left),
             priority: target.priority(),
+            domains: self.domains(target),
             excluded: self.excluded.borrow().clone(),
             arrived,
         }
     }
 
+    /// The failure domains that the route and the organisation leave; `None` if neither restricts
+    /// them.
+    pub(super) fn domains(&self, target: &Target) -> Option<Domains> {
+        let organisation = target.organisation.as_ref();
+        let own = organisation.map_or(&[][..], |owner| owner.regions.as_slice());
+        let restrictions = [target.route.regions.as_slice(), own];
+        let mut restrictions = restrictions.iter().filter(|one| !one.is_empty()).peekable();
+        restrictions.peek()?;
+        let restrictions: Vec<_> = restrictions.collect();
+        let is_allowed = |region: &RegionId| restrictions.iter().all(|one| one.contains(region));
+        let regions = self.gateway.settings.regions.iter();
+        let allowed = regions.filter(|(_, region)| is_allowed(region));
+        Some(Rc::new(allowed.map(|(domain, _)| domain.clone()).collect()))
+    }
+
     pub(super) fn request(
         &self,
         target: &Target,
--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -41,8 +42,10 @@
 use crate::refusal::Reason;
 use crate::timer::Clock;
 use crate::types;
+use crate::types::DomainId;
 use crate::types::Millis;
 use crate::types::MonoTime;
+use crate::types::RegionId;
 use crate::types::Revision;
 use crate::types::Tokens;
 
@@ -53,6 +56,8 @@
     pub retry: Millis,
     /// Time limits of memory that is reserved for prompts on several engines.
     pub reservations: ReservationLimits,
+    /// The region of each failure domain.
+    pub regions: BTreeMap<DomainId, RegionId>,
     /// What the responses that are held until they are whole may take together.
     pub bodies: types::Bytes,
 }
--- a/jujubewind/src/direct/control/availability.rs
+++ b/jujubewind/src/direct/control/availability.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use super::Core;
+use crate::direct::Job;
 use crate::direct::Notice;
 use crate::direct::Notices;
 use crate::direct::Server;
@@ -42,9 +43,9 @@
         &self.notices
     }
 
-    /// Why no server of a service takes requests, if none does.
-    pub(super) fn unavailable(&self, now: MonoTime, service: &ServiceId) -> Option<Refusal> {
-        let mut pauses = self.accepting(now, service).peekable();
+    /// Why no server that a request may use takes requests, if none does.
+    pub(super) fn unavailable(&self, now: MonoTime, job: &Job) -> Option<Refusal> {
+        let mut pauses = self.permitted(now, job).peekable();
         if pauses.peek().is_none() {
             return Some(Refusal {
                 reason: Reason::NoBackend,
@@ -61,14 +62,23 @@
         })
     }
 
+    /// The servers of a request's service that take new requests, in the failure domains that the
+    /// request may use.
+    pub(super) fn permitted(&self, now: MonoTime, job: &Job) -> impl Iterator<Item = &Rc<Server>> {
+        let accepting = self.accepting(now, &job.service);
+        accepting.filter(|server| job.permits(server))
+    }
+
     /// The servers of a service that have not left, by their own announcement or by the list of any
-    /// entry.
+    /// entry, and whose failure domain is not evacuated.
     pub(super) fn accepting(
         &self,
         now: MonoTime,
         service: &ServiceId,
     ) -> impl Iterator<Item = &Rc<Server>> {
         let ready = self.roster.ready(service);
-        ready.filter(move |server| !self.notices.has_left(now, server))
+        ready.filter(move |server| {
+            !self.notices.has_left(now, server) && !self.notices.is_evacuated(server)
+        })
     }
 }
--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -48,7 +48,7 @@
     pub(super) roster: Roster,
     pub(super) health: BTreeMap<ServerId, Health>,
     pub(super) notices: Notices,
-    /// Whether servers left the list since [`Core::take_delisted`] was called.
+    /// Whether servers left the list, or evacuations changed, since [`Core::take_delisted`] was called.
     pub(super) has_delisted: bool,
     pub(super) ledger: Ledger,
     pub(super) queue: Queue,
@@ -203,7 +203,7 @@
         gone.iter().map(|server| server.id.clone()).collect()
     }
 
-    /// Whether servers left the list since the last call.
+    /// Whether servers left the list, or evacuations changed, since the last call.
     pub fn take_delisted(&mut self) -> bool {
         std::mem::take(&mut self.has_delisted)
     }
@@ -222,6 +222,7 @@
             peers: self.ledger.live_peers(now),
             waiting: self.queue.len(),
             limited: self.paces.limited(),
+            evacuated: self.notices.evacuated().len(),
         }
     }
 
--- a/jujubewind/src/direct/control/counts.rs
+++ b/jujubewind/src/direct/control/counts.rs
@@ -11,4 +11,6 @@
     pub waiting: usize,
     /// Backend servers whose limit on requests is in force.
     pub limited: usize,
+    /// Evacuated failure domains.
+    pub evacuated: usize,
 }
--- a/jujubewind/src/direct/control/fleet_change.rs
+++ b/jujubewind/src/direct/control/fleet_change.rs
@@ -1,8 +1,11 @@
 //! Changes of the lists of backend servers and peers.
 
+use std::collections::BTreeSet;
+
 use super::Peer;
 use crate::direct::Server;
 use crate::direct::ServerId;
+use crate::types::DomainId;
 use crate::types::Incarnation;
 use crate::types::Millis;
 use crate::types::NodeId;
@@ -24,6 +27,12 @@
     PeerListed(Peer),
     /// A peer that was removed.
     PeerRemoved(NodeId),
+    /// All evacuated failure domains.
+    Evacuations(BTreeSet<DomainId>),
+    /// A failure domain whose backend servers get nothing new.
+    Evacuated(DomainId),
+    /// A failure domain whose evacuation has ended.
+    Returned(DomainId),
     /// Backend servers that are missing from the list are kept for this long, as another entry told
     /// after an outage.
     Grace(Millis),
--- a/jujubewind/src/direct/control/fleet_changes.rs
+++ b/jujubewind/src/direct/control/fleet_changes.rs
@@ -9,6 +9,7 @@
 use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::ServerState;
+use crate::types::DomainId;
 use crate::types::MonoTime;
 
 impl Core {
@@ -44,6 +45,17 @@
                     gone.push(id);
                 }
             }
+            FleetChange::Evacuations(domains) => {
+                let ended = self.notices.evacuated().difference(&domains).cloned();
+                for domain in ended.collect::<Vec<_>>() {
+                    self.end_evacuation(&domain);
+                }
+                for domain in &domains {
+                    self.evacuate(domain);
+                }
+            }
+            FleetChange::Evacuated(domain) => self.evacuate(&domain),
+            FleetChange::Returned(domain) => self.end_evacuation(&domain),
             FleetChange::Grace(grace) => self.roster.extend_grace(now, grace),
             FleetChange::OutageStarted => self.roster.begin_outage(now),
             FleetChange::OutageEnded => self.roster.end_outage(now),
@@ -65,6 +77,20 @@
         gone
     }
 
+    fn evacuate(&mut self, domain: &DomainId) {
+        if self.notices.evacuate(domain.clone()) {
+            crate::event!(info, "domain_evacuated", domain = domain);
+            self.has_delisted = true;
+        }
+    }
+
+    fn end_evacuation(&mut self, domain: &DomainId) {
+        if self.notices.end_evacuation(domain) {
+            crate::event!(info, "domain_returned", domain = domain);
+            self.has_delisted = true;
+        }
+    }
+
     /// Replaces the whole list; returns the servers whose incarnation is no longer listed.
     fn replace_servers(&mut self, now: MonoTime, servers: Vec<Server>) -> Vec<ServerId> {
         let Replacement { removed, restarted } = self.roster.replace_all(now, servers);
--- a/jujubewind/src/direct/control/placing.rs
+++ b/jujubewind/src/direct/control/placing.rs
@@ -25,8 +25,8 @@
 impl Core {
     /// The servers that may take a request; quarantined ones only if there are no others. A server
     /// that asked for a pause gets nothing, and one with a limit no more than this entry's share.
-    pub(super) fn candidates(&self, now: MonoTime, service: &ServiceId) -> CandidateSet {
-        let mut spread = self.spread(now, service);
+    pub(super) fn candidates(&self, now: MonoTime, job: &Job) -> CandidateSet {
+        let mut spread = self.spread(now, &job.service);
         let may_send = |server: &&Rc<Server>| self.notices.allow(now, server);
         let candidate = |server: &Rc<Server>| Candidate {
             server: server.clone(),
@@ -35,7 +35,7 @@
             may_help: self.may_help(&server.id),
             spread: spread.draw(),
         };
-        let ready = self.accepting(now, service).filter(may_send);
+        let ready = self.permitted(now, job).filter(may_send);
         let mut candidates: Vec<Candidate> = ready.map(candidate).collect();
         let is_usable = |candidate: &Candidate| {
             let health = self.health.get(&candidate.server.id);
--- a/jujubewind/src/direct/control/queueing.rs
+++ b/jujubewind/src/direct/control/queueing.rs
@@ -7,6 +7,7 @@
 use super::candidate_set::CandidateSet;
 use super::content::Content;
 use crate::conviction::Prints;
+use crate::direct::Domains;
 use crate::direct::Job;
 use crate::direct::JobId;
 use crate::direct::ServiceId;
@@ -57,14 +58,14 @@
     /// It is not placed ahead of queued requests that take precedence; the next [`Core::poll`]
     /// handles those first.
     pub fn place_or_queue(&mut self, now: MonoTime, job: Job) -> Option<Verdict> {
-        if let Some(refusal) = self.unavailable(now, &job.service) {
+        if let Some(refusal) = self.unavailable(now, &job) {
             return Some(Verdict::Refuse(refusal));
         }
         if let Some(refusal) = self.hold(now, &job).refusal(now, &job) {
             self.held += 1;
             return Some(Verdict::Refuse(refusal));
         }
-        let mut set = self.candidates(now, &job.service);
+        let mut set = self.candidates(now, &job);
         self.held += u64::from(set.held() > 0);
         if !self.fits_fleet(&set, &job) {
             return Some(refuse(Reason::PromptTooLong, plan::MAX_RETRY_DELAY));
@@ -98,16 +99,16 @@
     /// Tries to place the queued requests; returns a verdict for each that leaves the queue.
     pub fn poll(&mut self, now: MonoTime) -> Vec<(JobId, Verdict)> {
         let mut verdicts = Vec::new();
-        let mut sets: BTreeMap<ServiceId, CandidateSet> = BTreeMap::new();
+        let mut sets: BTreeMap<(ServiceId, Option<Domains>), CandidateSet> = BTreeMap::new();
         for job in self.queue.order(now) {
             let set = sets
-                .entry(job.service.clone())
-                .or_insert_with(|| self.candidates(now, &job.service));
+                .entry((job.service.clone(), job.domains.clone()))
+                .or_insert_with(|| self.candidates(now, &job));
             let content = self.queued_content.get(&job.id);
             let trial = content.map_or(Ok(Vec::new()), |one| self.check_content(now, one));
             let verdict = if let Err(refusal) = &trial {
                 Verdict::Refuse(refusal.clone())
-            } else if let Some(refusal) = self.unavailable(now, &job.service) {
+            } else if let Some(refusal) = self.unavailable(now, &job) {
                 Verdict::Refuse(refusal)
             } else if let Some(placement) = self.place(now, set, &job) {
                 self.assign(now, set, &job, placement)
--- a/jujubewind/src/direct/control/server_limits.rs
+++ b/jujubewind/src/direct/control/server_limits.rs
@@ -15,7 +15,7 @@
     /// How the limits of the servers hold a request back, after the queued ones that go before it.
     pub(super) fn hold(&self, now: MonoTime, job: &Job) -> Hold {
         let (mut own_milli, mut total_milli, mut shortest) = (0, 0, None);
-        for server in self.accepting(now, &job.service) {
+        for server in self.permitted(now, job) {
             let Some(limit) = self.notices.limit(server) else {
                 return Hold::Free;
             };
--- a/jujubewind/src/direct/daemon/metrics_page.rs
+++ b/jujubewind/src/direct/daemon/metrics_page.rs
@@ -51,6 +51,7 @@
             peers: counts.peers,
             waiting: counts.waiting,
             limited: counts.limited,
+            evacuated: counts.evacuated,
             open: self.gateway.open(),
         };
         http::plain(StatusCode::OK, self.shared.metrics.encode(&gauges))
--- a/jujubewind/src/direct/feed/change.rs
+++ b/jujubewind/src/direct/feed/change.rs
@@ -21,5 +21,9 @@
         PeerListed(NodeId, SocketAddr, Option<DomainId>),
         /// An entry was removed.
         PeerRemoved(NodeId),
+        /// Backend servers of a failure domain are to get nothing new.
+        Evacuated(DomainId),
+        /// The evacuation of a failure domain has ended.
+        Returned(DomainId),
     }
 }
--- a/jujubewind/src/direct/fleet/notices.rs
+++ b/jujubewind/src/direct/fleet/notices.rs
@@ -2,6 +2,7 @@
 //! peers, or as they left the list.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use super::Delisting;
 use super::Delistings;
@@ -13,6 +14,7 @@
 use super::limits::LEAVING_MEMORY;
 use super::limits::MAX_PAUSE;
 use crate::pace::NamedLimit;
+use crate::types::DomainId;
 use crate::types::Incarnation;
 use crate::types::Millis;
 use crate::types::MonoTime;
@@ -35,6 +37,8 @@
     strained: BTreeMap<ServerId, MonoTime>,
     delistings: Delistings,
     limits: ServerLimits,
+    /// Failure domains whose servers the operators want to get nothing new.
+    evacuated: BTreeSet<DomainId>,
 }
 
 impl Notices {
@@ -129,6 +133,28 @@
         self.is_leaving(server) || self.delistings.include(now, server)
     }
 
+    /// Records that a failure domain is evacuated; returns whether it was news.
+    pub fn evacuate(&mut self, domain: DomainId) -> bool {
+        self.evacuated.insert(domain)
+    }
+
+    /// Records that the evacuation of a failure domain has ended; returns whether it was news.
+    pub fn end_evacuation(&mut self, domain: &DomainId) -> bool {
+        self.evacuated.remove(domain)
+    }
+
+    /// The evacuated failure domains.
+    #[must_use]
+    pub const fn evacuated(&self) -> &BTreeSet<DomainId> {
+        &self.evacuated
+    }
+
+    /// Whether the failure domain of a server is evacuated.
+    #[must_use]
+    pub fn is_evacuated(&self, server: &Server) -> bool {
+        self.evacuated.contains(&server.domain)
+    }
+
     /// The time for which nothing may be sent to a server; zero if it may.
     #[must_use]
     pub fn pause(&self, now: MonoTime, server: &ServerId) -> Millis {
@@ -145,7 +171,9 @@
     /// Whether a new request may be sent to a server.
     #[must_use]
     pub fn allow(&self, now: MonoTime, server: &Server) -> bool {
-        !self.has_left(now, server) && self.pause(now, &server.id) == Millis::ZERO
+        !self.has_left(now, server)
+            && !self.is_evacuated(server)
+            && self.pause(now, &server.id) == Millis::ZERO
     }
 
     /// The announcements to this entry, the leaving servers, the latest delistings and the limits, for
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -103,6 +103,7 @@
 pub use load::Stamp;
 pub use peers::PeerLink;
 pub use plan::Candidate;
+pub use plan::Domains;
 pub use plan::EnginePlan;
 pub use plan::Helper;
 pub use plan::Job;
--- a/jujubewind/src/direct/plan/job.rs
+++ b/jujubewind/src/direct/plan/job.rs
@@ -1,16 +1,24 @@
 //! A request to be placed.
 
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
 use super::limits::EXPECTED_OUTPUT_PERMILLE;
 use super::limits::FIRST_TOKEN_PERMILLE;
 use super::limits::QUEUE_TIME_PERMILLE;
 use crate::direct::Engine;
 use crate::direct::JobId;
+use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::direct::ServiceId;
+use crate::types::DomainId;
 use crate::types::Millis;
 use crate::types::MonoTime;
 use crate::types::Tokens;
 
+/// Failure domains; requests of one kind share them.
+pub type Domains = Rc<BTreeSet<DomainId>>;
+
 /// The properties of a request that decide its placement.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Job {
@@ -33,6 +41,8 @@
     pub deadline: MonoTime,
     /// 0 is the highest.
     pub priority: u8,
+    /// The failure domains whose backend servers may run it; any of them if there is no restriction.
+    pub domains: Option<Domains>,
     /// Backend servers that failed it before.
     pub excluded: Vec<ServerId>,
     /// When it arrived.
@@ -40,6 +50,13 @@
 }
 
 impl Job {
+    /// Whether the request may run on a server.
+    #[must_use]
+    pub fn permits(&self, server: &Server) -> bool {
+        let domains = self.domains.as_ref();
+        domains.is_none_or(|domains| domains.contains(&server.domain))
+    }
+
     /// The work that serving it delivers, in prompt tokens; decoding a token takes as long as
     /// prefilling ten.
     #[must_use]
--- a/jujubewind/src/direct/plan/mod.rs
+++ b/jujubewind/src/direct/plan/mod.rs
@@ -20,6 +20,7 @@
 pub use candidate::Candidate;
 pub use engine_plan::EnginePlan;
 pub use helper::Helper;
+pub use job::Domains;
 pub use job::Job;
 pub use limits::INITIAL_DISRUPTION_PERMILLE;
 pub use limits::LATE_VALUE_DIVISOR;
--- a/jujubewind/src/direct/table/organisation.rs
+++ b/jujubewind/src/direct/table/organisation.rs
@@ -1,6 +1,7 @@
 //! An organisation, which owns API keys.
 
 use crate::types::OrgId;
+use crate::types::RegionId;
 
 crate::data! {
     /// An organisation and its priority.
@@ -9,5 +10,7 @@
         pub name: OrgId,
         /// Overrides the route's priority; 0 is the highest.
         pub priority: Option<u8>,
+        /// The regions whose backend servers may run its requests; any if it is empty.
+        pub regions: Vec<RegionId>,
     }
 }
--- a/jujubewind/src/direct/table/route.rs
+++ b/jujubewind/src/direct/table/route.rs
@@ -5,6 +5,7 @@
 use super::ServiceId;
 use super::Target;
 use crate::types::Millis;
+use crate::types::RegionId;
 
 crate::data! {
     /// One route of one host.
@@ -33,6 +34,8 @@
         pub public: bool,
         /// Whether a stream may be resumed at another backend server.
         pub resumable: bool,
+        /// The regions whose backend servers may run its requests; any if it is empty.
+        pub regions: Vec<RegionId>,
         /// The services that share its requests.
         pub targets: Vec<Target>,
     }
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -140,7 +140,7 @@
         let is_usable =
             |idle: &Idle| now.since(idle.since) < idle.timeout && !idle.sender.requests.is_closed();
         stack.retain(|idle| idle.leads_to(server) && is_usable(idle));
-        let serves = |idle: &Idle| match purpose {
+        let is_suited = |idle: &Idle| match purpose {
             Purpose::Order => idle.purpose == Purpose::Order,
             Purpose::Request => idle.purpose != Purpose::Order,
             Purpose::SingleRun => {
@@ -149,7 +149,7 @@
         };
         let index = stack
             .iter()
-            .rposition(|idle| idle.sender.requests.is_ready() && serves(idle))?;
+            .rposition(|idle| idle.sender.requests.is_ready() && is_suited(idle))?;
         Some(stack.remove(index).sender)
     }
 }
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -57,6 +57,8 @@
     pub waiting: usize,
     /// Number of backend servers whose limit on requests is in force.
     pub limited: usize,
+    /// Number of evacuated failure domains.
+    pub evacuated: usize,
     /// Number of requests in progress.
     pub open: usize,
 }
@@ -82,6 +84,7 @@
     peers: Gauge,
     waiting: Gauge,
     limited: Gauge,
+    evacuated: Gauge,
     open: Gauge,
 }
 
@@ -107,6 +110,7 @@
             peers: Gauge::default(),
             waiting: Gauge::default(),
             limited: Gauge::default(),
+            evacuated: Gauge::default(),
             open: Gauge::default(),
         };
         metrics.register_counters();
@@ -189,6 +193,7 @@
         self.peers.set(to_gauge(gauges.peers));
         self.waiting.set(to_gauge(gauges.waiting));
         self.limited.set(to_gauge(gauges.limited));
+        self.evacuated.set(to_gauge(gauges.evacuated));
         self.open.set(to_gauge(gauges.open));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
--- a/jujubewind/src/types/id.rs
+++ b/jujubewind/src/types/id.rs
@@ -25,6 +25,11 @@
     pub struct DomainId;
 }
 
+crate::name! {
+    /// The name of a region: a set of failure domains.
+    pub struct RegionId;
+}
+
 crate::random_id! {
     /// Identifies a caller's request, from its arrival at an entry to its final answer.
     pub struct RequestId;
--- a/jujubewind/src/types/mod.rs
+++ b/jujubewind/src/types/mod.rs
@@ -15,6 +15,7 @@
 pub use id::ModelId;
 pub use id::NodeId;
 pub use id::OrgId;
+pub use id::RegionId;
 pub use id::RequestId;
 pub use monotime::MonoTime;
 pub use parse_error::ParseError;
--- a/jujubewind/tests/direct/entry_state.rs
+++ b/jujubewind/tests/direct/entry_state.rs
@@ -30,6 +30,7 @@
         priority: 1,
         public: false,
         resumable: false,
+        regions: Vec::new(),
         targets: vec![Target {
             service: service.parse().expect("a name"),
             weight: 1,
@@ -228,6 +229,7 @@
     let organisation = Organisation {
         name: "office".parse().expect("a name"),
         priority: Some(0),
+        regions: Vec::new(),
     };
 
     table.add_organisation(organisation, vec!["key-1".to_owned()]);
--- a/jujubewind/tests/direct/fixture.rs
+++ b/jujubewind/tests/direct/fixture.rs
@@ -74,6 +74,7 @@
         client_timeout: Millis(if short { 2_000 } else { 15_000 }),
         deadline: at(if short { 10_000 } else { 15_000 }),
         priority: 1,
+        domains: None,
         excluded: Vec::new(),
         arrived: MonoTime::ZERO,
     }
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod convictions;
 mod core;
 mod departures;
+mod domains;
 mod entry_state;
 mod events;
 mod feed;
