Pace requests to cold backend servers

Cause: nothing read how long a backend server is cold, so that entries bounded their requests to it only by its load (FAILBACK). Change: while a server is cold each entry keeps to an evenly paced share of the service's cold_per_s; the servers of a domain that returns from an evacuation count as cold.

--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -12,6 +12,8 @@
 use crate::conviction::SuspectRegistry;
 use crate::direct::Budget;
 use crate::direct::BudgetLimits;
+use crate::direct::ColdLimit;
+use crate::direct::ColdSpells;
 use crate::direct::Engine;
 use crate::direct::Health;
 use crate::direct::JobId;
@@ -64,6 +66,7 @@
     pub(super) has_peers_listed: bool,
     /// What this entry may send to servers that have named a limit.
     pub(super) paces: SendPaces,
+    pub(super) cold: ColdSpells,
     /// Requests for which a server's limit left no room.
     pub(super) held: u64,
     /// Whether this process stops and queues no requests.
@@ -93,14 +96,16 @@
             peers: BTreeSet::new(),
             has_peers_listed: false,
             paces: SendPaces::default(),
+            cold: ColdSpells::default(),
             held: 0,
             is_draining: false,
         }
     }
 
     /// Replaces the configuration table.
-    pub fn configure(&mut self, table: Rc<Table>) {
+    pub fn configure(&mut self, now: MonoTime, table: Rc<Table>) {
         self.table = Some(table);
+        self.refresh_all_limits(now);
     }
 
     /// Records that a request's first token arrived.
@@ -199,6 +204,10 @@
         }
         self.paces.expire(now);
         self.notices.expire_delistings(now, roster.is_readable());
+        for server in self.cold.expire(now) {
+            crate::event!(info, "server_warm", server = server);
+            self.refresh_limit(now, &server);
+        }
         self.note_removals(now, &gone);
         gone.iter().map(|server| server.id.clone()).collect()
     }
@@ -221,7 +230,8 @@
             servers: self.roster.len(),
             peers: self.ledger.live_peers(now),
             waiting: self.queue.len(),
-            limited: self.paces.limited(),
+            limited: self.paces.limited().count(),
+            cold: self.cold.len(),
             evacuated: self.notices.evacuated().len(),
         }
     }
@@ -236,6 +246,10 @@
         self.budgets.entry(service.clone()).or_insert_with(new)
     }
 
+    pub(super) fn cold_limit(&self, service: &ServiceId) -> Option<ColdLimit> {
+        self.table.as_ref()?.service(service)?.cold
+    }
+
     pub(super) fn engine(&self, service: &ServiceId) -> Option<&Engine> {
         let service = self.table.as_ref()?.service(service)?;
         service.engine.as_ref()
--- a/jujubewind/src/direct/control/counts.rs
+++ b/jujubewind/src/direct/control/counts.rs
@@ -11,6 +11,8 @@
     pub waiting: usize,
     /// Backend servers whose limit on requests is in force.
     pub limited: usize,
+    /// Backend servers that are cold.
+    pub cold: usize,
     /// Evacuated failure domains.
     pub evacuated: usize,
 }
--- a/jujubewind/src/direct/control/fleet_changes.rs
+++ b/jujubewind/src/direct/control/fleet_changes.rs
@@ -20,13 +20,13 @@
         match change {
             FleetChange::Servers(servers) => {
                 gone = self.replace_servers(now, servers);
-                self.refresh_limits(now);
+                self.refresh_all_limits(now);
             }
             FleetChange::Restored(servers) => {
                 self.roster.restore(now, servers);
                 self.note_list(now, &[]);
                 self.has_peers_listed = true;
-                self.refresh_limits(now);
+                self.refresh_all_limits(now);
             }
             FleetChange::Listed(server) => {
                 let id = server.id.clone();
@@ -48,14 +48,14 @@
             FleetChange::Evacuations(domains) => {
                 let ended = self.notices.evacuated().difference(&domains).cloned();
                 for domain in ended.collect::<Vec<_>>() {
-                    self.end_evacuation(&domain);
+                    self.end_evacuation(now, &domain);
                 }
                 for domain in &domains {
                     self.evacuate(domain);
                 }
             }
             FleetChange::Evacuated(domain) => self.evacuate(&domain),
-            FleetChange::Returned(domain) => self.end_evacuation(&domain),
+            FleetChange::Returned(domain) => self.end_evacuation(now, &domain),
             FleetChange::Grace(grace) => self.roster.extend_grace(now, grace),
             FleetChange::OutageStarted => self.roster.begin_outage(now),
             FleetChange::OutageEnded => self.roster.end_outage(now),
@@ -84,9 +84,10 @@
         }
     }
 
-    fn end_evacuation(&mut self, domain: &DomainId) {
+    fn end_evacuation(&mut self, now: MonoTime, domain: &DomainId) {
         if self.notices.end_evacuation(domain) {
             crate::event!(info, "domain_returned", domain = domain);
+            self.assume_cold(now, domain);
             self.has_delisted = true;
         }
     }
@@ -122,6 +123,7 @@
     }
 
     fn note_listing(&mut self, now: MonoTime, id: &ServerId) {
+        self.record_cold(now, id);
         let Some(server) = self.roster.get(id) else {
             return;
         };
--- a/jujubewind/src/direct/control/server_limits.rs
+++ b/jujubewind/src/direct/control/server_limits.rs
@@ -1,12 +1,17 @@
 //! This entry's shares of the limits that backend servers have named.
 
+use std::rc::Rc;
+
 use super::Core;
 use super::hold::Hold;
 use crate::direct::Job;
+use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::pace::Share;
+use crate::types::DomainId;
 use crate::types::Millis;
 use crate::types::MonoTime;
+use crate::types::RequestRate;
 
 const MILLIS_PER_SECOND: u64 = 1_000;
 const MILLI_PER_REQUEST: u64 = 1_000;
@@ -16,7 +21,7 @@
     pub(super) fn hold(&self, now: MonoTime, job: &Job) -> Hold {
         let (mut own_milli, mut total_milli, mut shortest) = (0, 0, None);
         for server in self.permitted(now, job) {
-            let Some(limit) = self.notices.limit(server) else {
+            let Some(limit) = self.limit_in_force(now, server) else {
                 return Hold::Free;
             };
             total_milli += limit.milli();
@@ -49,7 +54,8 @@
     /// Applies this entry's share of the limit that a server has named, or lifts it.
     pub(super) fn refresh_limit(&mut self, now: MonoTime, id: &ServerId) {
         let server = self.roster.get(id);
-        let Some(limit) = server.and_then(|server| self.notices.limit(server)) else {
+        let limit = server.and_then(|server| self.limit_in_force(now, server));
+        let Some((server, limit)) = server.zip(limit) else {
             self.paces.lift(id);
             return;
         };
@@ -59,7 +65,9 @@
         } else {
             None
         };
-        if self.paces.limit(now, id, share) {
+        let is_named = self.notices.limit(server) == Some(limit);
+        let share = share.filter(|_| is_named).or(share.map(Share::paced));
+        if self.paces.limit(now, id, share) && is_named {
             crate::event!(
                 info,
                 "server_limit_shared",
@@ -73,20 +81,74 @@
         }
     }
 
-    /// Applies this entry's share of every limit anew.
+    /// The requests a second that a server takes from all entries together: what it has named, and what
+    /// it endures while it is cold.
+    fn limit_in_force(&self, now: MonoTime, server: &Server) -> Option<RequestRate> {
+        let cold = self
+            .cold_limit(&server.service)
+            .filter(|_| self.cold.is_cold(now, server))
+            .map(|cold| cold.rate);
+        [self.notices.limit(server), cold]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Records whether a listed server is cold, as it says itself.
+    pub(super) fn record_cold(&mut self, now: MonoTime, id: &ServerId) {
+        let Some(server) = self.roster.get(id).cloned() else {
+            return;
+        };
+        if self.cold.record(now, &server, server.cold_left) {
+            log_cold(&server, server.cold_left);
+        }
+    }
+
+    /// Takes the servers of a domain for cold: they had no requests.
+    pub(super) fn assume_cold(&mut self, now: MonoTime, domain: &DomainId) {
+        let is_there = |server: &&Rc<Server>| server.domain == *domain;
+        let servers: Vec<_> = self.roster.iter().filter(is_there).cloned().collect();
+        for server in servers {
+            let Some(limit) = self.cold_limit(&server.service) else {
+                continue;
+            };
+            if self.cold.record(now, &server, limit.span) {
+                log_cold(&server, limit.span);
+            }
+            self.refresh_limit(now, &server.id);
+        }
+    }
+
+    /// Applies this entry's share of every limit anew after the entries have changed.
     pub(super) fn refresh_limits(&mut self, now: MonoTime) {
-        let limited: Vec<ServerId> = self.notices.limited().cloned().collect();
+        let limited: Vec<ServerId> = self.paces.limited().cloned().collect();
         for id in limited {
             self.refresh_limit(now, &id);
         }
     }
 
+    /// Applies the limits of all servers anew.
+    pub(super) fn refresh_all_limits(&mut self, now: MonoTime) {
+        let all: Vec<ServerId> = self.roster.iter().map(|server| server.id.clone()).collect();
+        for id in all {
+            self.refresh_limit(now, &id);
+        }
+    }
+
     /// The number of requests for which a server's limit left no room, since the last call.
     pub fn take_held(&mut self) -> u64 {
         std::mem::take(&mut self.held)
     }
 }
 
+fn log_cold(server: &Server, left: Millis) {
+    if left > Millis::ZERO {
+        crate::event!(info, "server_cold", server = server.id, left = left);
+    } else {
+        crate::event!(info, "server_warm", server = server.id);
+    }
+}
+
 /// The time in which servers that take `milli` thousandths of a request a second take `count`.
 fn time_for(count: u64, milli: u64) -> Millis {
     let span = count.saturating_mul(MILLIS_PER_SECOND * MILLI_PER_REQUEST);
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -155,7 +155,7 @@
                 let _ = reply.send(is_granted.then(|| Retry::new(control, service, now)));
             }
             Message::UnusedRetry { service, taken } => self.core.give_back(&service, taken),
-            Message::Configure(table) => self.core.configure(table),
+            Message::Configure(table) => self.core.configure(now, table),
             Message::Fleet(change) => self.apply_fleet_change(now, change),
             Message::PeerLoad { digest, pass_on } => {
                 if pass_on {
--- a/jujubewind/src/direct/daemon/metrics_page.rs
+++ b/jujubewind/src/direct/daemon/metrics_page.rs
@@ -51,6 +51,7 @@
             peers: counts.peers,
             waiting: counts.waiting,
             limited: counts.limited,
+            cold: counts.cold,
             evacuated: counts.evacuated,
             open: self.gateway.open(),
         };
--- a/jujubewind/src/direct/fleet/mod.rs
+++ b/jujubewind/src/direct/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! The backend servers that the platform lists, and their health.
 
+mod cold_spells;
 mod delisting;
 mod delistings;
 mod health;
@@ -15,6 +16,7 @@
 mod state;
 mod told_limit;
 
+pub use cold_spells::ColdSpells;
 pub use delisting::Delisting;
 pub use delistings::Delistings;
 pub use health::Health;
--- a/jujubewind/src/direct/fleet/server.rs
+++ b/jujubewind/src/direct/fleet/server.rs
@@ -7,6 +7,7 @@
 use crate::direct::ServiceId;
 use crate::types::DomainId;
 use crate::types::Incarnation;
+use crate::types::Millis;
 
 crate::data! {
     /// A backend server as the platform lists it.
@@ -25,6 +26,8 @@
         pub state: ServerState,
         /// Its incarnation; a restart under the same identifier has a higher one.
         pub started: Option<Incarnation>,
+        /// How much longer it is cold, as it said itself.
+        pub cold_left: Millis,
     }
 }
 
--- a/jujubewind/src/direct/send_paces.rs
+++ b/jujubewind/src/direct/send_paces.rs
@@ -63,11 +63,12 @@
         self.paces.get(server).is_some_and(SendPace::is_limited)
     }
 
-    /// The number of servers with a limit.
-    #[must_use]
-    pub fn limited(&self) -> usize {
-        let paces = self.paces.values();
-        paces.filter(|pace| pace.is_limited()).count()
+    /// The servers with a limit.
+    pub fn limited(&self) -> impl Iterator<Item = &ServerId> {
+        let paces = self.paces.iter();
+        paces
+            .filter(|(_, pace)| pace.is_limited())
+            .map(|(server, _)| server)
     }
 
     /// Forgets servers that were not sent to lately and have no limit.
--- a/jujubewind/src/direct/table/mod.rs
+++ b/jujubewind/src/direct/table/mod.rs
@@ -15,6 +15,7 @@
 pub use organisation::Organisation;
 pub use route::Route;
 pub use route_kind::RouteKind;
+pub use service::ColdLimit;
 pub use service::Service;
 pub use target::Target;
 pub use version::Table;
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -57,6 +57,8 @@
     pub waiting: usize,
     /// Number of backend servers whose limit on requests is in force.
     pub limited: usize,
+    /// Number of cold backend servers.
+    pub cold: usize,
     /// Number of evacuated failure domains.
     pub evacuated: usize,
     /// Number of requests in progress.
@@ -84,6 +86,7 @@
     peers: Gauge,
     waiting: Gauge,
     limited: Gauge,
+    cold: Gauge,
     evacuated: Gauge,
     open: Gauge,
 }
@@ -110,6 +113,7 @@
             peers: Gauge::default(),
             waiting: Gauge::default(),
             limited: Gauge::default(),
+            cold: Gauge::default(),
             evacuated: Gauge::default(),
             open: Gauge::default(),
         };
@@ -193,6 +197,7 @@
         self.peers.set(to_gauge(gauges.peers));
         self.waiting.set(to_gauge(gauges.waiting));
         self.limited.set(to_gauge(gauges.limited));
+        self.cold.set(to_gauge(gauges.cold));
         self.evacuated.set(to_gauge(gauges.evacuated));
         self.open.set(to_gauge(gauges.open));
         let mut text = String::new();
--- a/jujubewind/src/pace/share.rs
+++ b/jujubewind/src/pace/share.rs
@@ -52,6 +52,12 @@
         Self::new(limit, 1, 0)
     }
 
+    /// The same share with requests at even intervals only.
+    #[must_use]
+    pub const fn paced(self) -> Self {
+        Self { burst: 1, ..self }
+    }
+
     fn new(limit: RequestRate, holders: u64, place: u64) -> Self {
         let spare = limit.per_second().saturating_add(MIN_HOLDERS - 1);
         Self {
--- a/jujubewind/tests/direct/fixture.rs
+++ b/jujubewind/tests/direct/fixture.rs
@@ -50,6 +50,7 @@
         slots: 16,
         state: ServerState::Ready,
         started: Some(Incarnation(1)),
+        cold_left: Millis::ZERO,
     }
 }
 
@@ -140,6 +141,7 @@
     table.add_service(Service {
         name: "llm".parse().expect("a name"),
         connections: 264,
+        cold: None,
         engine: Some(engine()),
     });
     table
@@ -158,7 +160,7 @@
         budget: budget(),
     };
     let mut core = Core::new(settings, MonoTime::ZERO);
-    core.configure(Rc::new(table(1)));
+    core.configure(MonoTime::ZERO, Rc::new(table(1)));
     let servers = (0..servers).map(server).collect();
     core.apply_fleet_change(MonoTime::ZERO, FleetChange::Servers(servers));
     core
--- a/jujubewind/tests/direct/main.rs
+++ b/jujubewind/tests/direct/main.rs
@@ -2,6 +2,7 @@
 
 mod body_budget;
 mod budget;
+mod cold_servers;
 mod convictions;
 mod core;
 mod departures;
