Bound what callers make a process hold

Cause: a connection buffered up to 400 KB of a head or of empty lines, bodies had a bound each but none together, and their number had none; 60 bodies or 400 heads that stop short of their end took a process beyond its memory. Change: heads are bounded by max_header_bytes, the bodies of requests share the budget of held responses, and connections are bounded by memory and descriptors; the one that waits longest makes room. A refusal (overloaded) says that the request has not run.

--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -16,8 +16,9 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 
-use super::body_budget::BodyBudget;
 use super::exchange::Exchange;
+use super::limits::REPLY_READ_LIMIT;
+use super::limits::ROOM_RETRY_AFTER;
 use super::limits::STARTUP_POLL_INTERVAL;
 use super::limits::STARTUP_RETRY_AFTER;
 use super::limits::STARTUP_WAIT;
@@ -36,7 +37,10 @@
 use crate::direct::Shared as SharedState;
 use crate::entry::Failure;
 use crate::http;
+use crate::http::BodyBudget;
 use crate::http::Handler;
+use crate::http::Phase;
+use crate::http::ReadLimit;
 use crate::http::Reply;
 use crate::metrics::DirectMetrics;
 use crate::refusal::Reason;
@@ -58,7 +62,8 @@
     pub reservations: ReservationLimits,
     /// The region of each failure domain.
     pub regions: BTreeMap<DomainId, RegionId>,
-    /// What the responses that are held until they are whole may take together.
+    /// What the bodies of requests, and of responses that are held until they are whole, may take
+    /// together.
     pub bodies: types::Bytes,
 }
 
@@ -142,6 +147,12 @@
         let _ = self.ended.clone().await;
     }
 
+    /// The bytes of bodies that are held.
+    #[must_use]
+    pub fn body_bytes(&self) -> usize {
+        self.bodies.used()
+    }
+
     /// The number of open requests.
     #[must_use]
     pub fn open(&self) -> usize {
@@ -219,10 +230,10 @@
 
     /// Reads the body, even of a request that is refused: a caller that is still sending when its
     /// connection is closed may not get the reply.
-    async fn read_body(&self, body: Incoming) -> http::Result<Vec<u8>> {
+    async fn read_body(&self, body: Incoming) -> http::Result<Bytes> {
         let limits = self.state.table().map(|table| table.limits.clone());
         let limits = limits.unwrap_or_default();
-        http::read_body(body, limits.body, limits.arrival).await
+        http::read_body(body, limits.body, limits.arrival, &self.bodies).await
     }
 
     async fn serve(
@@ -235,7 +246,10 @@
         if !self.refusing.get() {
             self.wait_until_configured().await;
         }
+        let phase = parts.extensions.get::<Phase>();
+        phase.inspect(|phase| phase.wait());
         let body = self.read_body(body).await;
+        phase.inspect(|phase| phase.serve());
         let call = call?;
         if self.refusing.get() {
             return Err(Failure::not_run(Reason::Stopping, self.settings.retry));
@@ -251,7 +265,7 @@
             arrived,
             call.clone(),
             parts,
-            Bytes::from(body),
+            body,
         );
         exchange.run().await
     }
@@ -269,6 +283,9 @@
             self.log_failure(arrived, call, &failure);
             self.dialect.failure_reply(call, &failure)
         });
+        if reply.extensions().get::<ReadLimit>().is_none() {
+            reply.extensions_mut().insert(ReadLimit(REPLY_READ_LIMIT));
+        }
         if self.state.is_stopping() {
             let close = HeaderValue::from_static("close");
             reply.headers_mut().insert(CONNECTION, close);
@@ -288,6 +305,7 @@
         http::Error::TooLarge(_) => Reason::BodyTooLarge,
         http::Error::TooSlow(_) => Reason::BodyTooSlow,
         http::Error::Interrupted(_) => Reason::BadRequest,
+        http::Error::NoRoom => return Failure::not_run(Reason::Overloaded, ROOM_RETRY_AFTER),
     };
     Failure::not_run(reason, Millis::ZERO)
 }
--- a/jujubewind/src/direct/api/mod.rs
+++ b/jujubewind/src/direct/api/mod.rs
@@ -1,6 +1,5 @@
 //! Handles callers' requests, from the head to the last byte of the response.
 
-mod body_budget;
 mod engine_reservation;
 mod events;
 mod exchange;
@@ -19,8 +18,6 @@
 mod target;
 mod upstream_response;
 
-pub use body_budget::BodyBudget;
-pub use body_budget::HeldBody;
 pub use events::EventSplitter;
 pub use events::Events;
 pub use gateway::Gateway;
--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -8,8 +8,6 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 
-use super::body_budget::BodyBudget;
-use super::body_budget::HeldBody;
 use super::events::EventSplitter;
 use super::events::Events;
 use super::events::MAX_EVENT_BYTES;
@@ -24,6 +22,8 @@
 use crate::direct::Connection;
 use crate::direct::Grant;
 use crate::direct::Outcome;
+use crate::http::BodyBudget;
+use crate::http::HeldBody;
 
 /// The connection broke within a response that is no stream.
 const CUT: &str = "cut";
--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -55,6 +55,8 @@
     pub peer: SocketAddr,
     /// The ages of the table from which API keys are refused and readiness fails.
     pub staleness_limits: StalenessLimits,
+    /// The greatest number of callers' connections.
+    pub connections: usize,
     /// Settings of the placement of requests.
     pub core: CoreSettings,
     /// Settings of the gateway.
@@ -119,6 +121,7 @@
             settings.gateway.clone(),
         ));
         let serving = ServerHandle::new();
+        serving.set_connection_limit(settings.connections);
         let ready = Rc::new(Readiness {
             state: state.clone(),
         });
@@ -128,6 +131,7 @@
             let page = MetricsPage {
                 shared: shared.clone(),
                 gateway: gateway.clone(),
+                serving: serving.clone(),
             };
             compio::runtime::spawn(page.serve(addr)).detach();
         }
@@ -155,6 +159,7 @@
         crate::event!(info, "table_in_force", version = version, routes = routes);
         if let Some(table) = self.state.table() {
             self.serving.set_idle_limit(table.limits.idle);
+            self.serving.set_head_limit(table.limits.header);
             self.control.send(Message::Configure(table));
         }
     }
--- a/jujubewind/src/direct/daemon/metrics_page.rs
+++ b/jujubewind/src/direct/daemon/metrics_page.rs
@@ -25,6 +25,8 @@
     pub shared: Shared,
     /// The gateway, for the number of open requests.
     pub gateway: Rc<Gateway<D>>,
+    /// The server of callers, for the number of connections.
+    pub serving: ServerHandle,
 }
 
 impl<D: Dialect> MetricsPage<D> {
@@ -54,7 +56,10 @@
             cold: counts.cold,
             evacuated: counts.evacuated,
             open: self.gateway.open(),
+            connections: self.serving.connections(),
+            body_bytes: self.gateway.body_bytes(),
         };
+        self.shared.metrics.count_closed(self.serving.take_closed());
         http::plain(StatusCode::OK, self.shared.metrics.encode(&gauges))
     }
 }
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -24,7 +24,6 @@
 mod table;
 mod upstream;
 
-pub use api::BodyBudget;
 pub use api::Contender;
 pub use api::Ending;
 pub use api::EventSplitter;
@@ -36,7 +35,6 @@
 pub use api::HandoverOutput;
 pub use api::Hedge;
 pub use api::HedgeVerdict;
-pub use api::HeldBody;
 pub use api::Recovery;
 pub use api::RefusalSampler;
 pub use api::TakeoverFailure;
--- a/jujubewind/src/entry/api/handler.rs
+++ b/jujubewind/src/entry/api/handler.rs
@@ -1,10 +1,12 @@
 //! Handler of the HTTP API.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 
@@ -17,6 +19,7 @@
 use crate::entry::service::ServiceDispatcher;
 use crate::entry::spending::Spending;
 use crate::http;
+use crate::http::BodyBudget;
 use crate::http::Error;
 use crate::http::Handler;
 use crate::http::Reply;
@@ -30,6 +33,8 @@
 use crate::wire::openai::Model;
 use crate::wire::openai::ModelList;
 
+/// What the bodies of all requests may take, twice over for a moment.
+const BODY_MEMORY_BYTES: usize = 256 * 1_024 * 1_024;
 /// The header with the request's ID, which logs contain too.
 const REQUEST_ID: &str = "x-request-id";
 
@@ -41,6 +46,8 @@
     pub(super) control: Control,
     pub(super) dispatcher: ServiceDispatcher,
     pub(super) spending: Option<Spending>,
+    /// The bodies of requests.
+    bodies: Arc<BodyBudget>,
 }
 
 impl Handler for Api {
@@ -77,6 +84,7 @@
             control,
             dispatcher,
             spending,
+            bodies: BodyBudget::new(BODY_MEMORY_BYTES),
         }
     }
 
@@ -99,18 +107,21 @@
             }
             Route::Service { name, method } => {
                 let body = self.read_body(body).await?;
-                self.service(name, method, &parts.headers, body).await
+                self.service(name, method, &parts.headers, body.into())
+                    .await
             }
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Vec<u8>, Failure> {
-        let outcome = http::read_body(body, self.settings.body, self.settings.arrival).await;
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, Failure> {
+        let (limit, timeout) = (self.settings.body, self.settings.arrival);
+        let outcome = http::read_body(body, limit, timeout, &self.bodies).await;
         outcome.map_err(|error| {
             let reason = match error {
                 Error::TooLarge(_) => Reason::BodyTooLarge,
                 Error::TooSlow(_) => Reason::BodyTooSlow,
                 Error::Interrupted(_) => Reason::BadRequest,
+                Error::NoRoom => Reason::Overloaded,
             };
             Failure::not_run(reason, Millis::ZERO)
         })
--- a/jujubewind/src/entry/failure.rs
+++ b/jujubewind/src/entry/failure.rs
@@ -77,6 +77,7 @@
             | Reason::BackendDown
             | Reason::StoreDown
             | Reason::Stopping
+            | Reason::Overloaded
             | Reason::NoCatalogue => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -110,6 +111,7 @@
             | Reason::BackendDown
             | Reason::StoreDown
             | Reason::Stopping
+            | Reason::Overloaded
             | Reason::NoCatalogue => "come back after the time given",
         }
     }
--- a/jujubewind/src/direct/api/body_budget.rs
+++ b/jujubewind/src/http/body_budget.rs
@@ -1,4 +1,4 @@
-//! The memory that responses which are held until they are whole may take together.
+//! The memory that bodies which are held until they are whole may take together.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -6,10 +6,16 @@
 
 use hyper::body::Bytes;
 
+/// The part of its length by which a body's buffer grows.
+const GROWTH_DIVISOR: usize = 4;
+/// The least growth of a body's buffer.
+const MIN_GROWTH_BYTES: usize = 1_024;
+
 /// A limit on the bytes of all held bodies.
 ///
-/// A body that grows while they exceed the limit ends if it is larger than an equal share of it, so
-/// that many small responses are not refused for a few that never end.
+/// A body that grows beyond the limit ends if it is larger than an equal share of it, so that many
+/// small bodies are not refused for a few large ones that never end. All together take twice the
+/// limit at most.
 #[derive(Debug)]
 pub struct BodyBudget {
     limit: usize,
@@ -53,21 +59,32 @@
         }
     }
 
-    fn is_over_share(&self, own: usize) -> bool {
+    /// Whether a body may not grow by `grown` bytes to `own`.
+    fn is_over_share(&self, grown: usize, own: usize) -> bool {
         let bodies = self.bodies.load(Ordering::Relaxed).max(1);
-        self.used() > self.limit && own > self.limit / bodies
+        self.used().saturating_add(grown) > self.limit && own > self.limit / bodies
     }
 }
 
 impl HeldBody {
-    /// Appends bytes; returns whether the budget allows the body to go on.
+    /// Appends bytes, unless the body would take more than the budget allows; returns whether it did.
     #[must_use]
     pub fn push(&mut self, bytes: &[u8]) -> bool {
+        let length = self.bytes.len() + bytes.len();
+        if length > self.bytes.capacity() {
+            // Doubling would take up to twice the memory that a body needs.
+            let capacity = length.saturating_add((length / GROWTH_DIVISOR).max(MIN_GROWTH_BYTES));
+            let grown = capacity - self.counted;
+            if self.budget.is_over_share(grown, capacity) {
+                return false;
+            }
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+            let grown = self.bytes.capacity() - self.counted;
+            self.counted += grown;
+            self.budget.used.fetch_add(grown, Ordering::Relaxed);
+        }
         self.bytes.extend_from_slice(bytes);
-        let grown = self.bytes.capacity() - self.counted;
-        self.counted += grown;
-        self.budget.used.fetch_add(grown, Ordering::Relaxed);
-        !self.budget.is_over_share(self.counted)
+        true
     }
 
     /// The length in bytes.
--- a/jujubewind/src/http/error.rs
+++ b/jujubewind/src/http/error.rs
@@ -12,6 +12,9 @@
     /// The body did not arrive in time.
     #[error("the body did not arrive within {0}; send it faster")]
     TooSlow(Millis),
+    /// The process holds too much for other callers.
+    #[error("there is no room for the body; send it later")]
+    NoRoom,
     /// The connection failed before the body was complete.
     #[error("the body was interrupted: {0}; send the request again")]
     Interrupted(hyper::Error),
--- a/jujubewind/src/http/mod.rs
+++ b/jujubewind/src/http/mod.rs
@@ -1,7 +1,8 @@
 //! HTTP server on compio: connections, bodies with limits and event streams.
 
 mod body;
-mod counted_connection;
+mod body_budget;
+mod connections;
 mod error;
 mod events;
 mod fair_read;
@@ -10,18 +11,23 @@
 mod idle_sleep;
 mod idle_timer;
 mod limited_body;
+mod phase;
 mod read_limit;
 mod response;
 mod server;
 mod server_handle;
+mod tracked_body;
 mod truncated_body;
 
 pub use body::read_body;
+pub use body_budget::BodyBudget;
+pub use body_budget::HeldBody;
 pub use error::Error;
 pub use error::Result;
 pub use events::EventParser;
 pub use fair_read::FairRead;
 pub use idle_limits::IdleLimits;
+pub use phase::Phase;
 pub use read_limit::ReadLimit;
 pub use response::Reply;
 pub use response::ReplyBody;
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -12,6 +12,7 @@
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
+use flume::Receiver;
 use flume::Sender;
 use futures::future::Either;
 use futures::future::select;
@@ -22,13 +23,15 @@
 use socket2::SockRef;
 
 use super::FairRead;
+use super::Phase;
 use super::ReadLimit;
 use super::Reply;
 use super::ReplyBody;
 use super::ServerHandle;
-use super::counted_connection::CountedConnection;
+use super::connections::Counted;
 use super::handshake_filter;
 use super::limited_body::LimitedBody;
+use super::tracked_body::TrackedBody;
 use crate::types::Millis;
 
 /// How long a connection without a request stays open after the close of its server, so that a
@@ -55,12 +58,15 @@
 
 /// Serves all connections that `listener` accepts, until `handle` ends that.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>, handle: ServerHandle) {
-    let _counted = handle.count_connection();
+    let _counted = handle.count_listener();
     let start = |stream: TcpStream, caller| {
         let _ = stream.set_nodelay(true);
         // Counted before its task runs: a stop that looks in between would end the process.
-        let counted = handle.count_connection();
-        let connection = serve_connection(stream, caller, handler.clone(), handle.clone());
+        let Some((counted, phase, ended)) = handle.add_connection() else {
+            return;
+        };
+        let state = (phase, ended);
+        let connection = serve_connection(stream, caller, handler.clone(), handle.clone(), state);
         compio::runtime::spawn(count(connection, counted)).detach();
     };
     let mut ended = std::pin::pin!(async {
@@ -93,7 +99,7 @@
 }
 
 /// Keeps a connection in the count until it has ended.
-async fn count(connection: impl Future<Output = ()>, counted: CountedConnection) {
+async fn count(connection: impl Future<Output = ()>, counted: Counted) {
     connection.await;
     drop(counted);
 }
@@ -154,18 +160,25 @@
     caller: SocketAddr,
     handler: Rc<H>,
     handle: ServerHandle,
+    (phase, ended): (Phase, Receiver<()>),
 ) {
     let socket = stream.clone();
     let has_request = Rc::new(Cell::new(false));
     let requested = has_request.clone();
     let (expired, unread) = flume::bounded(1);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         requested.set(true);
-        let (handler, expired) = (handler.clone(), expired.clone());
-        async move { Ok::<_, Infallible>(limit(handler.handle(request).await, expired)) }
+        phase.serve();
+        request.extensions_mut().insert(phase.clone());
+        let (handler, expired, phase) = (handler.clone(), expired.clone(), phase.clone());
+        async move {
+            let reply = limit(handler.handle(request).await, expired);
+            Ok::<_, Infallible>(track(reply, phase))
+        }
     });
     let idle_timer = handle.idle_timer();
     let connection = Builder::new()
+        .max_buf_size(handle.buffer_bytes())
         .header_read_timeout(idle_timer.limit().duration())
         .timer(idle_timer)
         .serve_connection(FairRead::new(HyperStream::new_plain(stream)), service);
@@ -180,15 +193,26 @@
             }
         }
     });
-    match select(serving, unread.into_recv_async()).await {
+    let broken_off = select(unread.into_recv_async(), ended.into_recv_async());
+    match select(serving, broken_off).await {
         Either::Left((Err(error), _)) if error.is_timeout() => {
             crate::event!(debug, "idle_connection_closed", caller = caller);
         }
         Either::Left(_) => {}
-        Either::Right(_) => crate::event!(info, "reply_not_read", caller = caller),
+        Either::Right((Either::Left(_), _)) => {
+            crate::event!(info, "reply_not_read", caller = caller);
+        }
+        Either::Right((Either::Right(_), _)) => {
+            crate::event!(debug, "connection_closed_for_another", caller = caller);
+        }
     }
 }
 
+/// Tells `phase` when the body of `reply` has been sent.
+fn track(reply: Reply, phase: Phase) -> Reply {
+    reply.map(|body| -> ReplyBody { Box::pin(TrackedBody::new(body, phase)) })
+}
+
 /// Applies the read limit of `reply`, if it has one.
 fn limit(reply: Reply, expired: Sender<()>) -> Reply {
     let Some(limit) = reply.extensions().get::<ReadLimit>().copied() else {
--- a/jujubewind/src/http/server_handle.rs
+++ b/jujubewind/src/http/server_handle.rs
@@ -8,12 +8,21 @@
 use flume::Receiver;
 use flume::Sender;
 
-use super::counted_connection::CountedConnection;
+use super::Phase;
+use super::connections::Connections;
+use super::connections::Counted;
 use super::idle_timer::IdleTimer;
+use crate::types::Bytes;
 use crate::types::Millis;
 
 /// Default limit on the time for which a connection is idle; it ends slow-loris connections.
 const DEFAULT_IDLE_LIMIT: Millis = Millis(5_000);
+/// Default limit on the head of a request, in bytes.
+const DEFAULT_HEAD_LIMIT: usize = 64 * 1_024;
+/// What a connection reads at once beyond the largest head, in bytes.
+const BUFFER_MARGIN: usize = 1_024;
+/// The smallest buffer that hyper allows, in bytes.
+const MIN_BUFFER: usize = 8 * 1_024;
 
 /// Sets the idle limit of a server's connections and closes them; clones share the state.
 #[derive(Clone, Debug)]
@@ -25,7 +34,9 @@
     /// Dropped to signal `accepting_ended`; nothing is ever sent.
     accepting: Rc<RefCell<Option<Sender<Infallible>>>>,
     accepting_ended: Receiver<Infallible>,
-    connections: Rc<Cell<usize>>,
+    connections: Rc<Connections>,
+    /// The largest head of a request, in bytes.
+    head_limit: Rc<Cell<usize>>,
 }
 
 impl ServerHandle {
@@ -41,6 +52,7 @@
             accepting: Rc::new(RefCell::new(Some(accepting))),
             accepting_ended,
             connections: Rc::default(),
+            head_limit: Rc::new(Cell::new(DEFAULT_HEAD_LIMIT)),
         }
     }
 
@@ -66,12 +78,43 @@
     /// The number of open connections; a listener counts as one.
     #[must_use]
     pub fn connections(&self) -> usize {
-        self.connections.get()
+        self.connections.count()
     }
 
-    /// Counts a new connection.
-    pub(super) fn count_connection(&self) -> CountedConnection {
-        CountedConnection::new(self.connections.clone())
+    /// Sets the greatest number of connections.
+    pub fn set_connection_limit(&self, limit: usize) {
+        self.connections.set_limit(limit);
+    }
+
+    /// Sets the largest head of a request on connections that are accepted from now on; a longer one is
+    /// refused.
+    pub fn set_head_limit(&self, limit: Bytes) {
+        let limit = usize::try_from(limit.get()).unwrap_or(usize::MAX);
+        self.head_limit.set(limit);
+    }
+
+    /// The connections that were closed to make room since the last call.
+    #[must_use]
+    pub fn take_closed(&self) -> u64 {
+        self.connections.take_closed()
+    }
+
+    /// The bytes that a connection buffers.
+    pub(super) fn buffer_bytes(&self) -> usize {
+        self.head_limit
+            .get()
+            .saturating_add(BUFFER_MARGIN)
+            .max(MIN_BUFFER)
+    }
+
+    /// Counts a listener.
+    pub(super) fn count_listener(&self) -> Counted {
+        self.connections.count_listener()
+    }
+
+    /// Counts a new connection; `None` if there is no room for it.
+    pub(super) fn add_connection(&self) -> Option<(Counted, Phase, Receiver<()>)> {
+        self.connections.add()
     }
 
     pub(super) fn idle_timer(&self) -> IdleTimer {
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -63,6 +63,10 @@
     pub evacuated: usize,
     /// Number of requests in progress.
     pub open: usize,
+    /// Number of callers' connections and listeners.
+    pub connections: usize,
+    /// Bytes of bodies that are held.
+    pub body_bytes: usize,
 }
 
 /// The metrics of an entry that serves without agents.
@@ -75,6 +79,7 @@
     retries: Counter,
     notices: Family<NoticeLabel, Counter>,
     held: Counter,
+    closed: Counter,
     dropped_digests: Counter,
     dropped_feed: Counter,
     first_event: Family<DecadeLabel, Histogram>,
@@ -89,6 +94,8 @@
     cold: Gauge,
     evacuated: Gauge,
     open: Gauge,
+    connections: Gauge,
+    body_bytes: Gauge,
 }
 
 impl Default for DirectMetrics {
@@ -102,6 +109,7 @@
             retries: Counter::default(),
             notices: Family::default(),
             held: Counter::default(),
+            closed: Counter::default(),
             dropped_digests: Counter::default(),
             dropped_feed: Counter::default(),
             first_event: family(),
@@ -116,6 +124,8 @@
             cold: Gauge::default(),
             evacuated: Gauge::default(),
             open: Gauge::default(),
+            connections: Gauge::default(),
+            body_bytes: Gauge::default(),
         };
         metrics.register_counters();
         metrics.register_gauges();
@@ -150,6 +160,11 @@
         self.held.inc_by(count);
     }
 
+    /// Counts connections that were closed to make room for others.
+    pub fn count_closed(&self, count: u64) {
+        self.closed.inc_by(count);
+    }
+
     /// Counts a digest that was not sent as too many were waiting.
     pub fn count_dropped_digest(&self) {
         self.dropped_digests.inc();
@@ -200,6 +215,8 @@
         self.cold.set(to_gauge(gauges.cold));
         self.evacuated.set(to_gauge(gauges.evacuated));
         self.open.set(to_gauge(gauges.open));
+        self.connections.set(to_gauge(gauges.connections));
+        self.body_bytes.set(to_gauge(gauges.body_bytes));
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             crate::event!(error, "metrics_not_encoded", error = error);
@@ -235,6 +252,11 @@
             "Requests for which the limit of a backend server left no room there",
             self.held.clone(),
         );
+        registry.register(
+            "closed_connections",
+            "Connections of callers that were closed to make room for others",
+            self.closed.clone(),
+        );
         registry.register(
             "dropped_digests",
             "Updates to peers that were not sent as too many were waiting",
@@ -286,7 +308,27 @@
             "Backend servers whose limit on requests is in force",
             self.limited.clone(),
         );
+        registry.register(
+            "cold_servers",
+            "Backend servers that are cold",
+            self.cold.clone(),
+        );
+        registry.register(
+            "evacuated_domains",
+            "Failure domains whose backend servers get nothing new",
+            self.evacuated.clone(),
+        );
         registry.register("open", "Requests in hand", self.open.clone());
+        registry.register(
+            "connections",
+            "Connections of callers, and listeners",
+            self.connections.clone(),
+        );
+        registry.register(
+            "body_bytes",
+            "Bytes of bodies that are held",
+            self.body_bytes.clone(),
+        );
     }
 }
 
--- a/jujubewind/src/refusal/reason.rs
+++ b/jujubewind/src/refusal/reason.rs
@@ -5,6 +5,8 @@
     pub enum Reason {
         /// The body is longer than the limit.
         BodyTooLarge = "body_too_large",
+        /// The process holds too much for other callers.
+        Overloaded = "overloaded",
         /// The body arrived too slowly.
         BodyTooSlow = "body_too_slow",
         /// The body is not the JSON that the route expects.
--- a/jujubewind/tests/direct/body_budget.rs
+++ b/jujubewind/tests/direct/body_budget.rs
@@ -1,6 +1,6 @@
 //! The memory of responses that are held until they are whole.
 
-use jujubewind::direct::BodyBudget;
+use jujubewind::http::BodyBudget;
 
 const LIMIT: usize = 1_000_000;
 const BLOCK: [u8; 10_000] = [0; 10_000];
