--- a/jujubewind/src/direct/upstream/mod.rs
+++ b/jujubewind/src/direct/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod ack_limit;
 mod ack_timeout;
 mod connection;
+mod cut_detector;
 mod head_limit;
 mod limits;
 mod pool;
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -16,6 +16,7 @@
 use super::SendFault;
 use super::ack_limit::AckLimit;
 use super::ack_timeout::AckTimeout;
+use super::cut_detector::CutDetector;
 use super::head_limit::HeadBudget;
 use super::head_limit::HeadLimit;
 use super::limits::CONNECT_TIMEOUT;
@@ -163,6 +164,7 @@
     let stream = FairRead::new(HyperStream::new_plain(stream));
     let stream = HeadLimit::new(stream, budget.clone());
     let stream = AckLimit::new(stream, socket, ack_timeout.clone());
+    let stream = CutDetector::new(stream);
     let (requests, connection) = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(stream)
