Prefer backend servers of its own at each entry

Cause: many entries choose at the same moment by views that are a little old; random costs left p95 of the wait at 248 ms (30 entries, 78 engines, views 200 ms old; 39 ms for one entry with a fresh view), and 30 entries that had heard of no work all chose the same engine. Change: the cost of a server grows with the entry's place in the order of its entries, by rendezvous hashing, times the work that does not show yet (2 to 500 ms); it replaces the random costs. Without that bound a short prompt was refused beside a backlog of 3 s at servers of its own (core::short_prompt_is_not_refused_because_of_prefill_backlog).

--- a/jujubewind/src/direct/control/core.rs
+++ b/jujubewind/src/direct/control/core.rs
@@ -19,6 +19,7 @@
 use crate::direct::JobId;
 use crate::direct::Ledger;
 use crate::direct::Notices;
+use crate::direct::Preferences;
 use crate::direct::Queue;
 use crate::direct::Roster;
 use crate::direct::SendPaces;
@@ -67,6 +68,8 @@
     /// What this entry may send to servers that have named a limit.
     pub(super) paces: SendPaces,
     pub(super) cold: ColdSpells,
+    /// Which servers this entry prefers, so that others find theirs free.
+    pub(super) preferences: Preferences,
     /// Requests for which a server's limit left no room.
     pub(super) held: u64,
     /// Whether this process stops and queues no requests.
@@ -78,6 +81,7 @@
     #[must_use]
     pub fn new(settings: CoreSettings, started: MonoTime) -> Self {
         let suspects = SuspectRegistry::of(&settings.node);
+        let preferences = Preferences::new(&settings.node);
         Self {
             settings,
             started,
@@ -97,6 +101,7 @@
             has_peers_listed: false,
             paces: SendPaces::default(),
             cold: ColdSpells::default(),
+            preferences,
             held: 0,
             is_draining: false,
         }
@@ -209,6 +214,9 @@
             self.refresh_limit(now, &server);
         }
         self.note_removals(now, &gone);
+        for server in &gone {
+            self.preferences.remove(&server.id);
+        }
         gone.iter().map(|server| server.id.clone()).collect()
     }
 
--- a/jujubewind/src/direct/control/fleet_changes.rs
+++ b/jujubewind/src/direct/control/fleet_changes.rs
@@ -1,5 +1,6 @@
 //! How changes of the lists of backend servers and entries reach the scheduling state.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use super::Core;
@@ -20,11 +21,13 @@
         match change {
             FleetChange::Servers(servers) => {
                 gone = self.replace_servers(now, servers);
+                self.prefer_listed();
                 self.refresh_all_limits(now);
             }
             FleetChange::Restored(servers) => {
                 self.roster.restore(now, servers);
                 self.note_list(now, &[]);
+                self.prefer_listed();
                 self.has_peers_listed = true;
                 self.refresh_all_limits(now);
             }
@@ -35,6 +38,7 @@
                     gone.push(id.clone());
                 }
                 self.note_listing(now, &id);
+                self.preferences.insert(&id);
                 self.refresh_limit(now, &id);
             }
             FleetChange::Removed(id) => {
@@ -42,18 +46,11 @@
                 self.note_removals(now, removed.as_slice());
                 if self.roster.get(&id).is_none() {
                     self.health.remove(&id);
+                    self.preferences.remove(&id);
                     gone.push(id);
                 }
             }
-            FleetChange::Evacuations(domains) => {
-                let ended = self.notices.evacuated().difference(&domains).cloned();
-                for domain in ended.collect::<Vec<_>>() {
-                    self.end_evacuation(now, &domain);
-                }
-                for domain in &domains {
-                    self.evacuate(domain);
-                }
-            }
+            FleetChange::Evacuations(domains) => self.replace_evacuations(now, &domains),
             FleetChange::Evacuated(domain) => self.evacuate(&domain),
             FleetChange::Returned(domain) => self.end_evacuation(now, &domain),
             FleetChange::Grace(grace) => self.roster.extend_grace(now, grace),
@@ -62,21 +59,39 @@
             FleetChange::Peers(peers) => {
                 self.peers = peers.into_iter().map(|peer| peer.node).collect();
                 self.has_peers_listed = true;
+                self.preferences.set_peers(self.peers.iter());
                 self.refresh_limits(now);
             }
             FleetChange::PeerListed(peer) => {
                 self.peers.insert(peer.node);
+                self.preferences.set_peers(self.peers.iter());
                 self.refresh_limits(now);
             }
             FleetChange::PeerRemoved(peer) => {
                 self.peers.remove(&peer);
                 self.ledger.remove_peer(&peer);
+                self.preferences.set_peers(self.peers.iter());
                 self.refresh_limits(now);
             }
         }
         gone
     }
 
+    fn prefer_listed(&mut self) {
+        let servers = self.roster.iter().map(|server| &server.id);
+        self.preferences.set_servers(servers);
+    }
+
+    fn replace_evacuations(&mut self, now: MonoTime, domains: &BTreeSet<DomainId>) {
+        let ended = self.notices.evacuated().difference(domains).cloned();
+        for domain in ended.collect::<Vec<_>>() {
+            self.end_evacuation(now, &domain);
+        }
+        for domain in domains {
+            self.evacuate(domain);
+        }
+    }
+
     fn evacuate(&mut self, domain: &DomainId) {
         if self.notices.evacuate(domain.clone()) {
             crate::event!(info, "domain_evacuated", domain = domain);
--- a/jujubewind/src/direct/control/placing.rs
+++ b/jujubewind/src/direct/control/placing.rs
@@ -26,14 +26,14 @@
     /// The servers that may take a request; quarantined ones only if there are no others. A server
     /// that asked for a pause gets nothing, and one with a limit no more than this entry's share.
     pub(super) fn candidates(&self, now: MonoTime, job: &Job) -> CandidateSet {
-        let mut spread = self.spread(now, &job.service);
+        let spread = self.spread(now, &job.service);
         let may_send = |server: &&Rc<Server>| self.notices.allow(now, server);
         let candidate = |server: &Rc<Server>| Candidate {
             server: server.clone(),
             load: self.ledger.load(now, &server.id),
             strained: self.notices.is_strained(now, &server.id),
             may_help: self.may_help(&server.id),
-            spread: spread.draw(),
+            spread: spread.cost(self.preferences.of(&server.id)),
         };
         let ready = self.permitted(now, job).filter(may_send);
         let mut candidates: Vec<Candidate> = ready.map(candidate).collect();
@@ -54,12 +54,12 @@
         !self.paces.is_limited(server) || self.paces.share(server).is_some_and(carries_orders)
     }
 
-    /// The random costs of a placement, by the work that each server has probably been sent by other
+    /// The costs of servers that others prefer, by the work that each server has probably been sent by other
     /// entries and that does not show here yet.
     fn spread(&self, now: MonoTime, service: &ServiceId) -> Spread {
         let servers = u64::try_from(self.accepting(now, service).count()).unwrap_or(u64::MAX);
         let unseen = Work(self.ledger.unseen(now).get() / servers.max(1));
-        Spread::new(&self.settings.node, now, unseen)
+        Spread::new(unseen)
     }
 
     /// The placement of a request, if it should be sent now.
--- a/jujubewind/src/direct/mod.rs
+++ b/jujubewind/src/direct/mod.rs
@@ -107,6 +107,8 @@
 pub use plan::Helper;
 pub use plan::Job;
 pub use plan::Placement;
+pub use plan::Preference;
+pub use plan::Preferences;
 pub use plan::Queue;
 pub use plan::Spread;
 pub use plan::place_plain;
--- a/jujubewind/src/direct/plan/candidate.rs
+++ b/jujubewind/src/direct/plan/candidate.rs
@@ -25,7 +25,7 @@
     pub strained: bool,
     /// Whether it may prefill a part of another engine's prompt.
     pub may_help: bool,
-    /// A random cost, so that entries with the same view choose different servers.
+    /// The cost of choosing a server that others prefer.
     pub spread: Work,
 }
 
--- a/jujubewind/src/direct/plan/limits.rs
+++ b/jujubewind/src/direct/plan/limits.rs
@@ -60,8 +60,14 @@
 /// The cost of each reserved slot when placing a latency-sensitive stream; about the prefill of a
 /// short prompt.
 pub const RESERVED_SLOT_COST: Millis = Millis(20);
-/// The range of the random cost of a server, in multiples of its work that does not show yet: wide
-/// enough that few of the entries that place requests at the same time choose the same server.
-pub const SPREAD_WIDTH: u64 = 8;
+/// The range of the cost of a server that is left to other entries, in multiples of its work that does
+/// not show yet: wide enough that few of the entries that place requests at the same time choose the
+/// same server.
+pub const SPREAD_WIDTH: u64 = 24;
+/// The least such range, which decides among servers that are alike: an entry that has heard of no
+/// work does not choose the same one as all others.
+pub const MIN_SPREAD: Millis = Millis(2);
+/// The greatest such range: a longer wait that shows counts more than whose server it is.
+pub const MAX_SPREAD: Millis = Millis(500);
 /// The duration of prefill beside decoding requests, in thousandths of that on an idle engine.
 pub const SHARED_PREFILL_PERMILLE: u64 = 1_250;
