One guarded response body

Cause: the bodies that end a timer and that note a wait forwarded the same three calls. Change: one body with a guard that is dropped with it; the logic is as before.

--- a/jujubewind/src/http/tracked_body.rs
+++ b/jujubewind/src/http/guarded_body.rs
@@ -1,4 +1,4 @@
-//! A response body after which its connection waits for the next request.
+//! A response body that keeps something until it has been sent.
 
 use std::pin::Pin;
 use std::task::Context;
@@ -9,29 +9,25 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
-use super::Phase;
 use super::ReplyBody;
 use super::TruncatedBody;
 
-/// A body that tells its connection's phase when it has been sent.
-pub(super) struct TrackedBody {
+/// A body with a guard that is dropped with it.
+pub(super) struct GuardedBody<G> {
     body: ReplyBody,
-    phase: Phase,
+    _guard: G,
 }
 
-impl TrackedBody {
-    pub(super) const fn new(body: ReplyBody, phase: Phase) -> Self {
-        Self { body, phase }
+impl<G> GuardedBody<G> {
+    pub(super) const fn new(body: ReplyBody, guard: G) -> Self {
+        Self {
+            body,
+            _guard: guard,
+        }
     }
 }
 
-impl Drop for TrackedBody {
-    fn drop(&mut self) {
-        self.phase.wait();
-    }
-}
-
-impl Body for TrackedBody {
+impl<G: Unpin> Body for GuardedBody<G> {
     type Data = Bytes;
     type Error = TruncatedBody;
 
--- a/jujubewind/src/http/mod.rs
+++ b/jujubewind/src/http/mod.rs
@@ -6,17 +6,16 @@
 mod error;
 mod events;
 mod fair_read;
+mod guarded_body;
 mod handshake_filter;
 mod idle_limits;
 mod idle_sleep;
 mod idle_timer;
-mod limited_body;
 mod phase;
 mod read_limit;
 mod response;
 mod server;
 mod server_handle;
-mod tracked_body;
 mod truncated_body;
 
 pub use body::read_body;
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -29,9 +29,8 @@
 use super::ReplyBody;
 use super::ServerHandle;
 use super::connections::Counted;
+use super::guarded_body::GuardedBody;
 use super::handshake_filter;
-use super::limited_body::LimitedBody;
-use super::tracked_body::TrackedBody;
 use crate::types::Millis;
 
 /// How long a connection without a request stays open after the close of its server, so that a
@@ -208,9 +207,19 @@
     }
 }
 
+/// Tells a connection's phase that it waits once the response has been sent.
+struct WaitGuard(Phase);
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.0.wait();
+    }
+}
+
 /// Tells `phase` when the body of `reply` has been sent.
 fn track(reply: Reply, phase: Phase) -> Reply {
-    reply.map(|body| -> ReplyBody { Box::pin(TrackedBody::new(body, phase)) })
+    let guard = WaitGuard(phase);
+    reply.map(|body| -> ReplyBody { Box::pin(GuardedBody::new(body, guard)) })
 }
 
 /// Applies the read limit of `reply`, if it has one.
@@ -218,5 +227,10 @@
     let Some(limit) = reply.extensions().get::<ReadLimit>().copied() else {
         return reply;
     };
-    reply.map(|body| -> ReplyBody { Box::pin(LimitedBody::new(body, limit, expired)) })
+    // A timer of its own: hyper does not poll a body while its caller reads nothing.
+    let timer = compio::runtime::spawn(async move {
+        compio::time::sleep(limit.0.duration()).await;
+        let _ = expired.try_send(());
+    });
+    reply.map(|body| -> ReplyBody { Box::pin(GuardedBody::new(body, timer)) })
 }
