--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,42 @@
+//! Plays one case of the review: `review-case CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it
+//! held, and 2 if the case could not run. With `TROUBLE=0` the disturbance is left out.
+
+mod base64;
+mod case;
+mod cases;
+mod entry;
+mod http;
+mod payouts;
+mod record;
+mod store;
+mod worker;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use crate::case::Verdict;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    match args[1..] {
+        ["server", addr, id, mode] => {
+            if let Ok(addr) = addr.parse() {
+                worker::serve(addr, id, mode == "faulty");
+            }
+            ExitCode::from(2)
+        }
+        [name, folder] => match cases::play(name, Path::new(folder)) {
+            Ok(Verdict::Held) => ExitCode::SUCCESS,
+            Ok(Verdict::Broken) => ExitCode::from(1),
+            Err(error) => {
+                eprintln!("the case could not run: {error}");
+                ExitCode::from(2)
+            }
+        },
+        _ => {
+            eprintln!("usage: review-case CASE FOLDER");
+            ExitCode::from(2)
+        }
+    }
+}
