--- a/review/standins-2/cases/mod.rs
+++ b/review/standins-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod endless_streams;
+mod fatal_pair;
 mod fractional_bound;
 mod large_bodies;
 mod repeated_crashes;
@@ -15,6 +16,7 @@
 pub fn play(name: &str, folder: &Path) -> Result<Verdict> {
     match name {
         "endless-streams" => endless_streams::play(folder),
+        "fatal-pair" => fatal_pair::play(folder),
         "fractional-bound" => fractional_bound::play(folder),
         "large-bodies" => large_bodies::play(folder),
         "last-tenant" => revoked_key::play(folder, revoked_key::Change::LastTenant),
--- a/review/standins-2/worker.rs
+++ b/review/standins-2/worker.rs
@@ -209,7 +209,8 @@
     }
     let body = String::from_utf8_lossy(&request.body[..request.body.len().min(MAX_SHOWN)]);
     println!("{attempt} {body}");
-    if body.contains(FATAL) {
+    let is_prompt = request.header("x-jujubewind-token-counts").is_some();
+    if body.contains(FATAL) && !is_prompt {
         std::process::abort();
     }
     if let Some(millis) = body
@@ -222,8 +223,8 @@
         thread::sleep(LARGE_WORK);
     }
     let seal = format!("seal.{id}.{attempt}");
-    if request.header("x-jujubewind-token-counts").is_some() {
-        return answer_prompt(writer, attempt, &seal, is_faulty);
+    if is_prompt {
+        return answer_prompt(writer, attempt, &seal, (is_faulty, body.contains(FATAL)));
     }
     headers.push(("X-Jujubewind-Server-Seal", &seal));
     http::write(
@@ -239,7 +240,7 @@
     writer: &mut TcpStream,
     attempt: &str,
     seal: &str,
-    is_faulty: bool,
+    (is_faulty, is_fatal): (bool, bool),
 ) -> std::io::Result<()> {
     let head = format!(
         "HTTP/1.1 200 OK\r\nX-Jujubewind-Attempt-Id: {attempt}\r\nX-Jujubewind-Server-Seal: {seal}\r\n\
@@ -255,6 +256,9 @@
     }
     for number in 1..=EVENTS {
         thread::sleep(EVENT_GAP);
+        if is_fatal && number > 1 {
+            std::process::abort();
+        }
         write_chunk(
             writer,
             format!("id: {number}\ndata: {attempt}\n\n").as_bytes(),
