--- a/review/standins-2/cases/fatal_pair.rs
+++ b/review/standins-2/cases/fatal_pair.rs
@@ -1,12 +1,12 @@
 //! A caller sends its prompts in pairs, and one of each pair has a part that crashes servers.
 
 use std::net::SocketAddr;
-use std::path::Path;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use crate::case::Case;
+use crate::case::Play;
 use crate::case::Result;
 use crate::case::STABLE_WINDOW;
 use crate::case::Verdict;
@@ -28,6 +28,8 @@
 const PAUSE: Duration = Duration::from_secs(7);
 const PAIRS: usize = 16;
 const PAIR_EVERY: Duration = Duration::from_millis(1_500);
+/// A server crashes within this time after it has begun to run a prompt with the part.
+const CRASH_DELAY: Duration = Duration::from_millis(500);
 /// Crashes after which the bound holds, a stable window later.
 const CRASHES: usize = 5;
 /// Requests with the part that the rule lets through then.
@@ -35,8 +37,8 @@
 const PROMPT_LIMIT: Duration = Duration::from_secs(10);
 const CALM: Duration = Duration::from_secs(1);
 
-pub fn play(folder: &Path) -> Result<Verdict> {
-    let case = Case::start(folder, CONFIG)?;
+pub fn play(play: &Play<'_>) -> Result<Verdict> {
+    let case = Case::start(play, CONFIG)?;
     for number in 0..SERVERS {
         let zone = if number % 2 == 0 { "lub-a" } else { "lub-b" };
         case.fleet
@@ -46,7 +48,7 @@
     let entry = Entry::start("front-lub-a-1", &ip(2), "lub-a", case.store.addr)?;
     entry.wait_ready()?;
     // With `TROUBLE=alone` the prompts with the fatal part come by themselves.
-    let is_alone = std::env::var("TROUBLE").is_ok_and(|value| value == "alone");
+    let is_alone = play.trouble == "alone";
     thread::scope(|scope| {
         let (case, front) = (&case, entry.front);
         let send = move |part, body| scope.spawn(move || prompt(case, front, part, body));
@@ -65,12 +67,13 @@
             thread::sleep(PAIR_EVERY);
         }
     });
-    entry.save_log(folder);
+    entry.save_log(play.record);
     let runs = case.fleet.runs();
     let fatal = runs.iter().filter(|run| run.is_fatal).map(|run| run.at);
     let fatal: Vec<Instant> = fatal.collect();
     let fifth = fatal.get(CRASHES - 1);
-    let is_late = |at: &&Instant| fifth.is_some_and(|fifth| **at > *fifth + STABLE_WINDOW);
+    let is_late =
+        |at: &&Instant| fifth.is_some_and(|fifth| **at > *fifth + CRASH_DELAY + STABLE_WINDOW);
     let late = fatal.iter().filter(is_late).count();
     case.record.write(&format!(
         "requests with the part that reached servers: {}, later than the stable window after the \
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,5 +1,5 @@
-//! Plays one case of the review: `review-case CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it
-//! held, and 2 if the case could not run. With `TROUBLE=0` the disturbance is left out.
+//! Plays one case of the review: `review-case CASE TROUBLE RECORD`. Exits with 1 if the rule was broken, 0 if it
+//! held, and 2 if the case could not run. With 0 for `TROUBLE` the disturbance is left out.
 
 mod base64;
 mod case;
@@ -20,13 +20,13 @@
     let args: Vec<String> = std::env::args().collect();
     let args: Vec<&str> = args.iter().map(String::as_str).collect();
     match args[1..] {
-        ["server", addr, id, mode] => {
+        ["server", addr, id] => {
             if let Ok(addr) = addr.parse() {
-                worker::serve(addr, id, mode == "faulty");
+                worker::serve(addr, id);
             }
             ExitCode::from(2)
         }
-        [name, folder] => match cases::play(name, Path::new(folder)) {
+        [name, trouble, record] => match cases::play(name, trouble, Path::new(record)) {
             Ok(Verdict::Held) => ExitCode::SUCCESS,
             Ok(Verdict::Broken) => ExitCode::from(1),
             Err(error) => {
@@ -35,7 +35,7 @@
             }
         },
         _ => {
-            eprintln!("usage: review-case CASE FOLDER");
+            eprintln!("usage: review-case CASE TROUBLE RECORD");
             ExitCode::from(2)
         }
     }
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -16,9 +16,9 @@
 }
 
 impl Record {
-    /// Creates the file `record.txt` in a case's folder.
-    pub fn create(folder: &Path) -> std::io::Result<Self> {
-        let file = Arc::new(Mutex::new(File::create(folder.join("record.txt"))?));
+    /// Creates the file.
+    pub fn create(path: &Path) -> std::io::Result<Self> {
+        let file = Arc::new(Mutex::new(File::create(path)?));
         Ok(Self {
             start: Instant::now(),
             file,
