Count whole bodies in segments, in an account that is never exceeded

Callers saw: an entry that was ended by its machine while clients sent whole bodies of legal size over and over; their open calls got no answer. Cause: each body was allowed an equal share among those that had begun so far. A body in one piece was copied as a whole into the write buffers of the connection to its server, which stay as large, and each time it grew. A body that finds no room takes that of the request whose body has not grown for longest (1 s at least), else it is refused as not run. Bodies are kept in segments of 16 KiB and sent segment by segment, so that no buffer on the way grows with them and their memory is used again. The number of connections follows from the largest head instead of 64 KiB each.

--- a/jujubewind/src/direct/api/exchange.rs
+++ b/jujubewind/src/direct/api/exchange.rs
@@ -17,7 +17,6 @@
 
 use futures::future::Either;
 use futures::future::select;
-use hyper::body::Bytes;
 use hyper::http::request::Parts;
 
 use self::first_event::is_stream;
@@ -39,6 +38,7 @@
 use crate::entry::Failure;
 use crate::entry::Ran;
 use crate::http::Reply;
+use crate::http::WholeBody;
 use crate::refusal::Reason;
 use crate::types::Millis;
 use crate::types::MonoTime;
@@ -63,7 +63,7 @@
     pub(super) gateway: Rc<Gateway<D>>,
     pub(super) call: Call,
     head: Parts,
-    body: Bytes,
+    body: WholeBody,
     prints: Prints,
     arrived: MonoTime,
     draw: u64,
@@ -102,21 +102,16 @@
         arrived: MonoTime,
         call: Call,
         head: Parts,
-        body: Bytes,
+        body: WholeBody,
     ) -> Rc<Self> {
         let caller = call.key.clone().unwrap_or_default();
         let path = head.uri.path().as_bytes();
-        let parts = [
-            head.method.as_str().as_bytes(),
-            path,
-            caller.as_bytes(),
-            &body,
-        ];
+        let parts = [head.method.as_str().as_bytes(), path, caller.as_bytes()];
         let shared = call.parts.iter();
         let shared =
             shared.map(|part| Fingerprint::of_parts(&[PART_TAG, part.as_str().as_bytes()]));
         let prints = Prints {
-            request: Fingerprint::of_parts(&parts),
+            request: Fingerprint::of_body(&parts, body.segments()),
             parts: shared.collect(),
         };
         Rc::new(Self {
--- a/jujubewind/src/direct/api/exchange/attempt.rs
+++ b/jujubewind/src/direct/api/exchange/attempt.rs
@@ -257,7 +257,7 @@
         };
         self.log_end(&grant.placement, status, outcome, Millis::ZERO);
         UpstreamResponse::finish(grant, connection, outcome);
-        let mut reply = http::bytes(body);
+        let mut reply = http::whole(body);
         *reply.status_mut() = status;
         *reply.headers_mut() = end_to_end(response.headers());
         Some(reply)
--- a/jujubewind/src/direct/api/exchange/demand.rs
+++ b/jujubewind/src/direct/api/exchange/demand.rs
@@ -2,11 +2,9 @@
 
 use std::rc::Rc;
 
-use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Uri;
-use hyper::body::Bytes;
 use hyper::header::HOST;
 
 use super::super::hop::end_to_end;
@@ -24,6 +22,7 @@
 use crate::direct::Helper;
 use crate::direct::Job;
 use crate::entry::Failure;
+use crate::http::WholeBody;
 use crate::refusal::Reason;
 use crate::types::Millis;
 use crate::types::RegionId;
@@ -129,7 +128,7 @@
         target: &Target,
         grant: &Grant,
         last: Option<u64>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<WholeBody> {
         let mut headers: HeaderMap = end_to_end(&self.head.headers);
         let placement = &grant.placement;
         let ids = grant.reservations().map_or(&[][..], Reservations::ids);
@@ -159,7 +158,7 @@
         self.gateway.dialect.write_headers(&mut headers, &forward);
         let path = self.head.uri.path_and_query();
         let uri = path.map_or_else(|| Uri::from_static("/"), |path| Uri::from(path.clone()));
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = uri;
         *request.headers_mut() = headers;
--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -143,7 +143,7 @@
         match response {
             Ok(response) => {
                 let upstream =
-                    UpstreamResponse::new(response, grant, connection, self.gateway.bodies.clone());
+                    UpstreamResponse::new(response, grant, connection, self.gateway.held());
                 self.check_response(target, upstream)
             }
             Err(SendFault::Unsent(cause)) => {
--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -10,7 +10,6 @@
 use futures::channel::oneshot;
 use futures::future::Shared;
 use hyper::Request;
-use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -42,10 +41,11 @@
 use crate::http::Phase;
 use crate::http::ReadLimit;
 use crate::http::Reply;
+use crate::http::WholeBody;
 use crate::metrics::DirectMetrics;
 use crate::refusal::Reason;
 use crate::timer::Clock;
-use crate::types;
+use crate::types::Bytes;
 use crate::types::DomainId;
 use crate::types::Millis;
 use crate::types::MonoTime;
@@ -64,7 +64,7 @@
     pub regions: BTreeMap<DomainId, RegionId>,
     /// What the bodies of requests, and of responses that are held until they are whole, may take
     /// together.
-    pub bodies: types::Bytes,
+    pub bodies: Bytes,
 }
 
 /// The state that all requests share.
@@ -114,7 +114,6 @@
         settings: GatewaySettings,
     ) -> Self {
         let (end, ended) = oneshot::channel();
-        let limit = usize::try_from(settings.bodies.get()).unwrap_or(usize::MAX);
         Self {
             dialect,
             control,
@@ -122,7 +121,7 @@
             pool: shared.pool,
             metrics: shared.metrics,
             clock,
-            bodies: BodyBudget::new(limit),
+            bodies: BodyBudget::new(settings.bodies),
             settings,
             sampler: RefusalSampler::default(),
             refusing: Cell::new(false),
@@ -153,6 +152,11 @@
         self.bodies.used()
     }
 
+    /// What responses are held with until they are whole.
+    pub(super) fn held(&self) -> (Arc<BodyBudget>, Clock) {
+        (self.bodies.clone(), self.clock)
+    }
+
     /// The number of open requests.
     #[must_use]
     pub fn open(&self) -> usize {
@@ -230,10 +234,10 @@
 
     /// Reads the body, even of a request that is refused: a caller that is still sending when its
     /// connection is closed may not get the reply.
-    async fn read_body(&self, body: Incoming) -> http::Result<Bytes> {
+    async fn read_body(&self, body: Incoming) -> http::Result<WholeBody> {
         let limits = self.state.table().map(|table| table.limits.clone());
         let limits = limits.unwrap_or_default();
-        http::read_body(body, limits.body, limits.arrival, &self.bodies).await
+        http::read_body(body, limits.body, limits.arrival, &self.bodies, self.clock).await
     }
 
     async fn serve(
--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -5,7 +5,6 @@
 
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::Bytes;
 use hyper::body::Incoming;
 
 use super::events::EventSplitter;
@@ -24,6 +23,8 @@
 use crate::direct::Outcome;
 use crate::http::BodyBudget;
 use crate::http::HeldBody;
+use crate::http::WholeBody;
+use crate::timer::Clock;
 
 /// The connection broke within a response that is no stream.
 const CUT: &str = "cut";
@@ -44,6 +45,7 @@
     /// Buffers a partial event.
     pub events: EventSplitter,
     budget: Arc<BodyBudget>,
+    clock: Clock,
     /// What was read of a response that is no stream.
     body: Option<HeldBody>,
     is_whole: bool,
@@ -57,7 +59,7 @@
         response: Response<Incoming>,
         grant: Grant,
         connection: Connection,
-        budget: Arc<BodyBudget>,
+        (budget, clock): (Arc<BodyBudget>, Clock),
     ) -> Self {
         Self {
             response,
@@ -67,6 +69,7 @@
             comments: Vec::new(),
             events: EventSplitter::default(),
             budget,
+            clock,
             body: None,
             is_whole: false,
             has_unnumbered: false,
@@ -84,8 +87,10 @@
             let Ok(bytes) = frame.map_err(|_| CUT)?.into_data() else {
                 continue;
             };
-            let body = self.body.get_or_insert_with(|| self.budget.begin());
-            if !body.push(&bytes) {
+            let now = self.clock.now();
+            let body = &mut self.body;
+            let body = body.get_or_insert_with(|| self.budget.begin_response(now));
+            if !body.push(now, &bytes) {
                 return Err(OVERSIZED);
             }
             if body.len() > MAX_RESPONSE_BYTES {
@@ -96,8 +101,9 @@
     }
 
     /// Takes what was read of a response that is no stream.
-    pub fn take_body(&mut self) -> Bytes {
-        self.body.take().map(HeldBody::finish).unwrap_or_default()
+    pub fn take_body(&mut self) -> WholeBody {
+        let body = self.body.take().and_then(HeldBody::finish);
+        body.unwrap_or_default()
     }
 
     /// Reads a stream that starts after the event `last` up to its first events that the caller lacks,
--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -27,6 +27,7 @@
 use crate::daemon;
 use crate::daemon::StopSignalGuard;
 use crate::http;
+use crate::http::ConnectionLimits;
 use crate::http::ServerHandle;
 use crate::timer::TimerService;
 use crate::types::Incarnation;
@@ -55,8 +56,8 @@
     pub peer: SocketAddr,
     /// The ages of the table from which API keys are refused and readiness fails.
     pub staleness_limits: StalenessLimits,
-    /// The greatest number of callers' connections.
-    pub connections: usize,
+    /// What callers' connections may take together.
+    pub connections: ConnectionLimits,
     /// Settings of the placement of requests.
     pub core: CoreSettings,
     /// Settings of the gateway.
@@ -121,7 +122,7 @@
             settings.gateway.clone(),
         ));
         let serving = ServerHandle::new();
-        serving.set_connection_limit(settings.connections);
+        serving.set_connection_limits(settings.connections);
         let ready = Rc::new(Readiness {
             state: state.clone(),
         });
--- a/jujubewind/src/direct/dialect.rs
+++ b/jujubewind/src/direct/dialect.rs
@@ -2,11 +2,9 @@
 
 use std::net::SocketAddr;
 
-use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Bytes;
 use hyper::http::request::Parts;
 
 use super::Notice;
@@ -15,6 +13,7 @@
 use super::ServerId;
 use crate::entry::Failure;
 use crate::http::Reply;
+use crate::http::WholeBody;
 use crate::types::Millis;
 use crate::types::OrgId;
 use crate::types::Tokens;
@@ -119,10 +118,10 @@
 
     /// Builds the order that makes the engine `server` reserve memory at once, or renew a
     /// reservation.
-    fn reserve(&self, server: &ServerId, reservation: &Reservation) -> Request<Full<Bytes>>;
+    fn reserve(&self, server: &ServerId, reservation: &Reservation) -> Request<WholeBody>;
 
     /// Builds the order that releases a reservation at the engine `server`.
-    fn release(&self, server: &ServerId, reservation: &ReservationId) -> Request<Full<Bytes>>;
+    fn release(&self, server: &ServerId, reservation: &ReservationId) -> Request<WholeBody>;
 
     /// What the backend server announces of itself in a response of any kind.
     fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> Notice;
--- a/jujubewind/src/direct/upstream/connection.rs
+++ b/jujubewind/src/direct/upstream/connection.rs
@@ -2,10 +2,8 @@
 
 use std::rc::Rc;
 
-use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 
@@ -16,6 +14,7 @@
 use super::limits::IDLE_MARGIN;
 use super::pool::Sender;
 use crate::direct::Server;
+use crate::http::WholeBody;
 use crate::types::Millis;
 
 /// The header in which a server announces how long it keeps an idle connection open.
@@ -55,7 +54,7 @@
     /// No response arrived; the error says whether the request may have run.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<WholeBody>,
         patience: Millis,
     ) -> Result<Response<Incoming>, SendFault> {
         self.sender.budget.begin();
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -6,8 +6,6 @@
 
 use compio::net::TcpStream;
 use cyper_core::HyperStream;
-use http_body_util::Full;
-use hyper::body::Bytes;
 use hyper::client::conn::http1::Builder;
 use hyper::client::conn::http1::SendRequest;
 
@@ -26,6 +24,7 @@
 use crate::direct::Server;
 use crate::direct::ServerId;
 use crate::http::FairRead;
+use crate::http::WholeBody;
 use crate::timer::Clock;
 use crate::types::Millis;
 use crate::types::MonoTime;
@@ -33,7 +32,7 @@
 /// The sending end of a connection.
 #[derive(Debug)]
 pub(super) struct Sender {
-    pub(super) requests: SendRequest<Full<Bytes>>,
+    pub(super) requests: SendRequest<WholeBody>,
     pub(super) budget: HeadBudget,
     pub(super) ack_timeout: AckTimeout,
 }
--- a/jujubewind/src/entry/api/handler.rs
+++ b/jujubewind/src/entry/api/handler.rs
@@ -6,7 +6,6 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 
@@ -23,18 +22,20 @@
 use crate::http::Error;
 use crate::http::Handler;
 use crate::http::Reply;
+use crate::http::WholeBody;
 use crate::http::json;
 use crate::http::plain;
 use crate::refusal::Reason;
 use crate::settings::EntrySettings;
 use crate::timer::Clock;
+use crate::types::Bytes;
 use crate::types::Millis;
 use crate::types::RequestId;
 use crate::wire::openai::Model;
 use crate::wire::openai::ModelList;
 
 /// What the bodies of all requests may take, twice over for a moment.
-const BODY_MEMORY_BYTES: usize = 256 * 1_024 * 1_024;
+const BODY_MEMORY: Bytes = Bytes(256 * 1_024 * 1_024);
 /// The header with the request's ID, which logs contain too.
 const REQUEST_ID: &str = "x-request-id";
 
@@ -84,7 +85,7 @@
             control,
             dispatcher,
             spending,
-            bodies: BodyBudget::new(BODY_MEMORY_BYTES),
+            bodies: BodyBudget::new(BODY_MEMORY),
         }
     }
 
@@ -103,19 +104,20 @@
             Route::Models => self.models(&parts.headers).await,
             Route::Generate(dialect) => {
                 let body = self.read_body(body).await?;
-                self.generate(id, dialect, &parts.headers, &body).await
+                self.generate(id, dialect, &parts.headers, &body.to_vec())
+                    .await
             }
             Route::Service { name, method } => {
                 let body = self.read_body(body).await?;
-                self.service(name, method, &parts.headers, body.into())
+                self.service(name, method, &parts.headers, body.to_vec())
                     .await
             }
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Failure> {
+    async fn read_body(&self, body: Incoming) -> Result<WholeBody, Failure> {
         let (limit, timeout) = (self.settings.body, self.settings.arrival);
-        let outcome = http::read_body(body, limit, timeout, &self.bodies).await;
+        let outcome = http::read_body(body, limit, timeout, &self.bodies, self.clock).await;
         outcome.map_err(|error| {
             let reason = match error {
                 Error::TooLarge(_) => Reason::BodyTooLarge,
--- a/jujubewind/src/http/body.rs
+++ b/jujubewind/src/http/body.rs
@@ -4,13 +4,14 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use hyper::body::Bytes as Data;
 use hyper::body::Incoming;
 
 use super::BodyBudget;
 use super::Error;
 use super::HeldBody;
 use super::Result;
+use super::WholeBody;
+use crate::timer::Clock;
 use crate::types::Bytes;
 use crate::types::Millis;
 
@@ -25,12 +26,16 @@
     limit: Bytes,
     timeout: Millis,
     budget: &Arc<BodyBudget>,
-) -> Result<Data> {
+    clock: Clock,
+) -> Result<WholeBody> {
+    if body.is_end_stream() {
+        return Ok(WholeBody::default());
+    }
     if body.size_hint().lower() > limit.get() {
         return Err(Error::TooLarge(limit));
     }
     let mut has_room = true;
-    let reading = collect(body, limit, budget, &mut has_room);
+    let reading = collect(body, limit, budget, clock, &mut has_room);
     match compio::time::timeout(timeout.duration(), reading).await {
         Ok(outcome) => outcome,
         Err(_) if has_room => Err(Error::TooSlow(timeout)),
@@ -42,9 +47,10 @@
     mut body: Incoming,
     limit: Bytes,
     budget: &Arc<BodyBudget>,
+    clock: Clock,
     has_room: &mut bool,
-) -> Result<Data> {
-    let mut held = Some(budget.begin());
+) -> Result<WholeBody> {
+    let mut held = Some(budget.begin_request(clock.now()));
     let mut length = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(Error::Interrupted)?;
@@ -55,10 +61,13 @@
         if length > limit.get() {
             return Err(Error::TooLarge(limit));
         }
-        if held.as_mut().is_some_and(|held| !held.push(data)) {
+        if held
+            .as_mut()
+            .is_some_and(|held| !held.push(clock.now(), data))
+        {
             held = None;
             *has_room = false;
         }
     }
-    held.map(HeldBody::finish).ok_or(Error::NoRoom)
+    held.and_then(HeldBody::finish).ok_or(Error::NoRoom)
 }
--- a/jujubewind/src/http/body_budget.rs
+++ b/jujubewind/src/http/body_budget.rs
@@ -1,120 +1,115 @@
-//! The memory that bodies which are held until they are whole may take together.
+//! The bodies that a process holds until they are whole.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 
-use hyper::body::Bytes;
+use super::HeldBody;
+use super::held_body::Content;
+use crate::memory::Account;
+use crate::memory::Purpose;
+use crate::types::Bytes;
+use crate::types::Millis;
+use crate::types::MonoTime;
 
-/// The part of its length by which a body's buffer grows.
-const GROWTH_DIVISOR: usize = 4;
-/// The least growth of a body's buffer.
-const MIN_GROWTH_BYTES: usize = 1_024;
+/// How long the body of a request may not grow before it makes room for another one.
+const STALL_LIMIT: Millis = Millis(1_000);
 
-/// A limit on the bytes of all held bodies.
+/// The memory of all bodies that are held, and the requests whose body is not whole.
 ///
-/// A body that grows beyond the limit ends if it is larger than an equal share of it, so that many
-/// small bodies are not refused for a few large ones that never end. All together take twice the
-/// limit at most.
+/// A body that finds no room takes that of requests whose bodies have stopped to arrive; if there are
+/// none, it is refused.
 #[derive(Debug)]
 pub struct BodyBudget {
-    limit: usize,
-    used: AtomicUsize,
-    bodies: AtomicUsize,
+    account: Arc<Account>,
+    unfinished: Mutex<Unfinished>,
 }
 
-/// A body that grows, counted until its last bytes are dropped.
-#[derive(Debug)]
-pub struct HeldBody {
-    budget: Arc<BodyBudget>,
-    bytes: Vec<u8>,
-    counted: usize,
+/// The bodies of requests that are not whole, by number.
+#[derive(Debug, Default)]
+struct Unfinished {
+    bodies: BTreeMap<u64, Arc<Mutex<Content>>>,
+    next: u64,
 }
 
 impl BodyBudget {
-    /// Creates a budget of `limit` bytes.
+    /// Creates a budget of `limit`.
     #[must_use]
-    pub fn new(limit: usize) -> Arc<Self> {
-        Arc::new(Self {
-            limit,
-            used: AtomicUsize::new(0),
-            bodies: AtomicUsize::new(0),
-        })
+    pub fn new(limit: Bytes) -> Arc<Self> {
+        Self::within(Account::new(limit))
     }
 
-    /// The bytes that are held.
+    /// Creates a budget that shares an account with other holdings.
     #[must_use]
-    pub fn used(&self) -> usize {
-        self.used.load(Ordering::Relaxed)
+    pub fn within(account: Arc<Account>) -> Arc<Self> {
+        Arc::new(Self {
+            account,
+            unfinished: Mutex::default(),
+        })
     }
 
-    /// Begins an empty body.
+    /// The account of which the bodies are a part.
     #[must_use]
-    pub fn begin(self: &Arc<Self>) -> HeldBody {
-        self.bodies.fetch_add(1, Ordering::Relaxed);
-        HeldBody {
-            budget: self.clone(),
-            bytes: Vec::new(),
-            counted: 0,
-        }
+    pub const fn account(&self) -> &Arc<Account> {
+        &self.account
     }
 
-    /// Whether a body may not grow by `grown` bytes to `own`.
-    fn is_over_share(&self, grown: usize, own: usize) -> bool {
-        let bodies = self.bodies.load(Ordering::Relaxed).max(1);
-        self.used().saturating_add(grown) > self.limit && own > self.limit / bodies
+    /// The bytes that are held.
+    #[must_use]
+    pub fn used(&self) -> usize {
+        self.account.used()
     }
-}
 
-impl HeldBody {
-    /// Appends bytes, unless the body would take more than the budget allows; returns whether it did.
+    /// Begins the empty body of a request, which ends if it stops to arrive while others need room.
     #[must_use]
-    pub fn push(&mut self, bytes: &[u8]) -> bool {
-        let length = self.bytes.len() + bytes.len();
-        if length > self.bytes.capacity() {
-            // Doubling would take up to twice the memory that a body needs.
-            let capacity = length.saturating_add((length / GROWTH_DIVISOR).max(MIN_GROWTH_BYTES));
-            let grown = capacity - self.counted;
-            if self.budget.is_over_share(grown, capacity) {
-                return false;
-            }
-            self.bytes.reserve_exact(capacity - self.bytes.len());
-            let grown = self.bytes.capacity() - self.counted;
-            self.counted += grown;
-            self.budget.used.fetch_add(grown, Ordering::Relaxed);
-        }
-        self.bytes.extend_from_slice(bytes);
-        true
+    pub fn begin_request(self: &Arc<Self>, now: MonoTime) -> HeldBody {
+        let content = Content::new(self.account.open(Purpose::Request), now);
+        let content = Arc::new(Mutex::new(content));
+        let mut unfinished = self.unfinished();
+        let number = unfinished.next;
+        unfinished.next += 1;
+        unfinished.bodies.insert(number, content.clone());
+        HeldBody::new(self.clone(), Some(number), content)
     }
 
-    /// The length in bytes.
+    /// Begins the empty body of a response.
     #[must_use]
-    pub fn len(&self) -> usize {
-        self.bytes.len()
+    pub fn begin_response(self: &Arc<Self>, now: MonoTime) -> HeldBody {
+        let content = Content::new(self.account.open(Purpose::Response), now);
+        HeldBody::new(self.clone(), None, Arc::new(Mutex::new(content)))
     }
 
-    /// Whether nothing was appended.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+    /// Ends the request, other than `own`, whose body has not grown for longest; returns whether one has
+    /// stopped to arrive.
+    pub(super) fn end_stalled(&self, now: MonoTime, own: Option<u64>) -> bool {
+        let mut unfinished = self.unfinished();
+        let bodies = unfinished.bodies.iter();
+        let stalled = bodies.filter(|(number, _)| Some(**number) != own);
+        let stalled = stalled.filter_map(|(number, content)| {
+            let since = lock(content).grown()?;
+            (now.since(since) >= STALL_LIMIT).then_some((since, *number))
+        });
+        let Some((_, number)) = stalled.min() else {
+            return false;
+        };
+        if let Some(content) = unfinished.bodies.remove(&number) {
+            lock(&content).end();
+        }
+        true
     }
 
-    /// The whole body, which is counted until it has been sent.
-    #[must_use]
-    pub fn finish(self) -> Bytes {
-        Bytes::from_owner(self)
+    /// Forgets a body that is whole, or is no longer read.
+    pub(super) fn forget(&self, number: u64) {
+        self.unfinished().bodies.remove(&number);
     }
-}
 
-impl AsRef<[u8]> for HeldBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+    fn unfinished(&self) -> MutexGuard<'_, Unfinished> {
+        lock(&self.unfinished)
     }
 }
 
-impl Drop for HeldBody {
-    fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.counted, Ordering::Relaxed);
-        self.budget.bodies.fetch_sub(1, Ordering::Relaxed);
-    }
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/jujubewind/src/http/response.rs
+++ b/jujubewind/src/http/response.rs
@@ -5,7 +5,6 @@
 use flume::Receiver;
 use futures::StreamExt;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::Response;
 use hyper::StatusCode;
@@ -18,6 +17,7 @@
 use serde::Serialize;
 
 use super::TruncatedBody;
+use super::WholeBody;
 
 /// A response body, complete or streamed; it is not `Send`.
 pub type ReplyBody = Pin<Box<dyn Body<Data = Bytes, Error = TruncatedBody>>>;
@@ -57,7 +57,7 @@
 }
 
 fn complete(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> Reply {
-    let mut reply = bytes(Bytes::from(body));
+    let mut reply = whole(body.into());
     *reply.status_mut() = status;
     reply
         .headers_mut()
@@ -67,9 +67,8 @@
 
 /// Creates a response with a complete body, without headers.
 #[must_use]
-pub fn bytes(body: Bytes) -> Reply {
-    let body = Full::new(body).map_err(|never| match never {});
-    streamed(body)
+pub fn whole(body: WholeBody) -> Reply {
+    streamed(body.map_err(|never| match never {}))
 }
 
 /// Creates a response with any kind of body, without headers.
--- a/jujubewind/src/http/server_handle.rs
+++ b/jujubewind/src/http/server_handle.rs
@@ -8,6 +8,7 @@
 use flume::Receiver;
 use flume::Sender;
 
+use super::ConnectionLimits;
 use super::Phase;
 use super::connections::Connections;
 use super::connections::Counted;
@@ -17,8 +18,8 @@
 
 /// Default limit on the time for which a connection is idle; it ends slow-loris connections.
 const DEFAULT_IDLE_LIMIT: Millis = Millis(5_000);
-/// Default limit on the head of a request, in bytes.
-const DEFAULT_HEAD_LIMIT: usize = 64 * 1_024;
+/// Default limit on the head of a request.
+const DEFAULT_HEAD_LIMIT: Bytes = Bytes(64 * 1_024);
 /// What a connection reads at once beyond the largest head, in bytes.
 const BUFFER_MARGIN: usize = 1_024;
 /// The smallest buffer that hyper allows, in bytes.
@@ -35,8 +36,9 @@
     accepting: Rc<RefCell<Option<Sender<Infallible>>>>,
     accepting_ended: Receiver<Infallible>,
     connections: Rc<Connections>,
-    /// The largest head of a request, in bytes.
-    head_limit: Rc<Cell<usize>>,
+    /// The largest head of a request.
+    head_limit: Rc<Cell<Bytes>>,
+    limits: Rc<Cell<ConnectionLimits>>,
 }
 
 impl ServerHandle {
@@ -53,6 +55,7 @@
             accepting_ended,
             connections: Rc::default(),
             head_limit: Rc::new(Cell::new(DEFAULT_HEAD_LIMIT)),
+            limits: Rc::new(Cell::new(ConnectionLimits::NONE)),
         }
     }
 
@@ -81,16 +84,22 @@
         self.connections.count()
     }
 
-    /// Sets the greatest number of connections.
-    pub fn set_connection_limit(&self, limit: usize) {
-        self.connections.set_limit(limit);
+    /// Sets what all connections may take together.
+    pub fn set_connection_limits(&self, limits: ConnectionLimits) {
+        self.limits.set(limits);
+        self.limit_connections();
     }
 
     /// Sets the largest head of a request on connections that are accepted from now on; a longer one is
-    /// refused.
+    /// refused. The number of connections follows from it.
     pub fn set_head_limit(&self, limit: Bytes) {
-        let limit = usize::try_from(limit.get()).unwrap_or(usize::MAX);
         self.head_limit.set(limit);
+        self.limit_connections();
+    }
+
+    fn limit_connections(&self) {
+        let most = self.limits.get().most(self.head_limit.get());
+        self.connections.set_limit(most);
     }
 
     /// The connections that were closed to make room since the last call.
@@ -101,10 +110,8 @@
 
     /// The bytes that a connection buffers.
     pub(super) fn buffer_bytes(&self) -> usize {
-        self.head_limit
-            .get()
-            .saturating_add(BUFFER_MARGIN)
-            .max(MIN_BUFFER)
+        let head = usize::try_from(self.head_limit.get().get()).unwrap_or(usize::MAX);
+        head.saturating_add(BUFFER_MARGIN).max(MIN_BUFFER)
     }
 
     /// Counts a listener.
--- a/jujubewind/src/lib.rs
+++ b/jujubewind/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod limits;
 pub mod logging;
 pub mod membership;
+pub mod memory;
 pub mod metrics;
 pub mod pace;
 pub mod prefix;
