Write little at once, and queue bodies instead of copying them

Cause: the three streams around a connection to a backend server did not pass vectored writes on, so that hyper copied bodies into its write buffer, and the stream below copies whatever is written at once into a buffer that never shrinks. Change: `FairStream` (before `FairRead`) writes 16 KiB at once and tells hyper to queue; the three streams pass that on.

--- a/jujubewind/src/direct/upstream/ack_limit.rs
+++ b/jujubewind/src/direct/upstream/ack_limit.rs
@@ -1,5 +1,6 @@
 //! Bounds how long sent data stays unacknowledged.
 
+use std::io::IoSlice;
 use std::io::Result;
 use std::pin::Pin;
 use std::task::Context;
@@ -68,6 +69,19 @@
         Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        self.apply()?;
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         Pin::new(&mut self.inner).poll_flush(cx)
     }
--- a/jujubewind/src/direct/upstream/cut_detector.rs
+++ b/jujubewind/src/direct/upstream/cut_detector.rs
@@ -2,6 +2,7 @@
 
 use std::io::Error;
 use std::io::ErrorKind;
+use std::io::IoSlice;
 use std::io::Result;
 use std::pin::Pin;
 use std::task::Context;
@@ -73,6 +74,19 @@
         self.note(polled)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.note(polled)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         let polled = Pin::new(&mut self.inner).poll_flush(cx);
         self.note(polled)
--- a/jujubewind/src/direct/upstream/head_limit.rs
+++ b/jujubewind/src/direct/upstream/head_limit.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io::Error;
 use std::io::ErrorKind;
+use std::io::IoSlice;
 use std::io::Result;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -90,6 +91,18 @@
         Pin::new(&mut self.inner).poll_write(cx, bytes)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         Pin::new(&mut self.inner).poll_flush(cx)
     }
--- a/jujubewind/src/direct/upstream/pool.rs
+++ b/jujubewind/src/direct/upstream/pool.rs
@@ -23,7 +23,7 @@
 use super::limits::MAX_ONCE_IDLE;
 use crate::direct::Server;
 use crate::direct::ServerId;
-use crate::http::FairRead;
+use crate::http::FairStream;
 use crate::http::WholeBody;
 use crate::timer::Clock;
 use crate::types::Millis;
@@ -160,7 +160,7 @@
     let budget = HeadBudget::new();
     let ack_timeout = AckTimeout::new();
     let socket = stream.clone();
-    let stream = FairRead::new(HyperStream::new_plain(stream));
+    let stream = FairStream::new(HyperStream::new_plain(stream));
     let stream = HeadLimit::new(stream, budget.clone());
     let stream = AckLimit::new(stream, socket, ack_timeout.clone());
     let stream = CutDetector::new(stream);
--- a/jujubewind/src/http/fair_read.rs
+++ b/jujubewind/src/http/fair_stream.rs
@@ -1,4 +1,4 @@
-//! A stream that lets other tasks run while its peer sends without a pause.
+//! A stream that shares the process with others, whatever its peer does.
 
 use std::io::IoSlice;
 use std::io::Result;
@@ -10,28 +10,31 @@
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 
+/// The most bytes that are written at once: the stream below copies them into a buffer that stays as
+/// large.
+const MAX_WRITE_BYTES: usize = 16 * 1_024;
 /// Most reads in a row that find bytes; then the task is queued behind the others.
 const MAX_READS: u32 = 2;
 
-/// A stream whose reader gives way from time to time.
+/// A stream whose reader gives way from time to time, and whose writer takes little at once.
 ///
 /// The decoder of chunked bodies reads until it has a piece of the body, which a peer can delay for
 /// as long as it likes.
 #[derive(Debug)]
-pub struct FairRead<S> {
+pub struct FairStream<S> {
     inner: S,
     /// Reads that have found bytes since the reader last gave way.
     reads: u32,
 }
 
-impl<S> FairRead<S> {
+impl<S> FairStream<S> {
     /// Wraps a stream.
     pub const fn new(inner: S) -> Self {
         Self { inner, reads: 0 }
     }
 }
 
-impl<S: Read + Unpin> Read for FairRead<S> {
+impl<S: Read + Unpin> Read for FairStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -48,13 +51,13 @@
     }
 }
 
-impl<S: Write + Unpin> Write for FairRead<S> {
+impl<S: Write + Unpin> Write for FairStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, bytes)
+        Pin::new(&mut self.inner).poll_write(cx, start_of(bytes))
     }
 
     fn poll_write_vectored(
@@ -62,11 +65,14 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let first = bufs.iter().find(|buf| !buf.is_empty());
+        let first = first.map_or(&[][..], |buf| start_of(buf));
+        Pin::new(&mut self.inner).poll_write(cx, first)
     }
 
+    /// Tells hyper to queue bodies instead of copying them into one buffer.
     fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
+        true
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
@@ -77,3 +83,8 @@
         Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
+
+/// The part of `bytes` that is written at once.
+fn start_of(bytes: &[u8]) -> &[u8] {
+    &bytes[..bytes.len().min(MAX_WRITE_BYTES)]
+}
--- a/jujubewind/src/http/server.rs
+++ b/jujubewind/src/http/server.rs
@@ -22,7 +22,7 @@
 use hyper::service::service_fn;
 use socket2::SockRef;
 
-use super::FairRead;
+use super::FairStream;
 use super::Phase;
 use super::ReadLimit;
 use super::Reply;
@@ -180,7 +180,7 @@
         .max_buf_size(handle.buffer_bytes())
         .header_read_timeout(idle_timer.limit().duration())
         .timer(idle_timer)
-        .serve_connection(FairRead::new(HyperStream::new_plain(stream)), service);
+        .serve_connection(FairStream::new(HyperStream::new_plain(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let closing = std::pin::pin!(await_end(&handle, &has_request, &socket));
     let serving = std::pin::pin!(async {
