Bound the connections of entries and agents

Callers saw: nothing yet; 600 silent connections took as many descriptors of an entry or an agent, which accept no ordinary caller when none is left. Cause: only the entry without agents had a limit on connections. The ports for other processes and for operators had none at all.

--- a/jujubewind/src/agent/daemon.rs
+++ b/jujubewind/src/agent/daemon.rs
@@ -105,10 +105,11 @@
     };
     let listener = daemon::listen(&settings.node, settings.listen).await?;
     let server = Server::new(tx.clone(), room.bodies.account().clone());
-    let limits = http::ConnectionLimits::NONE;
+    let limits = daemon::connection_limits(memory.peers());
     compio::runtime::spawn(rpc::serve(listener, server.serve(), room.clone(), limits)).detach();
     let admin = TcpListener::bind(settings.admin).await?;
     let admin_handle = ServerHandle::new();
+    admin_handle.set_connection_limits(daemon::connection_limits(memory.peers()));
     compio::runtime::spawn(http::serve(
         admin,
         Rc::new(Admin::new(tx.clone())),
--- a/jujubewind/src/entry/daemon.rs
+++ b/jujubewind/src/entry/daemon.rs
@@ -49,7 +49,7 @@
         purpose: Purpose::Request,
         ..room.clone()
     };
-    let peer_limits = http::ConnectionLimits::NONE;
+    let peer_limits = daemon::connection_limits(memory.peers());
     let serving_peers = rpc::serve(peers, peer_server.serve(), peer_room, peer_limits);
     compio::runtime::spawn(serving_peers).detach();
     let listener = daemon::listen(&settings.node, settings.listen).await?;
@@ -67,6 +67,7 @@
     let dispatcher = ServiceDispatcher::new(timer.clone(), agents.clone(), control.clone(), claims);
     let closing = http::END_LIMIT.saturating_add(settings.arrival);
     let serving = ServerHandle::new();
+    serving.set_connection_limits(daemon::connection_limits(memory.connections()));
     let api = Api {
         settings,
         clock: timer.clock(),
--- a/jujubewind/src/memory/process_memory.rs
+++ b/jujubewind/src/memory/process_memory.rs
@@ -49,6 +49,6 @@
     }
 
     const fn share(self, permille: u64) -> Bytes {
-        Bytes(self.0 / 1_000 * permille)
+        Bytes(self.0.saturating_mul(permille) / 1_000)
     }
 }
