--- a/jujubewind/src/direct/api/exchange/response.rs
+++ b/jujubewind/src/direct/api/exchange/response.rs
@@ -142,8 +142,9 @@
         };
         match response {
             Ok(response) => {
-                let upstream =
-                    UpstreamResponse::new(response, grant, connection, self.gateway.held());
+                let bodies = self.gateway.bodies.clone();
+                let clock = self.gateway.clock;
+                let upstream = UpstreamResponse::new(response, grant, connection, bodies, clock);
                 self.check_response(target, upstream)
             }
             Err(SendFault::Unsent(cause)) => {
--- a/jujubewind/src/direct/api/gateway.rs
+++ b/jujubewind/src/direct/api/gateway.rs
@@ -150,11 +150,6 @@
         self.bodies.used()
     }
 
-    /// What responses are held with until they are whole.
-    pub(super) fn held(&self) -> (Arc<BodyBudget>, Clock) {
-        (self.bodies.clone(), self.clock)
-    }
-
     /// The number of open requests.
     #[must_use]
     pub fn open(&self) -> usize {
--- a/jujubewind/src/direct/api/upstream_response.rs
+++ b/jujubewind/src/direct/api/upstream_response.rs
@@ -59,7 +59,8 @@
         response: Response<Incoming>,
         grant: Grant,
         connection: Connection,
-        (budget, clock): (Arc<BodyBudget>, Clock),
+        budget: Arc<BodyBudget>,
+        clock: Clock,
     ) -> Self {
         Self {
             response,
--- a/jujubewind/src/entry/control/follow.rs
+++ b/jujubewind/src/entry/control/follow.rs
@@ -64,7 +64,8 @@
         incarnation: Incarnation,
         timer: &TimerService,
         messages: &Sender<Message>,
-        (rng, room): (&mut StdRng, Room),
+        rng: &mut StdRng,
+        room: Room,
     ) -> anyhow::Result<Self> {
         let now = timer.clock().now();
         let jitter = Millis(rng.random_range(0..START_JITTER.get()));
--- a/jujubewind/src/entry/control/state.rs
+++ b/jujubewind/src/entry/control/state.rs
@@ -121,7 +121,8 @@
             incarnation,
             &timer,
             &messages,
-            (&mut rng, room.clone()),
+            &mut rng,
+            room.clone(),
         )?;
         Ok(Self {
             members: MembershipState::new(me, &settings.entries, rng.next_u64()),
