--- a/jujubewind/src/memory/process_memory.rs
+++ b/jujubewind/src/memory/process_memory.rs
@@ -11,7 +11,7 @@
 const HELD_PERMILLE: u64 = 400;
 /// The share of the largest request, in thousandths: with its copies on the way, three times as much, it
 /// stays within what large requests may hold.
-const LARGEST_PERMILLE: u64 = 80;
+const LARGEST_PERMILLE: u64 = 65;
 
 crate::quantity! {
     /// The resident memory beyond which a process is ended by its machine.
--- a/jujubewind/src/settings/entry_settings.rs
+++ b/jujubewind/src/settings/entry_settings.rs
@@ -65,7 +65,7 @@
             return Err(Error::value(
                 "body",
                 &self.body,
-                "write at most 8 % of `max_memory`, or raise that",
+                "write at most 6.5 % of `max_memory`, or raise that",
             ));
         }
         if self.arrival == Millis::ZERO {
