--- a/jujubewind/src/rpc/transport.rs
+++ b/jujubewind/src/rpc/transport.rs
@@ -62,6 +62,7 @@
     room: Room,
     /// The tasks end with the transport.
     _tasks: [JoinHandle<()>; 2],
+    /// What is sent is encoded at once, so that no value of it is kept.
     sent: PhantomData<fn(Out)>,
 }
 
