Read each item of a configuration by itself

Cause: names could hold letters, digits and -_.:/ only, and one odd field discarded the whole version. The watch that had brought it then confirmed the table before it as the newest, so that it stayed trusted. Ruled out: the feed between entries and the read of the store (one entry, and the log has the version's error).

Change: items are read one by one. One that cannot be read grants nothing: its requests, or those with its keys, get 503 unreadable_table. A version of which nothing can be read confirms no table.

--- a/jujubewind/src/direct/api/exchange/demand.rs
+++ b/jujubewind/src/direct/api/exchange/demand.rs
@@ -21,6 +21,7 @@
 use crate::direct::Grant;
 use crate::direct::Helper;
 use crate::direct::Job;
+use crate::direct::Owner;
 use crate::entry::Failure;
 use crate::http::WholeBody;
 use crate::refusal::Reason;
@@ -53,15 +54,19 @@
         let route = route
             .ok_or_else(|| not_found(Reason::UnknownRoute))?
             .clone();
+        let unreadable = || Failure::not_run(Reason::UnreadableTable, STARTUP_RETRY_AFTER);
+        if route.targets.is_empty() {
+            return Err(unreadable());
+        }
         let mut organisation = None;
         if table.needs_key() && !route.public {
             let key = self.call.key.as_deref();
             let owner = key.and_then(|key| table.owner(key));
-            organisation = Some(
-                owner
-                    .ok_or_else(|| not_found(Reason::Unauthorized))?
-                    .clone(),
-            );
+            organisation = match owner {
+                Some(Owner::Organisation(owner)) => Some(owner.clone()),
+                Some(Owner::Unreadable) => return Err(unreadable()),
+                None => return Err(not_found(Reason::Unauthorized)),
+            };
             if !state.is_trusted(now) {
                 return Err(Failure::not_run(Reason::StoreDown, STARTUP_RETRY_AFTER));
             }
--- a/jujubewind/src/direct/control/entry_state.rs
+++ b/jujubewind/src/direct/control/entry_state.rs
@@ -14,6 +14,7 @@
 use crate::direct::ServerId;
 use crate::direct::StalenessLimits;
 use crate::direct::Table;
+use crate::direct::TablePart;
 use crate::types::Incarnation;
 use crate::types::Millis;
 use crate::types::Revision;
@@ -34,6 +35,8 @@
     newest: Cell<Revision>,
     /// Until when confirmations may be of an older copy of the store.
     doubt_end: Cell<BootTime>,
+    /// Whether the newest version cannot be read, so that nothing confirms the table.
+    is_unreadable: Cell<bool>,
     /// Whether the table was confirmed although a newer one had been in force.
     is_disproved: Cell<bool>,
     /// Until when peers may still tell of a newer version than a starting entry has read.
@@ -164,10 +167,32 @@
         }
     }
 
+    /// Records whether the newest version cannot be read. Until one can, the table ages, as after the
+    /// loss of the store: it may list a key that the newest version takes away.
+    pub fn set_unreadable(&self, is_unreadable: bool) {
+        self.is_unreadable.set(is_unreadable);
+    }
+
+    /// Whether the newest version cannot be read.
+    #[must_use]
+    pub const fn is_unreadable(&self) -> bool {
+        self.is_unreadable.get()
+    }
+
+    /// The number of items of a part of the configuration that cannot be read.
+    #[must_use]
+    pub fn unread(&self, part: TablePart) -> usize {
+        if part == TablePart::Version {
+            return usize::from(self.is_unreadable());
+        }
+        let table = self.table.borrow();
+        table.as_ref().map_or(0, |table| table.unread.count(part))
+    }
+
     /// Records that a read or watch that was sent at `sent` returned `version` as the newest, unless
-    /// a newer one is known to have been in force.
+    /// it cannot be read or a newer one is known to have been in force.
     pub fn confirm_version(&self, sent: BootTime, version: Revision) {
-        if version >= self.newest.get() {
+        if version >= self.newest.get() && !self.is_unreadable.get() {
             self.confirm(sent);
         }
     }
--- a/jujubewind/src/direct/daemon/metrics_page.rs
+++ b/jujubewind/src/direct/daemon/metrics_page.rs
@@ -12,6 +12,7 @@
 use crate::direct::Dialect;
 use crate::direct::Gateway;
 use crate::direct::Shared;
+use crate::direct::TablePart;
 use crate::http;
 use crate::http::Handler;
 use crate::http::Reply;
@@ -59,6 +60,9 @@
             connections: self.serving.connections(),
             body_bytes: self.gateway.body_bytes(),
         };
+        for part in TablePart::ALL {
+            self.shared.metrics.set_unread(*part, state.unread(*part));
+        }
         self.shared.metrics.count_closed(self.serving.take_closed());
         http::plain(StatusCode::OK, self.shared.metrics.encode(&gauges))
     }
--- a/jujubewind/src/direct/dialect.rs
+++ b/jujubewind/src/direct/dialect.rs
@@ -10,12 +10,12 @@
 use super::Notice;
 use super::Order;
 use super::OrderReply;
+use super::OrgName;
 use super::ServerId;
 use crate::entry::Failure;
 use crate::http::Reply;
 use crate::http::WholeBody;
 use crate::types::Millis;
-use crate::types::OrgId;
 use crate::types::Tokens;
 
 crate::name! {
@@ -81,7 +81,7 @@
     /// The time left until the deadline.
     pub left: Millis,
     /// The caller's organisation.
-    pub organisation: Option<&'a OrgId>,
+    pub organisation: Option<&'a OrgName>,
     /// Engines that prefill parts of the prompt, with the reservations of those that keep their
     /// part.
     pub helpers: &'a [(SocketAddr, Option<ReservationId>)],
--- a/jujubewind/src/direct/table/route.rs
+++ b/jujubewind/src/direct/table/route.rs
@@ -42,6 +42,27 @@
 }
 
 impl Route {
+    /// The route of requests that match a route which cannot be read: no service may run them.
+    #[must_use]
+    pub fn unreadable(name: RouteId, host: String, prefix: String) -> Self {
+        Self {
+            name,
+            host,
+            prefix,
+            kind: RouteKind::Once,
+            timeout: Millis::ZERO,
+            latency_target: Millis::ZERO,
+            max_gap: None,
+            client_timeout: Millis::ZERO,
+            attempts: 1,
+            priority: 0,
+            public: false,
+            resumable: false,
+            regions: Vec::new(),
+            targets: Vec::new(),
+        }
+    }
+
     /// Whether a request of this route may run more than once.
     #[must_use]
     pub const fn repeatable(&self) -> bool {
--- a/jujubewind/src/direct/table/version.rs
+++ b/jujubewind/src/direct/table/version.rs
@@ -5,9 +5,11 @@
 
 use super::Limits;
 use super::Organisation;
+use super::Owner;
 use super::Route;
 use super::Service;
 use super::ServiceId;
+use super::Unread;
 use crate::types::Revision;
 
 /// Routes by host, services by name and organisations by API key.
@@ -17,9 +19,11 @@
     pub version: Revision,
     /// Limits on what callers send.
     pub limits: Limits,
+    /// What of the version could not be read.
+    pub unread: Unread,
     hosts: HashMap<String, Vec<Rc<Route>>>,
     services: HashMap<ServiceId, Rc<Service>>,
-    keys: HashMap<String, Rc<Organisation>>,
+    keys: HashMap<String, Owner>,
     needs_key: bool,
 }
 
@@ -46,12 +50,26 @@
         self.services.insert(service.name.clone(), Rc::new(service));
     }
 
+    /// Requests of routes that are not public need a key.
+    pub fn require_key(&mut self) {
+        self.needs_key = true;
+    }
+
     /// Adds an organisation with its API keys; from then on, requests need a key.
     pub fn add_organisation(&mut self, organisation: Organisation, keys: Vec<String>) {
-        self.needs_key = true;
-        let organisation = Rc::new(organisation);
+        self.add_keys(&Owner::Organisation(Rc::new(organisation)), keys);
+    }
+
+    /// Adds the keys of an organisation whose entry cannot be read; from then on, requests need a
+    /// key.
+    pub fn add_unreadable_keys(&mut self, keys: Vec<String>) {
+        self.add_keys(&Owner::Unreadable, keys);
+    }
+
+    fn add_keys(&mut self, owner: &Owner, keys: Vec<String>) {
+        self.require_key();
         for key in keys {
-            self.keys.insert(key, organisation.clone());
+            self.keys.insert(key, owner.clone());
         }
     }
 
@@ -68,9 +86,9 @@
         self.services.get(name)
     }
 
-    /// The organisation that owns `key`.
+    /// The owner of `key`; `None` if the version does not list it.
     #[must_use]
-    pub fn owner(&self, key: &str) -> Option<&Rc<Organisation>> {
+    pub fn owner(&self, key: &str) -> Option<&Owner> {
         self.keys.get(key)
     }
 
--- a/jujubewind/src/entry/failure.rs
+++ b/jujubewind/src/entry/failure.rs
@@ -84,7 +84,8 @@
             | Reason::StoreDown
             | Reason::Stopping
             | Reason::Overloaded
-            | Reason::NoCatalogue => StatusCode::SERVICE_UNAVAILABLE,
+            | Reason::NoCatalogue
+            | Reason::UnreadableTable => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -118,7 +119,8 @@
             | Reason::StoreDown
             | Reason::Stopping
             | Reason::Overloaded
-            | Reason::NoCatalogue => "come back after the time given",
+            | Reason::NoCatalogue
+            | Reason::UnreadableTable => "come back after the time given",
         }
     }
 }
--- a/jujubewind/src/metrics/direct_metrics.rs
+++ b/jujubewind/src/metrics/direct_metrics.rs
@@ -13,6 +13,7 @@
 use super::reason_counter::ReasonCounter;
 use crate::direct::Notice;
 use crate::direct::Outcome;
+use crate::direct::TablePart;
 use crate::refusal::Reason;
 use crate::types::Millis;
 use crate::types::Revision;
@@ -30,6 +31,12 @@
     kind: &'static str,
 }
 
+/// The label of gauges by part of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PartLabel {
+    part: &'static str,
+}
+
 /// The label of counters by cause.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CauseLabel {
@@ -86,6 +93,7 @@
     answer: Family<DecadeLabel, Histogram>,
     max_gap: Family<DecadeLabel, Histogram>,
     version: Gauge,
+    unread: Family<PartLabel, Gauge>,
     staleness: Gauge,
     servers: Gauge,
     peers: Gauge,
@@ -116,6 +124,7 @@
             answer: family(),
             max_gap: family(),
             version: Gauge::default(),
+            unread: Family::default(),
             staleness: Gauge::default(),
             servers: Gauge::default(),
             peers: Gauge::default(),
@@ -187,6 +196,13 @@
         }
     }
 
+    /// Sets the number of items of a part of the configuration that cannot be read.
+    pub fn set_unread(&self, part: TablePart, count: usize) {
+        let part = part.as_str();
+        let gauge = self.unread.get_or_create(&PartLabel { part });
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Records the time to the first event of a stream.
     pub fn record_first_event(&self, prompt: Tokens, took: Millis) {
         observe(&self.first_event, prompt, took);
@@ -291,6 +307,11 @@
             "Version of the table in force",
             self.version.clone(),
         );
+        registry.register(
+            "unread",
+            "Items of the newest configuration that cannot be read, by part",
+            self.unread.clone(),
+        );
         registry.register(
             "proof_age_milliseconds",
             "Time since the table was certainly the newest; -1 if never",
--- a/jujubewind/src/refusal/reason.rs
+++ b/jujubewind/src/refusal/reason.rs
@@ -63,5 +63,7 @@
         Stopping = "stopping",
         /// No catalogue has been read yet.
         NoCatalogue = "no_catalogue",
+        /// The part of the configuration that the request needs cannot be read.
+        UnreadableTable = "unreadable_table",
     }
 }
--- a/jujubewind/src/types/id.rs
+++ b/jujubewind/src/types/id.rs
@@ -27,7 +27,7 @@
 
 crate::name! {
     /// The name of a region: a set of failure domains.
-    pub struct RegionId;
+    pub struct RegionId if crate::types::is_text;
 }
 
 crate::random_id! {
--- a/jujubewind/src/types/mod.rs
+++ b/jujubewind/src/types/mod.rs
@@ -20,6 +20,7 @@
 pub use monotime::MonoTime;
 pub use parse_error::ParseError;
 pub use parse_error::is_name;
+pub use parse_error::is_text;
 pub use quantity::Bytes;
 pub use quantity::Credit;
 pub use quantity::Fence;
--- a/jujubewind/src/types/parse_error.rs
+++ b/jujubewind/src/types/parse_error.rs
@@ -2,6 +2,8 @@
 
 /// The maximum length of a name.
 const MAX_NAME_BYTES: usize = 128;
+/// The maximum length of a name that others choose freely.
+const MAX_TEXT_BYTES: usize = 1_024;
 
 /// A text that cannot be parsed as the expected type.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -29,11 +31,22 @@
     !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.chars().all(allowed)
 }
 
+/// Whether `text` can stand in a header and a log line as it is: no control characters, no white
+/// space at its ends, at most 1,024 bytes.
+#[must_use]
+pub fn is_text(text: &str) -> bool {
+    let is_trimmed = text.trim() == text && !text.is_empty();
+    is_trimmed && text.len() <= MAX_TEXT_BYTES && !text.chars().any(char::is_control)
+}
+
 fn remedy(kind: &str) -> &'static str {
     match kind {
         "EntryId" | "OrgId" | "ModelId" | "NodeId" | "DomainId" => {
             "write 1 to 128 letters, digits or -_.:/"
         }
+        "OrgName" | "RouteId" | "ServiceId" | "RegionId" => {
+            "write 1 to 1,024 bytes without control characters or white space at the ends"
+        }
         "RequestId" | "AttemptId" | "ChangeId" => "write 32 hexadecimal digits",
         "KeyHash" | "ContentHash" => "write the 64 hexadecimal digits of a SHA-256 digest",
         "RequestRate" => "write a decimal number of requests a second",
--- a/jujubewind/src/util/derive.rs
+++ b/jujubewind/src/util/derive.rs
@@ -118,10 +118,14 @@
     };
 }
 
-/// Declares a name type: a short text without spaces or control characters.
+/// Declares a name type: a short text without spaces or control characters, or one for which
+/// another rule holds.
 #[macro_export]
 macro_rules! name {
     ($(#[$meta:meta])* pub struct $name:ident;) => {
+        $crate::name! { $(#[$meta])* pub struct $name if $crate::types::is_name; }
+    };
+    ($(#[$meta:meta])* pub struct $name:ident if $rule:path;) => {
         $(#[$meta])*
         #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, ::serde::Serialize, ::serde::Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -145,7 +149,7 @@
             type Err = $crate::types::ParseError;
 
             fn from_str(text: &str) -> ::std::result::Result<Self, Self::Err> {
-                if $crate::types::is_name(text) {
+                if $rule(text) {
                     Ok(Self(text.into()))
                 } else {
                     Err($crate::types::ParseError::new(stringify!($name), text))
--- a/jujubewind/tests/direct/entry_state.rs
+++ b/jujubewind/tests/direct/entry_state.rs
@@ -1,9 +1,12 @@
 //! The published configuration: table versions, freshness, routes and API keys.
 
+use std::rc::Rc;
+
 use jujubewind::direct::BootTime;
 use jujubewind::direct::EntryState;
 use jujubewind::direct::Limits;
 use jujubewind::direct::Organisation;
+use jujubewind::direct::Owner;
 use jujubewind::direct::Route;
 use jujubewind::direct::RouteKind;
 use jujubewind::direct::ServerId;
@@ -232,13 +235,11 @@
         regions: Vec::new(),
     };
 
-    table.add_organisation(organisation, vec!["key-1".to_owned()]);
+    table.add_organisation(organisation.clone(), vec!["key-1".to_owned()]);
 
     assert!(table.needs_key());
-    assert_eq!(
-        table.owner("key-1").map(|owner| owner.name.to_string()),
-        Some("office".to_owned())
-    );
+    let owner = Owner::Organisation(Rc::new(organisation));
+    assert_eq!(table.owner("key-1"), Some(&owner));
     assert!(table.owner("key-2").is_none());
 }
 
--- a/jujubewind/tests/operations.rs
+++ b/jujubewind/tests/operations.rs
@@ -4,6 +4,7 @@
 
 use jujubewind::direct::Notice;
 use jujubewind::direct::Outcome;
+use jujubewind::direct::TablePart;
 use jujubewind::metrics::AgentMetrics;
 use jujubewind::metrics::DirectGauges;
 use jujubewind::metrics::DirectMetrics;
@@ -45,6 +46,7 @@
         leaving: true,
         ..Notice::default()
     });
+    direct.set_unread(TablePart::Routes, 1);
     direct.record_first_event(Tokens(1), Millis(1));
     direct.record_end(Tokens(1), Millis(1), Millis(1));
     let direct = direct.encode(&DirectGauges::default());
