Keep convictions in the store, so that they outlast all entries

Cause: what has crashed servers was known to the memory of the entries only. One that starts is told by the others, and when all start there is nobody. Ruled out: lost greetings (with one entry left it is refused).

Tests of jujubewind and `serving` passed, one run.

--- a/jujubewind/src/conviction/limits.rs
+++ b/jujubewind/src/conviction/limits.rs
@@ -22,6 +22,8 @@
 pub const MAX_HISTORIES: usize = 512;
 /// Maximum number of crashes kept per request or part: enough to compare what shares them.
 pub const MAX_MARKS_PER_REQUEST: usize = 8;
+/// How long after a conviction was kept outside the entries it is kept anew, with its new age.
+pub const KEEP_INTERVAL: Millis = Millis(240_000);
 /// Maximum number of suspects in one message.
 pub const MAX_SUSPECTS_PER_MESSAGE: usize = 8;
 /// How long after a crash responses that were on their way may still arrive.
--- a/jujubewind/src/conviction/mod.rs
+++ b/jujubewind/src/conviction/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! A crash makes every request in flight on that server a suspect. A suspect runs alone on a
 //! server. If it completes, it is cleared; if it keeps crashing servers, it is convicted and
-//! refused until the crashes expire. Entries share suspects by gossip; nothing is stored on the
-//! platform.
+//! refused until the crashes expire. Entries share suspects by gossip. With agents nothing is stored on
+//! the platform; without them, convictions are kept in its store, so that they outlast all entries.
 //!
 //! Without agents, the parts of a prompt that requests share are suspected as well: each part of a
 //! request whose answer was only beginning. A part is convicted if nothing else that the crashed
@@ -14,9 +14,11 @@
 //! conviction at all entries.
 
 mod admission;
+mod conviction_change;
 mod crash;
 mod crash_history;
 mod fingerprint;
+mod kept;
 pub mod limits;
 mod mark;
 mod prints;
@@ -27,6 +29,7 @@
 mod verdict;
 
 pub use admission::Admission;
+pub use conviction_change::ConvictionChange;
 pub use crash::Crash;
 pub use fingerprint::Fingerprint;
 pub use mark::Mark;
--- a/jujubewind/src/conviction/suspect_registry.rs
+++ b/jujubewind/src/conviction/suspect_registry.rs
@@ -1,5 +1,6 @@
 //! The suspected requests known to one entry.
 
+mod keeping;
 mod trials;
 
 use std::collections::BTreeMap;
@@ -14,6 +15,7 @@
 use super::Prints;
 use super::Suspect;
 use super::crash_history::CrashHistory;
+use super::kept::Kept;
 use super::limits::MAX_HISTORIES;
 use super::limits::MAX_SUSPECTS_PER_MESSAGE;
 use super::limits::SENDS_PER_DOUBLING;
@@ -31,6 +33,7 @@
     turns: Turns,
     /// What this entry has on trial.
     trials: BTreeSet<Fingerprint>,
+    kept: Kept,
 }
 
 impl SuspectRegistry {
@@ -88,6 +91,8 @@
         for (fingerprint, history) in &mut self.histories {
             if history.disprove(now, crash) {
                 self.urgent.insert(*fingerprint);
+                let is_convicted = history.counted(now).count() >= TOTAL_LIMIT;
+                self.kept.record_change(*fingerprint, is_convicted);
             }
         }
     }
@@ -109,6 +114,7 @@
     ) {
         let trial = self.trials.remove(&fingerprint);
         let mark = Mark::fresh(crash.id(), alone, trial);
+        self.kept.record_own(fingerprint);
         self.merge_mark(now, fingerprint, &mark);
     }
 
@@ -155,6 +161,7 @@
         self.histories.retain(|_, history| !history.is_empty());
         let histories = &self.histories;
         self.trials.retain(|print| histories.contains_key(print));
+        self.kept.expire(now, |print| histories.contains_key(print));
     }
 
     /// Returns the number of suspected and convicted requests.
@@ -258,6 +265,8 @@
         let history = self.histories.entry(fingerprint).or_default();
         if history.merge(now, mark) {
             self.urgent.insert(fingerprint);
+            let is_convicted = history.counted(now).count() >= TOTAL_LIMIT;
+            self.kept.record_change(fingerprint, is_convicted);
         }
         if history.is_empty() {
             self.histories.remove(&fingerprint);
--- a/jujubewind/src/direct/control/crashes.rs
+++ b/jujubewind/src/direct/control/crashes.rs
@@ -1,6 +1,7 @@
 //! To which requests and parts of prompts a crash of a backend server is attributed.
 
 use super::Core;
+use crate::conviction::ConvictionChange;
 use crate::conviction::Fingerprint;
 use crate::conviction::Prints;
 use crate::conviction::Suspect;
@@ -30,6 +31,7 @@
         self.suspects.record_completion(print);
         if crashes >= TOTAL_LIMIT {
             crate::event!(info, "conviction_lifted", print = print, crashes = crashes);
+            self.suspects.end_conviction(print);
         }
     }
 
@@ -80,6 +82,17 @@
         self.suspects.convicted(now)
     }
 
+    /// Takes the changes of the convictions that this entry keeps for all.
+    pub fn take_convictions(&mut self, now: MonoTime) -> Vec<ConvictionChange> {
+        self.suspects.take_convictions(now)
+    }
+
+    /// Merges convictions that were kept while no entry ran, or by entries that do not reach this one.
+    pub fn restore_convictions(&mut self, now: MonoTime, suspects: &[Suspect]) {
+        let node = self.settings.node.clone();
+        self.merge_suspects(now, &node, suspects);
+    }
+
     /// Merges what a peer suspects. An answer that went on here clears a part there.
     pub(super) fn merge_suspects(&mut self, now: MonoTime, peer: &NodeId, suspects: &[Suspect]) {
         let prints = || suspects.iter().map(|suspect| suspect.print);
--- a/jujubewind/src/direct/control/message.rs
+++ b/jujubewind/src/direct/control/message.rs
@@ -10,6 +10,7 @@
 use super::Retry;
 use super::Verdict;
 use crate::conviction::Prints;
+use crate::conviction::Suspect;
 use crate::direct::Digest;
 use crate::direct::Job;
 use crate::direct::JobId;
@@ -89,6 +90,8 @@
     Configure(Rc<Table>),
     /// A change of the lists of backend servers and peers.
     Fleet(FleetChange),
+    /// Convictions that are kept outside the entries.
+    Convicted(Vec<Suspect>),
     /// A digest from a peer.
     PeerLoad {
         /// The digest.
--- a/jujubewind/src/direct/control/task.rs
+++ b/jujubewind/src/direct/control/task.rs
@@ -7,6 +7,7 @@
 
 use flume::Receiver;
 use flume::Sender;
+use flume::TrySendError;
 
 use super::Control;
 use super::Core;
@@ -18,6 +19,7 @@
 use super::Verdict;
 use super::limits::EXPIRY_PERIOD;
 use super::limits::TICK_PERIOD;
+use crate::conviction::ConvictionChange;
 use crate::conviction::Prints;
 use crate::direct::BootTime;
 use crate::direct::Datagram;
@@ -46,6 +48,7 @@
     /// The number of full updates, which take turns among the relays.
     pub(super) turn: u64,
     pub(super) outbound: Sender<OutboundDatagram>,
+    pub(super) convictions: Sender<ConvictionChange>,
     pub(super) replies: HashMap<JobId, Sender<Verdict>>,
     /// Whether something changed that may allow queued requests to be placed.
     pub(super) dirty: bool,
@@ -57,7 +60,8 @@
     pub(super) last_expiry: MonoTime,
 }
 
-/// Starts the control task of `node`, which sends digests for its peers to `outbound`.
+/// Starts the control task of `node`, which sends digests for its peers to `outbound`, and what has to
+/// outlast the entries to `convictions`.
 #[must_use]
 pub fn start(
     (node, incarnation): (NodeId, Incarnation),
@@ -65,6 +69,7 @@
     timer: &TimerService,
     shared: Shared,
     outbound: Sender<OutboundDatagram>,
+    convictions: Sender<ConvictionChange>,
 ) -> Control {
     let (tx, messages) = flume::unbounded();
     let control = Control::new(tx);
@@ -83,6 +88,7 @@
         relays: Rc::new([]),
         turn: 0,
         outbound,
+        convictions,
         replies: HashMap::new(),
         dirty: false,
         unread_limits: BTreeSet::new(),
@@ -112,6 +118,7 @@
             }
             self.poll(now);
             self.send_updates(now);
+            self.keep_convictions(now);
         }
     }
 
@@ -157,6 +164,7 @@
             Message::UnusedRetry { service, taken } => self.core.give_back(&service, taken),
             Message::Configure(table) => self.core.configure(now, table),
             Message::Fleet(change) => self.apply_fleet_change(now, change),
+            Message::Convicted(suspects) => self.core.restore_convictions(now, &suspects),
             Message::PeerLoad { digest, pass_on } => {
                 if pass_on {
                     self.send_digest(Datagram::Load(digest.clone()), self.routes.near());
@@ -292,6 +300,17 @@
         }
     }
 
+    /// Passes on what has to outlast the entries. What finds no room is kept with its next change, or
+    /// when it is due anew.
+    fn keep_convictions(&mut self, now: MonoTime) {
+        for conviction in self.core.take_convictions(now) {
+            let print = conviction.print();
+            if let Err(TrySendError::Full(_)) = self.convictions.try_send(conviction) {
+                crate::event!(warn, "conviction_not_kept", print = print);
+            }
+        }
+    }
+
     /// Retries the queued requests after a change and sends the resulting verdicts.
     fn poll(&mut self, now: MonoTime) {
         if !std::mem::take(&mut self.dirty) || !self.core.has_waiting() {
--- a/jujubewind/src/direct/daemon.rs
+++ b/jujubewind/src/direct/daemon.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use compio::net::TcpListener;
+use flume::Receiver;
 
 use self::metrics_page::MetricsPage;
 use self::readiness::Readiness;
@@ -24,6 +25,7 @@
 use super::StalenessLimits;
 use super::Table;
 use super::control;
+use crate::conviction::ConvictionChange;
 use crate::daemon;
 use crate::daemon::StopSignalGuard;
 use crate::http;
@@ -40,6 +42,8 @@
 /// How long before the end of the grace period open requests are answered, so that their callers get
 /// the answer.
 const ANSWER_MARGIN: Millis = Millis(300);
+/// The most changes of convictions that wait to be kept.
+const MAX_CONVICTIONS: usize = 512;
 
 /// Settings of an entry.
 #[derive(Clone, Debug)]
@@ -79,6 +83,8 @@
     pub feed: Rc<Feed>,
     /// Its timers.
     pub timer: TimerService,
+    /// What has to outlast all entries.
+    pub convictions: Receiver<ConvictionChange>,
     /// The address for callers.
     pub listen: SocketAddr,
     serving: ServerHandle,
@@ -105,12 +111,14 @@
         state.set_staleness_limits(settings.staleness_limits);
         let link = PeerLink::bind(settings.peer).await?;
         let (outbound, outbox) = PeerLink::channel();
+        let (keep, convictions) = flume::bounded(MAX_CONVICTIONS);
         let control = control::start(
             (settings.node.clone(), incarnation),
             settings.core.clone(),
             &timer,
             shared.clone(),
             outbound.clone(),
+            keep,
         );
         let feed = Feed::new(&shared, outbound);
         compio::runtime::spawn(link.run(outbox, control.clone(), feed.clone())).detach();
@@ -144,6 +152,7 @@
             state,
             feed,
             timer,
+            convictions,
             listen,
             serving,
         };
--- a/jujubewind/tests/direct/convictions.rs
+++ b/jujubewind/tests/direct/convictions.rs
@@ -1,6 +1,8 @@
 //! What is refused since it crashed backend servers, and what ends that.
 
+use jujubewind::conviction::ConvictionChange;
 use jujubewind::conviction::Prints;
+use jujubewind::conviction::Suspect;
 use jujubewind::direct::Core;
 use jujubewind::direct::FleetChange;
 use jujubewind::direct::JobId;
@@ -155,3 +157,80 @@
     assert!(matches!(retry, Some(Verdict::Refuse(_))), "{retry:?}");
     assert!(sent.len() <= 3 + 3, "{sent:?}");
 }
+
+/// Guards against convictions that are gone with the entries that knew them.
+#[test]
+fn what_crashed_three_servers_is_kept_and_refused_by_an_entry_that_reads_it() {
+    let mut core = core_of("entry-1", SERVERS);
+    let mut started = core_of("entry-2", SERVERS);
+    for (number, millis) in (10..13).enumerate() {
+        crash(&mut core, millis, number, &[FATAL]);
+    }
+
+    let kept = core.take_convictions(at(20));
+    let suspects: Vec<Suspect> = kept
+        .iter()
+        .filter_map(|one| match one {
+            ConvictionChange::Keep(suspect) => Some(suspect.clone()),
+            ConvictionChange::Drop(_) => None,
+        })
+        .collect();
+    started.restore_convictions(at(30), &suspects);
+
+    let prints: Vec<_> = kept.iter().map(ConvictionChange::print).collect();
+    assert_eq!(prints, [print(FATAL)]);
+    assert!(core.take_convictions(at(40)).is_empty());
+    assert!(is_refused(&mut started, 50, &[FATAL]));
+}
+
+/// Not each entry keeps what another one has told it.
+#[test]
+fn only_entries_at_a_crash_keep_its_conviction() {
+    let mut core = core_of("entry-1", SERVERS);
+    let mut other = core_of("entry-2", SERVERS);
+    for (number, millis) in (10..13).enumerate() {
+        crash(&mut core, millis, number, &[FATAL]);
+    }
+    let (_, suspects) = core.take_updates(at(20), false);
+
+    other.restore_convictions(at(30), &suspects);
+
+    assert!(is_refused(&mut other, 40, &[FATAL]));
+    assert!(other.take_convictions(at(50)).is_empty());
+}
+
+#[test]
+fn what_was_served_since_is_no_longer_kept() {
+    let mut core = core_of("entry-1", SERVERS);
+    for (number, millis) in (10..13).enumerate() {
+        crash(&mut core, millis, number, &[SHARED]);
+    }
+    drop(core.take_convictions(at(20)));
+
+    let name = server(5).id;
+    let served = prints(1, &[SHARED]);
+    core.finish(at(30), JobId(1), &name, served, Outcome::Served);
+
+    let dropped = core.take_convictions(at(40));
+    assert_eq!(dropped, [ConvictionChange::Drop(print(SHARED))]);
+}
+
+#[test]
+fn a_conviction_is_kept_anew_before_the_store_forgets_it() {
+    let mut core = core_of("entry-1", SERVERS);
+    for (number, millis) in (10..13).enumerate() {
+        crash(&mut core, millis, number, &[FATAL]);
+    }
+    drop(core.take_convictions(at(20)));
+
+    core.expire(at(200_000));
+    let early = core.take_convictions(at(200_000));
+    core.expire(at(300_000));
+    let due = core.take_convictions(at(300_000));
+
+    assert!(early.is_empty(), "{early:?}");
+    assert!(
+        matches!(due.as_slice(), [ConvictionChange::Keep(_)]),
+        "{due:?}"
+    );
+}
