Let only what is more to blame excuse a suspected part

Cause: a part was not refused if something that the request lacks was at all the same crashes. Two parts that always crashed together excused each other, and no trial began that would tell them apart. Ruled out: the crashes themselves (both parts counted all of them) and the gossip (one entry).

Change: of two suspects that explain each other's crashes, the one that is more to blame excuses the other; two that are alike are both refused until a trial, unless one was in each request of the other. The simulation found what followed from that: trials that share crashes wait for each other, what is worse and was at the same crash disputes a trial's proof, and a failed trial does not count, twice at most, for a request that lacks what else was at its crash.

--- a/jujubewind/src/conviction/crash_history.rs
+++ b/jujubewind/src/conviction/crash_history.rs
@@ -2,11 +2,13 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use rapidhash::v3::rapidhash_v3;
 
 use super::Fingerprint;
 use super::Mark;
+use super::Prints;
 use super::Verdict;
 use super::limits::ALONE_LIMIT;
 use super::limits::CRASH_TTL;
@@ -36,6 +38,9 @@
     sound: bool,
     /// Until when a trial that has begun excludes others.
     held: MonoTime,
+    /// What was in each request with it that crashed a server through this entry; `None` if there
+    /// was none.
+    companions: Option<BTreeSet<Fingerprint>>,
 }
 
 impl CrashHistory {
@@ -97,6 +102,28 @@
         report.is_some_and(|report| report.is_counted(now))
     }
 
+    /// Records what was in a request with it that crashed a server.
+    pub(super) fn record_companions(&mut self, prints: &Prints) {
+        match &mut self.companions {
+            Some(companions) => companions.retain(|one| prints.iter().any(|print| print == *one)),
+            None => self.companions = Some(prints.iter().collect()),
+        }
+    }
+
+    /// Whether all its crashes through this entry were of requests with `print`.
+    pub(super) fn is_always_with(&self, print: Fingerprint) -> bool {
+        let companions = self.companions.as_ref();
+        companions.is_some_and(|companions| companions.contains(&print))
+    }
+
+    /// Whether these crashes are its own, but for so few that they convict nothing. What is sound
+    /// explains none but those that it was at.
+    pub(super) fn explains(&self, now: MonoTime, crashes: &[u64]) -> bool {
+        let shared = crashes.iter().filter(|id| self.counts(now, **id)).count();
+        let left = crashes.len() - shared;
+        left == 0 || (shared >= TOTAL_LIMIT && left < TOTAL_LIMIT && !self.sound)
+    }
+
     /// Clears all crashes after the request completed. Returns whether any was still counted.
     pub(super) fn clear(&mut self) -> bool {
         self.sound = true;
@@ -140,19 +167,25 @@
         }
     }
 
-    /// When the next trial is due, if the first one is `pause` after the last crash.
-    pub(super) fn trial_due(&self, now: MonoTime, pause: Millis) -> MonoTime {
+    /// When the next trial is due after this many `failed`, if the first one is `pause` after the last
+    /// crash.
+    pub(super) fn trial_due(&self, now: MonoTime, pause: Millis, failed: usize) -> MonoTime {
         let last = self.counted(now).map(|(_, report)| report.at).max();
-        let failed = u32::try_from(self.failed_trials(now)).unwrap_or(u32::MAX);
+        let failed = u32::try_from(failed).unwrap_or(u32::MAX);
         let factor = TRIAL_BACKOFF.saturating_pow(failed);
         let pause = Millis(pause.get().saturating_mul(factor));
         last.unwrap_or(now).after(pause).max(self.held)
     }
 
-    /// The number of trials that ended with a crash.
+    /// The number of trials of it that ended with a crash.
     pub(super) fn failed_trials(&self, now: MonoTime) -> usize {
-        let counted = self.counted(now);
-        counted.filter(|(_, report)| report.trial).count()
+        self.trials(now).count()
+    }
+
+    /// The crashes of its trials.
+    pub(super) fn trials(&self, now: MonoTime) -> impl Iterator<Item = u64> {
+        let trials = self.counted(now).filter(|(_, report)| report.trial);
+        trials.map(|(id, _)| *id)
     }
 
     /// How little of a crash is to be blamed on it rather than on something beside it.
--- a/jujubewind/src/conviction/limits.rs
+++ b/jujubewind/src/conviction/limits.rs
@@ -16,6 +16,9 @@
 pub const REQUEST_TRIAL_PAUSE: Millis = Millis(5_000);
 /// By what each crash on trial lengthens the pause: no more than three trials fit into [`CRASH_TTL`].
 pub const TRIAL_BACKOFF: u64 = 20;
+/// Maximum number of trials that do not count for a request, as their crashes may be due to something
+/// else. A part that ends servers may stand beside something else in each trial.
+pub const MAX_DOUBTFUL_TRIALS: usize = 2;
 /// The time in which the number of entries that may begin a trial doubles.
 pub const TRIAL_STEP: Millis = Millis(250);
 /// Maximum number of crash histories that one entry keeps; the oldest is evicted first.
--- a/jujubewind/src/conviction/suspect_registry.rs
+++ b/jujubewind/src/conviction/suspect_registry.rs
@@ -55,7 +55,9 @@
     ///
     /// Crashes that something else explains, which this request lacks, count against no part: all
     /// those of what failed a trial, and of one other suspect if so few are left without them that
-    /// they convict nothing.
+    /// they convict nothing. Of two suspects that explain each other's crashes only the one that is
+    /// more to blame excuses the other, so that what ends servers is always among the convicted ones;
+    /// trials tell two that are alike apart.
     fn convicted_parts(&self, now: MonoTime, prints: &Prints) -> Vec<Fingerprint> {
         let blamed = |part: &&Fingerprint| self.is_blamed(now, **part, &prints.parts);
         prints.parts.iter().filter(blamed).copied().collect()
@@ -72,17 +74,35 @@
         let others = self.histories.iter();
         let absent = others.filter(|(print, _)| !parts.contains(print));
         let absent: Vec<&CrashHistory> = absent.map(|(_, other)| other).collect();
-        // What is sound may have stood beside a fatal part at some of its crashes.
-        let is_proven = |other: &&&CrashHistory| other.failed_trials(now) > 0 && !other.is_sound();
-        for proven in absent.iter().filter(is_proven) {
+        for proven in absent.iter().filter(|other| self.is_proven(now, other)) {
             crashes.retain(|id| !proven.counts(now, *id));
         }
-        let explains = |other: &&CrashHistory| {
-            let shared = crashes.iter().filter(|id| other.counts(now, **id)).count();
-            let left = crashes.len() - shared;
-            left == 0 || (shared >= TOTAL_LIMIT && left < TOTAL_LIMIT && !other.is_sound())
+        let explains_all_of = |other: &CrashHistory| {
+            let crashes: Vec<u64> = other.counted(now).map(|(id, _)| *id).collect();
+            history.explains(now, &crashes)
         };
-        crashes.len() >= TOTAL_LIMIT && !absent.iter().any(explains)
+        let blame = history.innocence(now);
+        let excuses = |other: &&CrashHistory| {
+            let is_worse = other.innocence(now) < blame;
+            // Their requests are refused for both, so that the two do not excuse each other.
+            let is_beside = other.is_always_with(part);
+            other.explains(now, &crashes) && (is_worse || is_beside || !explains_all_of(other))
+        };
+        crashes.len() >= TOTAL_LIMIT && !absent.iter().any(excuses)
+    }
+
+    /// Whether a trial has shown that something ends servers. What is sound may have stood beside a
+    /// fatal part, and so may what was on trial as something that is more to blame ended its server.
+    fn is_proven(&self, now: MonoTime, history: &CrashHistory) -> bool {
+        if history.is_sound() || history.counted(now).count() < TOTAL_LIMIT {
+            return false;
+        }
+        let blame = history.innocence(now);
+        let is_disputed = |id: u64| {
+            let mut others = self.histories.values();
+            others.any(|other| other.counts(now, id) && other.innocence(now) < blame)
+        };
+        history.trials(now).any(|id| !is_disputed(id))
     }
 
     /// Records that a backend server responds, so that it did not crash at the report with the id
@@ -118,6 +138,15 @@
         self.merge_mark(now, fingerprint, &mark);
     }
 
+    /// Records what a request that crashed a server held.
+    pub fn record_companions(&mut self, prints: &Prints) {
+        for print in prints.iter() {
+            if let Some(history) = self.histories.get_mut(&print) {
+                history.record_companions(prints);
+            }
+        }
+    }
+
     /// Records that an answer to something suspected went on before it crashed a server.
     pub fn mark_sound(&mut self, fingerprint: Fingerprint) {
         let history = self.histories.get_mut(&fingerprint);
--- a/jujubewind/src/conviction/suspect_registry/trials.rs
+++ b/jujubewind/src/conviction/suspect_registry/trials.rs
@@ -1,11 +1,14 @@
 //! What is refused, and the trials that may end a conviction.
 
+use std::collections::BTreeSet;
+
 use super::SuspectRegistry;
 use crate::conviction::Admission;
 use crate::conviction::Fingerprint;
 use crate::conviction::Prints;
 use crate::conviction::Verdict;
 use crate::conviction::crash_history::CrashHistory;
+use crate::conviction::limits::MAX_DOUBTFUL_TRIALS;
 use crate::conviction::limits::PART_TRIAL_PAUSE;
 use crate::conviction::limits::REQUEST_TRIAL_PAUSE;
 use crate::types::Millis;
@@ -18,7 +21,8 @@
         let Some(history) = self.histories.get(&fingerprint) else {
             return Verdict::Run;
         };
-        let due = self.trial_due(now, fingerprint, history, REQUEST_TRIAL_PAUSE);
+        let failed = history.failed_trials(now);
+        let due = self.trial_due(now, fingerprint, history, REQUEST_TRIAL_PAUSE, failed);
         history.verdict(now, due)
     }
 
@@ -33,10 +37,19 @@
         let parts = parts.into_iter().map(|part| (part, Millis(pause)));
         let request = (prints.request, REQUEST_TRIAL_PAUSE);
         let request = Some(request).filter(|_| self.is_refused_whole(now, prints, is_retry));
-        let due = parts.chain(request).filter_map(|(print, pause)| {
+        let convicted = parts.chain(request).filter_map(|(print, pause)| {
             let history = self.histories.get(&print)?;
-            let due = self.trial_due(now, print, history, pause);
-            Some((due, print, history))
+            Some((print, pause, history))
+        });
+        let convicted: Vec<(Fingerprint, Millis, &CrashHistory)> = convicted.collect();
+        if convicted.is_empty() {
+            return Admission::Run;
+        }
+        let histories = convicted.iter().map(|(.., history)| *history);
+        let failed = self.failed_trials(now, prints, histories);
+        let due = convicted.into_iter().map(|(print, pause, history)| {
+            let due = self.trial_due(now, print, history, pause, failed);
+            (due, print, history)
         });
         let due: Vec<(MonoTime, Fingerprint, &CrashHistory)> = due.collect();
         match due.iter().max_by_key(|(due, ..)| *due) {
@@ -72,30 +85,76 @@
             .map(|(print, history)| (*print, history.failed_trials(now)))
             .unzip();
         self.trials.extend(blamed);
-        for print in convicted {
-            let history = self.histories.get_mut(print);
+        for print in self.tied_to(now, convicted) {
+            let history = self.histories.get_mut(&print);
             if history.is_some_and(|history| history.hold(now.after(span))) {
-                self.urgent.insert(*print);
+                self.urgent.insert(print);
             }
         }
         failed.into_iter().max().unwrap_or_default()
     }
 
+    /// What these trials exclude meanwhile: what is convicted by one of the same crashes, as two trials
+    /// at one server would tell nothing of either.
+    fn tied_to(&self, now: MonoTime, convicted: &[Fingerprint]) -> Vec<Fingerprint> {
+        let histories = convicted
+            .iter()
+            .filter_map(|print| self.histories.get(print));
+        let crashes: BTreeSet<u64> = histories
+            .flat_map(|history| history.counted(now).map(|(id, _)| *id))
+            .collect();
+        let is_tied = |print: &Fingerprint, history: &CrashHistory| {
+            let shares = crashes.iter().any(|id| history.counts(now, *id));
+            convicted.contains(print) || (shares && history.is_convicted(now))
+        };
+        let histories = self.histories.iter();
+        let tied = histories.filter(|(print, history)| is_tied(print, history));
+        tied.map(|(print, _)| *print).collect()
+    }
+
     /// The parts of a request's prompt with crashes that count.
     fn suspected_parts(&self, now: MonoTime, prints: &Prints) -> impl Iterator<Item = Fingerprint> {
         let parts = prints.parts.iter().copied();
         parts.filter(move |part| self.crashes(now, *part) > 0)
     }
 
+    /// How many trials have told of a request with these convicted parts. A trial tells nothing of it
+    /// if its crash may be due to something that this request lacks, as that was at another one as
+    /// well.
+    fn failed_trials<'a>(
+        &self,
+        now: MonoTime,
+        prints: &Prints,
+        convicted: impl Iterator<Item = &'a CrashHistory>,
+    ) -> usize {
+        let absent = self.histories.iter();
+        let absent = absent.filter(|(print, _)| !prints.iter().any(|own| own == **print));
+        let suspects: Vec<&CrashHistory> = absent
+            .map(|(_, other)| other)
+            .filter(|other| !other.is_sound() && other.counted(now).count() > 1)
+            .collect();
+        let is_doubtful = |id: &u64| suspects.iter().any(|other| other.counts(now, *id));
+        let trials = self.histories.values().flat_map(|one| one.trials(now));
+        let trials: BTreeSet<u64> = trials.collect();
+        let count = |history: &CrashHistory| {
+            let tried = trials.iter().filter(|id| history.counts(now, **id));
+            let doubtful = tried.clone().filter(|id| is_doubtful(id)).count();
+            tried.count() - doubtful.min(MAX_DOUBTFUL_TRIALS)
+        };
+        convicted.map(count).max().unwrap_or_default()
+    }
+
+    /// When a trial is due after this many `failed`.
     fn trial_due(
         &self,
         now: MonoTime,
         print: Fingerprint,
         history: &CrashHistory,
         pause: Millis,
+        failed: usize,
     ) -> MonoTime {
-        let delay = self.turns.delay(print, history.failed_trials(now));
-        history.trial_due(now, pause).after(delay)
+        let delay = self.turns.delay(print, failed);
+        history.trial_due(now, pause, failed).after(delay)
     }
 
     fn is_refused_whole(&self, now: MonoTime, prints: &Prints, is_retry: bool) -> bool {
--- a/jujubewind/src/direct/control/crashes.rs
+++ b/jujubewind/src/direct/control/crashes.rs
@@ -64,6 +64,7 @@
                 crashes = self.suspects.crashes(now, print)
             );
         }
+        self.suspects.record_companions(prints);
     }
 
     /// Records that a backend server responded: connections to it that broke before were no crash.
--- a/jujubewind/tests/direct/poison_parts.rs
+++ b/jujubewind/tests/direct/poison_parts.rs
@@ -81,6 +81,54 @@
     (0..2).for_each(|seed| check_bounds(410, seed));
 }
 
+/// Guards against suspects that excuse each other without end, as they were at the same crashes.
+#[test]
+fn both_bounds_hold_beside_sound_prompts_at_each_crash() {
+    for (entries, seeds) in [(1, 20), (2, 20), (4, 20), (30, 2)] {
+        (0..seeds).for_each(|seed| check_bounds_beside(entries, seed));
+    }
+}
+
+/// Plays one fatal part or two beside sound prompts that come with each of them, known ones or not.
+fn check_bounds_beside(entries: usize, seed: u64) {
+    let plan = Plan {
+        entries,
+        run_millis: 50_000,
+        sound: 0.0,
+        fatal: 0.01,
+        fatal_parts: 1 + u128::from(seed % 2),
+        start_millis: 16_000,
+        quiet_millis: 7_000,
+        beside: 1 + u128::from(seed % 3),
+        known: seed % 4 < 2,
+        ..Plan::default()
+    };
+    check_plan(plan, entries, seed);
+}
+
+/// Guards against a fatal part that is tried once more in each session.
+#[test]
+fn both_bounds_hold_for_a_fatal_part_in_few_sessions() {
+    for (entries, seeds) in [(1, 20), (4, 20)] {
+        (0..seeds).for_each(|seed| check_bounds_in_sessions(entries, seed));
+    }
+}
+
+/// Plays a fatal part with further parts behind it, which few or many requests share.
+fn check_bounds_in_sessions(entries: usize, seed: u64) {
+    let plan = Plan {
+        entries,
+        run_millis: 50_000,
+        sound: 0.02,
+        fatal: 0.02,
+        start_millis: 16_000,
+        quiet_millis: 6_000,
+        fatal_sessions: 1 + u128::from(seed % 12),
+        ..Plan::default()
+    };
+    check_plan(plan, entries, seed);
+}
+
 /// Plays one fatal part or two after a quiet spell, with and without crashes for other reasons.
 fn check_bounds(entries: usize, seed: u64) {
     let plan = Plan {
@@ -92,7 +140,12 @@
         start_millis: 16_000,
         quiet_millis: 6_000,
         other_crashes: if seed % 4 < 2 { 0.0 } else { 0.001 },
+        ..Plan::default()
     };
+    check_plan(plan, entries, seed);
+}
+
+fn check_plan(plan: Plan, entries: usize, seed: u64) {
     let mut world = World::new(seed, plan);
 
     world.run();
--- a/jujubewind/tests/direct/poison_parts/world.rs
+++ b/jujubewind/tests/direct/poison_parts/world.rs
@@ -47,6 +47,12 @@
 const CALLERS: u128 = 10;
 pub const SESSIONS: u128 = 1_000;
 const FATAL: u128 = 9_990;
+/// The first part of the sound requests beside those with a fatal part.
+const BESIDE: u128 = 5_000;
+/// The first session of requests with a fatal part.
+const FATAL_SESSIONS: u128 = 6_000;
+/// The time between two sound requests with the same part before the start.
+const KNOWN_EVERY_MILLIS: u64 = 250;
 
 /// What a fleet has to serve.
 #[derive(Clone)]
@@ -64,6 +70,12 @@
     pub quiet_millis: u64,
     /// The chance of a crash for another reason in each tick.
     pub other_crashes: f64,
+    /// Sound requests beside each one with a fatal part, each with the same part in its place.
+    pub beside: u128,
+    /// Whether these parts had answers before the start.
+    pub known: bool,
+    /// The sessions of requests with a fatal part, each a further part of its own; none if it is zero.
+    pub fatal_sessions: u128,
 }
 
 impl Default for Plan {
@@ -77,6 +89,9 @@
             start_millis: 4_000,
             quiet_millis: 0,
             other_crashes: 0.0,
+            beside: 0,
+            known: false,
+            fatal_sessions: 0,
         }
     }
 }
@@ -154,9 +169,20 @@
             if !is_quiet && self.rng.random_bool(plan.sound) {
                 self.send_sound(now);
             }
+            let before = plan.start_millis - plan.quiet_millis;
+            if plan.known && now < before && now.is_multiple_of(KNOWN_EVERY_MILLIS) {
+                let entry = self.rng.random_range(0..plan.entries);
+                self.send_beside(now, entry);
+            }
             if now >= plan.start_millis && self.rng.random_bool(plan.fatal) {
                 let fatal = FATAL + self.rng.random_range(0..plan.fatal_parts);
-                self.send(now, &[SYSTEM, CALLERS, fatal]);
+                let entry = self.rng.random_range(0..plan.entries);
+                self.send_beside(now, entry);
+                let mut parts = vec![SYSTEM, CALLERS, fatal];
+                if plan.fatal_sessions > 0 {
+                    parts.push(FATAL_SESSIONS + self.rng.random_range(0..plan.fatal_sessions));
+                }
+                self.send(now, entry, &parts);
             }
             if self.rng.random_bool(plan.other_crashes) {
                 let first = self.rng.random_range(0..SERVERS);
@@ -171,17 +197,25 @@
     fn send_sound(&mut self, now: u64) {
         let caller = CALLERS + self.rng.random_range(0..4);
         let session = SESSIONS + self.rng.random_range(0..200);
-        let refused = self.send(now, &[SYSTEM, caller, session]) == Some(Reason::Convicted);
+        let entry = self.rng.random_range(0..self.plan.entries);
+        let refused = self.send(now, entry, &[SYSTEM, caller, session]) == Some(Reason::Convicted);
         if caller == CALLERS {
             self.sound.push((now, refused));
         }
     }
 
-    /// Sends a request with these shared parts; returns the reason if it is refused.
-    fn send(&mut self, now: u64, parts: &[u128]) -> Option<Reason> {
+    /// Sends the sound requests that stand beside one with a fatal part.
+    fn send_beside(&mut self, now: u64, entry: usize) {
+        for part in BESIDE..BESIDE + self.plan.beside {
+            let refused = self.send(now, entry, &[SYSTEM, CALLERS, part]);
+            self.sound.push((now, refused == Some(Reason::Convicted)));
+        }
+    }
+
+    /// Sends a request with these shared parts to an entry; returns the reason if it is refused.
+    fn send(&mut self, now: u64, entry: usize, parts: &[u128]) -> Option<Reason> {
         let id = self.next;
         self.next += 1;
-        let entry = self.rng.random_range(0..self.plan.entries);
         let prints = Prints {
             request: print(1_000_000 + u128::from(id)),
             parts: parts.iter().copied().map(print).collect(),
