Give entries of tests a port for datagrams that nothing takes by chance

Cause: the fixtures reserved TCP ports and used the number of one of them for datagrams, which the system may give to the datagram socket of another test meanwhile; the entry then exits as it starts.

Change: ports for datagrams come from below the range that the system gives out, another one at each call.

--- a/emulator/src/lib.rs
+++ b/emulator/src/lib.rs
@@ -1,6 +1,7 @@
 //! Emulators of the systems around jujubewind: model engines, plain services and the platform.
 
 pub mod cli;
+pub mod datagram_addr;
 pub mod embedded;
 pub mod engine;
 pub mod experiment;
