Give a response up at once that an agent can never hold

Callers saw: a call whose response is longer than half of what an agent may hold for responses was answered outcome_unknown only at its deadline (6 MiB with max_memory: 32 MiB: after 30.0 s).

Cause: a response with an announced length waits in its socket for room, also if the account is too small for it when nothing else is held.

Change: the length is compared with the ceiling of the account first. The call has run, so that its outcome stays unknown, but its caller learns it at once.

--- a/jujubewind/src/agent/download.rs
+++ b/jujubewind/src/agent/download.rs
@@ -39,8 +39,11 @@
         return Err(Error::TooLong);
     }
     let mut charge = bodies.account().open(Purpose::Response);
-    // Once more for its frame.
-    while !charge.resize(2 * length) {
+    let needed = 2 * length; // Once more for its frame.
+    if !charge.may_hold(needed) {
+        return Err(Error::NoRoom);
+    }
+    while !charge.resize(needed) {
         compio::time::sleep(ROOM_CHECK_PERIOD.duration()).await;
     }
     let mut bytes = Vec::with_capacity(length);
--- a/jujubewind/src/memory/account.rs
+++ b/jujubewind/src/memory/account.rs
@@ -37,9 +37,14 @@
         Charge::new(self.clone(), purpose)
     }
 
+    /// The use up to which a holding may grow to `own` bytes.
+    pub(super) const fn ceiling(&self, purpose: Purpose, own: usize) -> usize {
+        purpose.ceiling(self.limit, own)
+    }
+
     /// Adds `grown` bytes to a charge that then has `own`; returns whether there was room.
     pub(super) fn take(&self, purpose: Purpose, grown: usize, own: usize) -> bool {
-        let ceiling = purpose.ceiling(self.limit, own);
+        let ceiling = self.ceiling(purpose, own);
         let add = |used: usize| Some(used.checked_add(grown)?).filter(|sum| *sum <= ceiling);
         let taken = self
             .used
--- a/jujubewind/src/memory/charge.rs
+++ b/jujubewind/src/memory/charge.rs
@@ -43,6 +43,12 @@
         true
     }
 
+    /// Whether there would be room for `bytes` if nothing else were held.
+    #[must_use]
+    pub fn may_hold(&self, bytes: usize) -> bool {
+        bytes <= self.account.ceiling(self.purpose, bytes)
+    }
+
     /// Moves what is counted to a charge of its own.
     #[must_use]
     pub fn take(&mut self) -> Self {
