Count what an engine's answers make its agent hold

An agent's process would end: an engine whose list of sequences has no end made it hold 575 MB, 100 allowed.

Cause: answers that are no streams were read whole, however long, and a line of a stream was buffered until its end came. Neither was counted; each piece of a long line also searched all of it again.

--- a/jujubewind/src/agent/engine_client.rs
+++ b/jujubewind/src/agent/engine_client.rs
@@ -43,6 +43,8 @@
 use crate::wire::engine::PartResult;
 use crate::wire::engine::SequenceList;
 
+/// The longest answer of an engine, but for its streams.
+const MAX_ANSWER_BYTES: usize = 16 * 1_024 * 1_024;
 /// The data of the event that ends a stream.
 const DONE: &str = "[DONE]";
 
@@ -177,7 +179,7 @@
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         let url = format!("{}{path}", self.base);
         let response = self.http.get(url)?.send().await?;
-        Ok(check_status(response)?.json().await?)
+        self.decode(check_status(response)?).await
     }
 
     async fn post<B, T>(&self, path: &str, body: &B) -> Result<T>
@@ -187,7 +189,25 @@
     {
         let url = format!("{}{path}", self.base);
         let response = self.http.post(url)?.json(body)?.send().await?;
-        Ok(check_status(response)?.json().await?)
+        self.decode(check_status(response)?).await
+    }
+
+    /// Reads an answer, which is counted until it is decoded.
+    async fn decode<T: DeserializeOwned>(&self, response: Response) -> Result<T> {
+        let mut charge = self.account.open(Purpose::Response);
+        let mut text = Vec::new();
+        let mut parts = response.bytes_stream();
+        while let Some(part) = parts.next().await {
+            text.extend_from_slice(&part?);
+            if text.len() > MAX_ANSWER_BYTES {
+                return Err(Error::TooLong);
+            }
+            // The buffer grows by doubling.
+            if !charge.resize(2 * text.len()) {
+                return Err(Error::NoRoom);
+            }
+        }
+        Ok(serde_json::from_slice(&text)?)
     }
 
     async fn stream(&self, start: &Start, priority: u8) -> Result<bool> {
@@ -200,8 +220,13 @@
         let response = check_status(request.send().await?)?;
         let mut bytes = response.bytes_stream();
         let mut parser = EventParser::default();
+        let mut charge = self.account.open(Purpose::Response);
         while let Some(part) = bytes.next().await {
-            for data in parser.push(part?.as_ref()) {
+            let events = parser.push(part?.as_ref()).ok_or(Error::TooLong)?;
+            if !charge.resize(parser.buffered()) {
+                return Err(Error::NoRoom);
+            }
+            for data in events {
                 if data == DONE {
                     continue;
                 }
