--- a/jujubewind/src/conviction/suspect_registry/trials.rs
+++ b/jujubewind/src/conviction/suspect_registry/trials.rs
@@ -118,9 +118,9 @@
         parts.filter(move |part| self.crashes(now, *part) > 0)
     }
 
-    /// How many trials have told of a request with these convicted parts. A trial tells nothing of it
-    /// if its crash may be due to something that this request lacks, as that was at another one as
-    /// well.
+    /// The number of failed trials that count against a request with these convicted parts. A trial
+    /// whose crash may be due to a suspect with other crashes, which this request lacks, does not
+    /// count, up to [`MAX_DOUBTFUL_TRIALS`] of them.
     fn failed_trials<'a>(
         &self,
         now: MonoTime,
